--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, model engines and plain services.
--- /dev/null
+++ b/crates/harness/src/lib.rs
@@ -0,0 +1,1 @@
+//! Demo, benchmark, fuzz, policy and capacity commands.
--- /dev/null
+++ b/crates/siskinctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line of siskinstile.
--- /dev/null
+++ b/crates/siskinstiled/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon of siskinstile.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and frames between the instances of a fleet.
