--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 use siskinstile_macros::value;
 
 /// A shared immutable name.
