--- /dev/null
+++ b/crates/core/src/check.rs
@@ -0,0 +1,270 @@
+//! Checks a whole set of objects before any of it is published.
+//!
+//! Every fault is reported at once. A reference from an object leads to a kind that never refers
+//! back (key to team, route to pool and service, pool to service), so a cycle cannot be written.
+//!
+//! A team's rate is held against a simple upper bound: the sum of `prefill_rate` over the prefill
+//! endpoints of all pools. A set without prefill endpoints has no such bound. Routes are open to
+//! every team, so each team's burst has to pay for the most expensive plain route with a key.
+
+mod pool;
+mod problem;
+mod route;
+
+use std::collections::HashMap;
+use std::{fmt, io};
+
+use serde::Serialize;
+use siskinstile_macros::value;
+
+pub use problem::Problem;
+
+use crate::object::{Key, Kind, Name, Role, Route, Service, Set, Team, Workload};
+
+/// Longest name, in characters.
+pub const NAME_MAX: usize = 63;
+
+/// Largest JSON value of an object, in bytes.
+pub const VALUE_MAX: usize = 1_000_000;
+
+/// Largest body limit of a route, in bytes.
+pub const BODY_LIMIT_MAX: u64 = 64 << 20;
+
+/// Shortest salt of a key, in bytes.
+pub const SALT_BYTES_MIN: usize = 16;
+
+/// Length of a key's hash, in bytes.
+pub const HASH_BYTES: usize = 32;
+
+const OBJECTIVE_PERCENT_MIN: f64 = 50.0;
+const OBJECTIVE_PERCENT_END: f64 = 100.0;
+
+/// One thing that is wrong with a set.
+#[value]
+pub struct Fault {
+    /// Kind of the object.
+    pub kind: Kind,
+    /// Name of the object.
+    pub name: Name,
+    /// Field of the object, such as `team` or `endpoints[2].address`.
+    pub field: String,
+    /// What is wrong with it.
+    pub problem: Problem,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} `{}`, {}: {}", self.kind.as_str(), self.name, self.field, self.problem)
+    }
+}
+
+/// Returns everything that is wrong with a set; nothing if it may be published.
+pub fn check(set: &Set) -> Vec<Fault> {
+    let mut report = Report::default();
+    names(set, &mut report);
+    sizes(set, &mut report);
+    services(set, &mut report);
+    teams(set, &mut report);
+    keys(set, &mut report);
+    route::check(set, &mut report);
+    pool::check(set, &mut report);
+    report.faults
+}
+
+/// Collects faults.
+#[derive(Default)]
+struct Report {
+    faults: Vec<Fault>,
+}
+
+impl Report {
+    fn add(&mut self, kind: Kind, name: &Name, field: &str, problem: Problem) {
+        self.faults.push(Fault { kind, name: name.clone(), field: field.to_owned(), problem });
+    }
+
+    fn missing(&mut self, kind: Kind, name: &Name, field: &str, to: Kind, target: &Name) {
+        self.add(kind, name, field, Problem::Missing { kind: to, name: target.clone() });
+    }
+
+    fn nonzero(&mut self, kind: Kind, name: &Name, field: &str, number: u64) {
+        if number == 0 {
+            self.add(kind, name, field, Problem::Zero);
+        }
+    }
+
+    fn name(&mut self, kind: Kind, name: &Name, field: &str, word: &Name) {
+        if !is_name(word) {
+            self.add(kind, name, field, Problem::BadName { name: word.clone() });
+        }
+    }
+
+    fn size(&mut self, kind: Kind, name: &Name, object: &impl Serialize) {
+        let bytes = json_size(object);
+        if bytes > VALUE_MAX {
+            self.add(kind, name, "value", Problem::TooLarge { bytes });
+        }
+    }
+}
+
+fn is_name(word: &str) -> bool {
+    let allowed = |byte: u8| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-');
+    (1..=NAME_MAX).contains(&word.len()) && word.bytes().all(allowed)
+}
+
+/// Counts the bytes that are written to it.
+struct Counter(usize);
+
+impl io::Write for Counter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn json_size(object: &impl Serialize) -> usize {
+    let mut counter = Counter(0);
+    serde_json::to_writer(&mut counter, object).expect("objects have string keys only");
+    counter.0
+}
+
+fn names(set: &Set, report: &mut Report) {
+    let services = set.services.keys().map(|name| (Kind::Service, name));
+    let teams = set.teams.keys().map(|name| (Kind::Team, name));
+    let keys = set.keys.keys().map(|name| (Kind::Key, name));
+    let routes = set.routes.keys().map(|name| (Kind::Route, name));
+    let pools = set.pools.keys().map(|name| (Kind::Pool, name));
+    for (kind, name) in services.chain(teams).chain(keys).chain(routes).chain(pools) {
+        report.name(kind, name, "name", name);
+    }
+}
+
+fn sizes(set: &Set, report: &mut Report) {
+    set.services.iter().for_each(|(name, it)| report.size(Kind::Service, name, it));
+    set.teams.iter().for_each(|(name, it)| report.size(Kind::Team, name, it));
+    set.keys.iter().for_each(|(name, it)| report.size(Kind::Key, name, it));
+    set.routes.iter().for_each(|(name, it)| report.size(Kind::Route, name, it));
+    set.pools.iter().for_each(|(name, it)| report.size(Kind::Pool, name, it));
+}
+
+fn services(set: &Set, report: &mut Report) {
+    for service in set.services.values() {
+        objective(service, report);
+        models(service, report);
+    }
+}
+
+fn objective(service: &Service, report: &mut Report) {
+    let percent = service.objective_percent;
+    if !(OBJECTIVE_PERCENT_MIN..OBJECTIVE_PERCENT_END).contains(&percent) {
+        let problem = Problem::BadObjective { percent };
+        report.add(Kind::Service, &service.name, "objective_percent", problem);
+    }
+}
+
+fn models(service: &Service, report: &mut Report) {
+    match service.workload {
+        Workload::Model if service.models.is_empty() => {
+            report.add(Kind::Service, &service.name, "models", Problem::NoModels);
+        }
+        Workload::Plain if !service.models.is_empty() => {
+            report.add(Kind::Service, &service.name, "models", Problem::PlainWithModels);
+        }
+        _ => {}
+    }
+    let mut seen = HashMap::new();
+    for (index, model) in service.models.iter().enumerate() {
+        let field = format!("models[{index}]");
+        report.name(Kind::Service, &service.name, &field, model);
+        if seen.insert(model, index).is_some() {
+            let problem = Problem::Repeated { name: model.clone() };
+            report.add(Kind::Service, &service.name, &field, problem);
+        }
+    }
+}
+
+fn teams(set: &Set, report: &mut Report) {
+    let capacity = prefill_capacity(set);
+    let dearest = dearest_route(set);
+    for team in set.teams.values() {
+        report.nonzero(Kind::Team, &team.name, "weight", team.weight.into());
+        report.nonzero(Kind::Team, &team.name, "rate", team.rate);
+        report.nonzero(Kind::Team, &team.name, "burst", team.burst);
+        grace(Kind::Team, &team.name, team.offline_grace_s, report);
+        rate(team, capacity, report);
+        burst(team, dearest, report);
+    }
+}
+
+/// Returns the prefill rate of all pools, in tokens a second; none without prefill endpoints.
+fn prefill_capacity(set: &Set) -> Option<u64> {
+    let prefill = |pool: &crate::object::Pool| {
+        let count = pool.endpoints.iter().filter(|it| it.role == Role::Prefill).count();
+        (count > 0).then(|| pool.prefill_rate.saturating_mul(count as u64))
+    };
+    set.pools.values().filter_map(prefill).reduce(u64::saturating_add)
+}
+
+/// Returns the plain route with a key whose requests cost the most.
+fn dearest_route(set: &Set) -> Option<&Route> {
+    let plain = |route: &&Route| {
+        let service = set.services.get(&route.service);
+        !route.open && service.is_some_and(|it| it.workload == Workload::Plain)
+    };
+    set.routes.values().filter(plain).max_by_key(|route| route.cost)
+}
+
+fn rate(team: &Team, capacity: Option<u64>, report: &mut Report) {
+    match capacity {
+        Some(capacity) if team.rate > capacity => {
+            let problem = Problem::RateAboveCapacity { rate: team.rate, capacity };
+            report.add(Kind::Team, &team.name, "rate", problem);
+        }
+        _ => {}
+    }
+}
+
+fn burst(team: &Team, dearest: Option<&Route>, report: &mut Report) {
+    match dearest {
+        Some(route) if route.cost > team.burst => {
+            let (burst, route, cost) = (team.burst, route.name.clone(), route.cost);
+            let problem = Problem::BurstBelowCost { burst, route, cost };
+            report.add(Kind::Team, &team.name, "burst", problem);
+        }
+        _ => {}
+    }
+}
+
+fn grace(kind: Kind, name: &Name, seconds: Option<u64>, report: &mut Report) {
+    if let Some(seconds) = seconds {
+        report.nonzero(kind, name, "offline_grace_s", seconds);
+    }
+}
+
+fn keys(set: &Set, report: &mut Report) {
+    let mut hashes = HashMap::with_capacity(set.keys.len());
+    for key in set.keys.values() {
+        if !set.teams.contains_key(&key.team) {
+            report.missing(Kind::Key, &key.name, "team", Kind::Team, &key.team);
+        }
+        grace(Kind::Key, &key.name, key.offline_grace_s, report);
+        hash(key, &mut hashes, report);
+    }
+}
+
+fn hash<'a>(key: &'a Key, hashes: &mut HashMap<Vec<u8>, &'a Name>, report: &mut Report) {
+    match hex::decode(&*key.salt) {
+        Ok(salt) if salt.len() >= SALT_BYTES_MIN => {}
+        _ => report.add(Kind::Key, &key.name, "salt", Problem::BadSalt),
+    }
+    let Some(hash) = hex::decode(&*key.hash).ok().filter(|hash| hash.len() == HASH_BYTES) else {
+        return report.add(Kind::Key, &key.name, "hash", Problem::BadHash);
+    };
+    if let Some(other) = hashes.insert(hash, &key.name) {
+        let problem = Problem::DoubledHash { other: other.clone() };
+        report.add(Kind::Key, &key.name, "hash", problem);
+    }
+}
--- /dev/null
+++ b/crates/core/src/check/problem.rs
@@ -0,0 +1,191 @@
+//! What can be wrong with a field of an object.
+
+use siskinstile_macros::value;
+
+use super::{BODY_LIMIT_MAX, HASH_BYTES, NAME_MAX, SALT_BYTES_MIN, VALUE_MAX};
+use crate::object::{Kind, Name, Role, Workload};
+
+/// What is wrong with a field; its text also says what would be right.
+#[value]
+#[derive(thiserror::Error)]
+#[non_exhaustive]
+pub enum Problem {
+    /// The name refers to no object.
+    #[error("there is no {} `{name}`; name one that the set contains", kind.as_str())]
+    Missing {
+        /// Kind that the field refers to.
+        kind: Kind,
+        /// Name that was not found.
+        name: Name,
+    },
+    /// The name has characters or a length that are not allowed.
+    #[error("`{name}` is no name; use 1 to {NAME_MAX} characters of a-z, 0-9 and `-`")]
+    BadName {
+        /// The name as written.
+        name: Name,
+    },
+    /// The object's JSON value is too large for the platform.
+    #[error("the value has {bytes} bytes; keep it to at most {VALUE_MAX}")]
+    TooLarge {
+        /// Size of the value, in bytes.
+        bytes: usize,
+    },
+    /// The number must not be zero.
+    #[error("is 0; give at least 1")]
+    Zero,
+    /// The objective is out of its range.
+    #[error("is {percent}; give a number from 50 up to, but not including, 100")]
+    BadObjective {
+        /// The objective as written, in percent.
+        percent: f64,
+    },
+    /// A model service serves no model.
+    #[error("a model service needs at least one model; list the models that it serves")]
+    NoModels,
+    /// A plain service lists models.
+    #[error("a plain service has no models; leave the list empty")]
+    PlainWithModels,
+    /// The name stands twice in the list.
+    #[error("`{name}` is listed twice; list it once")]
+    Repeated {
+        /// The repeated name.
+        name: Name,
+    },
+    /// The rate is above what all prefill endpoints give together.
+    #[error(
+        "is {rate}, but all pools together prefill {capacity} tokens a second; give at most that"
+    )]
+    RateAboveCapacity {
+        /// Rate of the team, in tokens a second.
+        rate: u64,
+        /// Prefill rate of all pools, in tokens a second.
+        capacity: u64,
+    },
+    /// The burst cannot pay for one request of a route.
+    #[error("is {burst}, but one request of route `{route}` costs {cost}; give at least that")]
+    BurstBelowCost {
+        /// Burst of the team, in tokens.
+        burst: u64,
+        /// Route that costs the most.
+        route: Name,
+        /// Cost of one request, in tokens.
+        cost: u64,
+    },
+    /// The salt is not hexadecimal or too short.
+    #[error("is no salt; give at least {SALT_BYTES_MIN} bytes as hexadecimal digits")]
+    BadSalt,
+    /// The hash is not hexadecimal or has another length.
+    #[error("is no SHA-256 hash; give {HASH_BYTES} bytes as hexadecimal digits")]
+    BadHash,
+    /// Another key has the same hash.
+    #[error("is also the hash of key `{other}`; give each key its own salt and secret")]
+    DoubledHash {
+        /// The earlier key.
+        other: Name,
+    },
+    /// The model is not among those of the service.
+    #[error("service `{service}` does not serve `{model}`; name one of its models")]
+    ModelNotServed {
+        /// Model of the route.
+        model: Name,
+        /// Service of the route.
+        service: Name,
+    },
+    /// A route of a model service has no model.
+    #[error("a route of a model service needs a model; name one")]
+    ModelMissing,
+    /// A field is set that routes or endpoints of this workload do not have.
+    #[error("does not belong on a route of a {} service; remove it", word(*workload))]
+    NotForWorkload {
+        /// Workload of the service.
+        workload: Workload,
+    },
+    /// A route of a plain service has no usable path.
+    #[error("a route of a plain service needs a path prefix that starts with `/`")]
+    BadPath,
+    /// The method is not a usual HTTP method.
+    #[error("`{method}` is no HTTP method; use one such as GET or POST, in capitals")]
+    BadMethod {
+        /// The method as written.
+        method: Name,
+    },
+    /// A model route is marked as non-idempotent.
+    #[error("a completion is idempotent: running it again charges nobody; set it to true")]
+    NonIdempotentModel,
+    /// Another route takes the same requests.
+    #[error("route `{other}` takes the same requests; change or remove one of the two")]
+    Overlap {
+        /// The earlier route.
+        other: Name,
+    },
+    /// The body limit is too high.
+    #[error("is {bytes}; give at most {BODY_LIMIT_MAX} bytes")]
+    BodyLimitTooHigh {
+        /// The limit as written, in bytes.
+        bytes: u64,
+    },
+    /// The pool runs another service than the route names.
+    #[error("pool `{pool}` runs service `{runs}`, not `{service}`; name a pool of the service")]
+    PoolOfOther {
+        /// Pool of the route.
+        pool: Name,
+        /// Service that the pool runs.
+        runs: Name,
+        /// Service of the route.
+        service: Name,
+    },
+    /// An endpoint's role does not fit the workload of the pool's service.
+    #[error("a pool of a {} service has no such endpoints; use {}", word(*workload), roles(*workload))]
+    RoleMismatch {
+        /// Workload of the pool's service.
+        workload: Workload,
+    },
+    /// The pool lacks an endpoint of a role.
+    #[error("the pool needs at least one {} endpoint; add one", role_word(*role))]
+    RoleMissing {
+        /// The role that no endpoint has.
+        role: Role,
+    },
+    /// The address does not parse.
+    #[error("`{address}` is no address; give IP:PORT")]
+    BadAddress {
+        /// The address as written.
+        address: Name,
+    },
+    /// An endpoint of the same name exists.
+    #[error("pool `{pool}` has an endpoint of this name; names are unique over all pools")]
+    DoubledEndpoint {
+        /// Pool of the earlier endpoint.
+        pool: Name,
+    },
+    /// An endpoint of the same address exists.
+    #[error("endpoint `{endpoint}` of pool `{pool}` has this address; give each its own")]
+    DoubledAddress {
+        /// Pool of the earlier endpoint.
+        pool: Name,
+        /// The earlier endpoint.
+        endpoint: Name,
+    },
+}
+
+fn word(workload: Workload) -> &'static str {
+    match workload {
+        Workload::Model => "model",
+        Workload::Plain => "plain",
+    }
+}
+
+fn roles(workload: Workload) -> &'static str {
+    match workload {
+        Workload::Model => "prefill or decode",
+        Workload::Plain => "plain",
+    }
+}
+
+fn role_word(role: Role) -> &'static str {
+    match role {
+        Role::Prefill => "prefill",
+        Role::Decode => "decode",
+        Role::Plain => "plain",
+    }
+}
--- /dev/null
+++ b/crates/core/src/check/route.rs
@@ -0,0 +1,140 @@
+//! Checks of routes.
+
+use std::collections::HashMap;
+
+use super::{BODY_LIMIT_MAX, Problem, Report};
+use crate::object::{Kind, Name, Route, Service, Set, Workload};
+
+const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
+
+pub(super) fn check(set: &Set, report: &mut Report) {
+    let mut overlap = Overlap::default();
+    for route in set.routes.values() {
+        numbers(route, report);
+        match set.services.get(&route.service) {
+            Some(service) => {
+                fields(route, service, report);
+                overlap.add(route, service.workload, report);
+            }
+            None => {
+                report.missing(Kind::Route, &route.name, "service", Kind::Service, &route.service)
+            }
+        }
+        pool(set, route, report);
+    }
+}
+
+fn numbers(route: &Route, report: &mut Report) {
+    report.nonzero(Kind::Route, &route.name, "first_token_ms", route.first_token_ms);
+    report.nonzero(Kind::Route, &route.name, "between_tokens_ms", route.between_tokens_ms);
+    if route.body_limit > BODY_LIMIT_MAX {
+        let problem = Problem::BodyLimitTooHigh { bytes: route.body_limit };
+        report.add(Kind::Route, &route.name, "body_limit", problem);
+    }
+}
+
+fn fields(route: &Route, service: &Service, report: &mut Report) {
+    match service.workload {
+        Workload::Model => model_fields(route, service, report),
+        Workload::Plain => plain_fields(route, report),
+    }
+}
+
+fn model_fields(route: &Route, service: &Service, report: &mut Report) {
+    let mut add = |field, problem| report.add(Kind::Route, &route.name, field, problem);
+    match &route.model {
+        None => add("model", Problem::ModelMissing),
+        Some(model) if !service.models.contains(model) => {
+            let (model, service) = (model.clone(), service.name.clone());
+            add("model", Problem::ModelNotServed { model, service });
+        }
+        Some(_) => {}
+    }
+    if route.path.is_some() {
+        add("path", Problem::NotForWorkload { workload: Workload::Model });
+    }
+    if route.method.is_some() {
+        add("method", Problem::NotForWorkload { workload: Workload::Model });
+    }
+    if !route.idempotent {
+        add("idempotent", Problem::NonIdempotentModel);
+    }
+}
+
+fn plain_fields(route: &Route, report: &mut Report) {
+    let mut add = |field, problem| report.add(Kind::Route, &route.name, field, problem);
+    if route.model.is_some() {
+        add("model", Problem::NotForWorkload { workload: Workload::Plain });
+    }
+    if !route.path.as_ref().is_some_and(|path| path.starts_with('/')) {
+        add("path", Problem::BadPath);
+    }
+    match &route.method {
+        Some(method) if !METHODS.contains(&&**method) => {
+            add("method", Problem::BadMethod { method: method.clone() });
+        }
+        _ => {}
+    }
+}
+
+fn pool(set: &Set, route: &Route, report: &mut Report) {
+    match set.pools.get(&route.pool) {
+        None => report.missing(Kind::Route, &route.name, "pool", Kind::Pool, &route.pool),
+        Some(pool) if pool.service != route.service => {
+            let problem = Problem::PoolOfOther {
+                pool: pool.name.clone(),
+                runs: pool.service.clone(),
+                service: route.service.clone(),
+            };
+            report.add(Kind::Route, &route.name, "pool", problem);
+        }
+        Some(_) => {}
+    }
+}
+
+/// Finds routes that take the same requests.
+///
+/// A longer path prefix wins over a shorter one, so only equal prefixes overlap.
+#[derive(Default)]
+struct Overlap<'a> {
+    models: HashMap<&'a str, &'a Name>,
+    paths: HashMap<&'a str, Methods<'a>>,
+}
+
+/// Routes of one path prefix by method.
+#[derive(Default)]
+struct Methods<'a> {
+    first: Option<&'a Name>,
+    any: Option<&'a Name>,
+    named: HashMap<&'a str, &'a Name>,
+}
+
+impl<'a> Overlap<'a> {
+    fn add(&mut self, route: &'a Route, workload: Workload, report: &mut Report) {
+        let (field, other) = match (workload, &route.model, &route.path) {
+            (Workload::Model, Some(model), _) => ("model", self.models.insert(model, &route.name)),
+            (Workload::Plain, _, Some(path)) => {
+                ("path", self.paths.entry(path).or_default().add(route))
+            }
+            _ => return,
+        };
+        if let Some(other) = other {
+            let problem = Problem::Overlap { other: other.clone() };
+            report.add(Kind::Route, &route.name, field, problem);
+        }
+    }
+}
+
+impl<'a> Methods<'a> {
+    /// Adds a route and returns an earlier one that it overlaps.
+    fn add(&mut self, route: &'a Route) -> Option<&'a Name> {
+        let first = self.first.replace(&route.name);
+        match &route.method {
+            None => {
+                self.any = Some(&route.name);
+                first
+            }
+            Some(method) => self.named.insert(method, &route.name).or(self.any),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here reads a clock, opens a socket, starts a thread or draws an unseeded random number.
 
+pub mod check;
 pub mod object;
 pub mod time;
 
--- /dev/null
+++ b/crates/core/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the core.
+
+mod check;
