Add siskinctl, the command line

Cause: operators had no way to check and apply objects or to read status back. Change: check, apply, get, status, explain, burn, drain, key new and completions, with conditional writes, text or JSON output and fixed exit codes; sha2, which the core uses already, joins the dependencies of siskinctl. No test runs explain, burn, drain, completions, a version conflict or a lost answer.

--- /dev/null
+++ b/crates/siskinctl/src/cmd/explain.rs
@@ -0,0 +1,33 @@
+//! `siskinctl explain`: explains what an instance decided about a request.
+
+use std::io::Write;
+
+use anyhow::Context;
+use serde_json::Value;
+
+use crate::args::Format;
+use crate::client::Client;
+use crate::{Code, output};
+
+/// Arguments of `explain`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// Request id, 16 hexadecimal digits.
+    pub request: String,
+    /// Admin address of an instance, `IP:PORT`.
+    #[arg(long)]
+    pub admin: String,
+}
+
+/// Shows the decisions about one request.
+///
+/// # Errors
+///
+/// Returns an error if the instance refuses or is not reachable.
+pub fn execute(args: &Args, format: Format, out: &mut dyn Write) -> anyhow::Result<Code> {
+    let client = Client::open(&args.admin);
+    let answer: Option<Value> = client.fetch(&format!("/explain/{}", args.request))?;
+    let value = answer.context("the instance knows no such request")?;
+    output::document(out, format, &value)?;
+    Ok(Code::Success)
+}
--- /dev/null
+++ b/crates/siskinctl/src/cmd/get.rs
@@ -0,0 +1,54 @@
+//! `siskinctl get`: shows objects on the platform.
+
+use std::io::Write;
+
+use anyhow::bail;
+use serde_json::json;
+use siskinstile_core::object::Kind;
+
+use crate::args::{Format, parse_kind};
+use crate::client::{Client, Object};
+use crate::{Code, output};
+
+/// Arguments of `get`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// Kind: service, team, key, route or pool.
+    #[arg(value_parser = parse_kind)]
+    pub kind: Kind,
+    /// Name; all objects of the kind when absent.
+    pub name: Option<String>,
+    /// Address of the platform, `IP:PORT`.
+    #[arg(long)]
+    pub platform: String,
+}
+
+/// Shows one object or all of a kind, as text in the form of the files.
+///
+/// # Errors
+///
+/// Returns an error if there is no such object or the platform is not reachable.
+pub fn execute(args: &Args, format: Format, out: &mut dyn Write) -> anyhow::Result<Code> {
+    let client = Client::open(&args.platform);
+    let kind = args.kind.as_str();
+    let objects = match &args.name {
+        None => client.list(kind)?,
+        Some(name) => match client.get(kind, name)? {
+            Some(object) => vec![object],
+            None => bail!("there is no {kind} `{name}`"),
+        },
+    };
+    show(kind, &objects, format, out)?;
+    Ok(Code::Success)
+}
+
+fn show(kind: &str, objects: &[Object], format: Format, out: &mut dyn Write) -> anyhow::Result<()> {
+    if format == Format::Json {
+        return output::json(out, &json!({ "objects": objects }));
+    }
+    for object in objects {
+        writeln!(out, "# version {}", object.version)?;
+        writeln!(out, "{}", output::toml_table(kind, &object.value)?)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/siskinctl/src/cmd/key.rs
@@ -0,0 +1,92 @@
+//! `siskinctl key`: makes keys.
+
+use std::io::Write;
+
+use anyhow::{Context, bail};
+use clap::Subcommand;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use siskinstile_core::check::{self, Problem};
+use siskinstile_core::object::{Key, Kind, Name};
+
+use crate::args::Format;
+use crate::{Code, output};
+
+const SALT_BYTES: usize = 16;
+const SECRET_BYTES: usize = 32;
+
+/// Arguments of `key`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// The subcommands of `key`.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Makes a key, prints it once, and prints its object for the files.
+    New(New),
+}
+
+/// Arguments of `key new`.
+#[derive(Debug, clap::Args)]
+pub struct New {
+    /// Name of the key.
+    pub name: String,
+    /// Team that the key speaks for.
+    #[arg(long)]
+    pub team: String,
+}
+
+/// Makes a key and prints it with its object.
+///
+/// # Errors
+///
+/// Returns an error if the name is not allowed or the output cannot be written.
+pub fn execute(args: &Args, format: Format, out: &mut dyn Write) -> anyhow::Result<Code> {
+    let Command::New(new) = &args.command;
+    let (key, text) = generate(&new.name, &new.team);
+    check_name(&key)?;
+    let object = serde_json::to_value(&key).context("cannot encode the key")?;
+    match format {
+        Format::Json => output::json(out, &json!({"key": text, "object": object}))?,
+        Format::Text => {
+            writeln!(out, "# The key, shown only now: {text}")?;
+            write!(out, "{}", output::toml_table(Kind::Key.as_str(), &object)?)?;
+        }
+    }
+    Ok(Code::Success)
+}
+
+/// Returns the hexadecimal hash of a salt and a secret.
+pub fn hash(salt: &[u8], secret: &str) -> String {
+    let digest = Sha256::new().chain_update(salt).chain_update(secret).finalize();
+    hex::encode(digest)
+}
+
+fn generate(name: &str, team: &str) -> (Key, String) {
+    let salt: [u8; SALT_BYTES] = rand::random();
+    let secret = hex::encode(rand::random::<[u8; SECRET_BYTES]>());
+    let key = Key {
+        name: Name::from(name),
+        team: Name::from(team),
+        salt: hex::encode(salt).into(),
+        hash: hash(&salt, &secret).into(),
+        withdrawn: false,
+        offline_grace_s: None,
+    };
+    (key, format!("{name}.{secret}"))
+}
+
+/// Refuses a key whose own fields would fail the check; its team is checked with the whole set.
+fn check_name(key: &Key) -> anyhow::Result<()> {
+    let mut set = siskinstile_core::Set::default();
+    set.keys.insert(key.name.clone(), key.clone());
+    let faults = check::check(&set);
+    match faults.iter().find(|fault| !matches!(fault.problem, Problem::Missing { .. })) {
+        Some(fault) => bail!("{fault}"),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/siskinctl/src/output.rs
@@ -0,0 +1,47 @@
+//! Writes results as text or JSON.
+
+use std::io::Write;
+
+use anyhow::Context;
+use serde_json::Value;
+
+use crate::args::Format;
+
+/// Writes a document: indented JSON, or one line for each field as text.
+pub(crate) fn document(out: &mut dyn Write, format: Format, value: &Value) -> anyhow::Result<()> {
+    match (format, value) {
+        (Format::Json, _) => json(out, value),
+        (Format::Text, Value::Object(fields)) => {
+            for (field, value) in fields {
+                writeln!(out, "{field}: {}", scalar(value))?;
+            }
+            Ok(())
+        }
+        (Format::Text, Value::Array(items)) => {
+            for item in items {
+                writeln!(out, "{}", scalar(item))?;
+            }
+            Ok(())
+        }
+        (Format::Text, _) => Ok(writeln!(out, "{}", scalar(value))?),
+    }
+}
+
+/// Writes indented JSON.
+pub(crate) fn json(out: &mut dyn Write, value: &Value) -> anyhow::Result<()> {
+    let text = serde_json::to_string_pretty(value).context("cannot encode the output")?;
+    Ok(writeln!(out, "{text}")?)
+}
+
+/// Returns an object as a table of TOML, as the files have it.
+pub(crate) fn toml_table(kind: &str, value: &Value) -> anyhow::Result<String> {
+    let file = serde_json::json!({ kind: [value] });
+    toml::to_string(&file).with_context(|| format!("cannot write the {kind} as TOML"))
+}
+
+fn scalar(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        _ => value.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/siskinctl/tests/testsuite/main.rs
@@ -0,0 +1,24 @@
+//! Tests of the command line.
+
+mod apply;
+mod check;
+mod examples;
+mod key;
+mod platform;
+
+use clap::Parser;
+use siskinctl::Code;
+use siskinctl::args::Args;
+
+/// Runs a command line and returns its exit code and output.
+fn run(line: &[&str]) -> (Code, String) {
+    let args = Args::try_parse_from(["siskinctl"].iter().chain(line)).unwrap();
+    let mut out = Vec::new();
+    let code = siskinctl::run(&args, &mut out).unwrap_or_else(|error| Code::of(&error));
+    (code, String::from_utf8(out).unwrap())
+}
+
+/// Returns the path of an example directory.
+fn example(name: &str) -> String {
+    format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
