Add the thin whole path: reducer, messages, daemon

Cause: no request could be served. Change: the reducer with admission, claims, attempts and publication; protobuf messages between instances; the daemon with a control thread, a door on hyper, worker threads that call endpoints and the platform through attohttpc, and an administration listener. Compiles and lints; nothing was measured.

--- /dev/null
+++ b/crates/core/src/claim.rs
@@ -0,0 +1,84 @@
+//! Claims of non-idempotent requests on the platform.
+//!
+//! A claim is created conditionally before the request runs, so that of all instances and retries
+//! one runs it. It carries a token of its attempt: after a lost answer, reading it back tells whose
+//! it is.
+
+use std::sync::Arc;
+
+use serde_json::Value;
+use siskinstile_macros::value;
+
+use crate::{
+    error::{Failure, Kind, Ran},
+    object::Name,
+    request::{Arrival, Copy},
+};
+
+/// Kind of the platform's objects that hold claims.
+pub const KIND: &str = "claim";
+
+/// What the platform holds of a claim.
+#[value(serde)]
+pub struct Claim {
+    /// The request that made it.
+    pub token: String,
+    /// Digest of its method, path and body.
+    pub digest: u64,
+    /// Its outcome; none while it runs.
+    pub outcome: Option<Outcome>,
+}
+
+/// How a claimed request ended.
+#[value(serde)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// With this answer.
+    Answered(Arc<Copy>),
+    /// It did not run: the claim is free.
+    NotRun,
+    /// It may have run, or its answer was too large to keep.
+    Unknown,
+}
+
+/// What a claim found on the platform means for a request.
+#[value]
+pub enum Verdict {
+    /// It is the request's own: it may run.
+    Own,
+    /// An earlier request did not run: the claim may be taken over.
+    Free,
+    /// The earlier request's answer.
+    Replay(Arc<Copy>),
+    /// The request fails.
+    Fail(Failure),
+}
+
+/// Returns the name of the claim for a team's idempotency key.
+pub fn name(team: &str, idempotency: &str) -> Name {
+    let digest = crate::key::hash(team.as_bytes(), idempotency);
+    Name::from(&digest[..40])
+}
+
+/// Returns the value of a request's claim.
+pub fn value(arrival: &Arrival, outcome: Option<Outcome>) -> Value {
+    let claim = Claim { token: arrival.id.to_string(), digest: arrival.digest, outcome };
+    serde_json::to_value(claim).expect("a claim is plain data")
+}
+
+/// Judges a claim found on the platform.
+pub fn judge(arrival: &Arrival, found: &Value) -> Verdict {
+    let Ok(claim) = serde_json::from_value::<Claim>(found.clone()) else {
+        return Verdict::Fail(Failure::not_run(Kind::Internal).with_ran(Ran::Unknown));
+    };
+    match claim.outcome {
+        _ if claim.token == arrival.id.to_string() => Verdict::Own,
+        _ if claim.digest != arrival.digest => Verdict::Fail(Failure::not_run(Kind::KeyReused)),
+        None => Verdict::Fail(Failure::not_run(Kind::InProgress).with_ran(Ran::Unknown)),
+        Some(Outcome::Answered(answer)) => Verdict::Replay(answer),
+        Some(Outcome::NotRun) => Verdict::Free,
+        Some(Outcome::Unknown) => {
+            Verdict::Fail(Failure::not_run(Kind::OutcomeUnknown).with_ran(Ran::Unknown))
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,10 +1,33 @@
 //! The deterministic core: events in, effects out.
 //!
-//! Nothing here reads a clock, opens a socket, starts a thread or draws an unseeded random number.
+//! [`State::step`] takes the moment and an [`Event`] and returns the [`Effect`]s that adapters
+//! carry out. Nothing here reads a clock, opens a socket, starts a thread or draws an unseeded
+//! random number.
 
+pub mod burn;
 pub mod check;
+pub mod claim;
+pub mod config;
+pub mod effect;
+pub mod error;
+pub mod event;
+pub mod key;
+pub mod limit;
+pub mod log;
+pub mod member;
 pub mod object;
+pub mod place;
+pub mod request;
+pub mod splice;
+pub mod state;
+pub mod store;
+pub mod sync;
 pub mod time;
+pub mod trace;
 
+pub use config::Config;
+pub use effect::Effect;
+pub use event::{Event, Query};
 pub use object::Set;
+pub use state::State;
 pub use time::Instant;
--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,150 @@
+//! The reducer: one instance's whole control state, and the step from an event to effects.
+//!
+//! A request walks through the submodules in this order: [`admission`] checks route, key and rate,
+//! [`claims`] claims it on the platform if it is not idempotent, and [`attempts`] runs it at
+//! endpoints until it is answered. [`control`] keeps the configuration and the members.
+
+mod admission;
+mod attempts;
+mod claims;
+mod control;
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+use siskinstile_macros::value;
+
+use crate::{
+    Config, Effect, Event, Instant, Query, burn,
+    error::Failure,
+    limit,
+    log::{self, Record},
+    member,
+    object::Name,
+    place, request, sync, trace,
+};
+
+/// Time between two [`Event::Tick`]s.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// What an instance knows of itself.
+#[value]
+pub struct Settings {
+    /// Its name.
+    pub name: Name,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Name of its data centre.
+    pub datacentre: Name,
+    /// Number of instances among which rates are split.
+    pub fleet_size: u64,
+    /// Time between leaving the balancer and refusing new requests.
+    pub balancer_lag: Duration,
+}
+
+/// The control state of one instance.
+#[value]
+pub struct State {
+    settings: Settings,
+    config: Arc<Config>,
+    sync: sync::Sync,
+    members: member::Table,
+    limits: limit::Limiter,
+    dispatcher: place::Dispatcher,
+    requests: IndexMap<request::Id, request::Request>,
+    burn: burn::Report,
+    trace: trace::Ring,
+    draining: Option<Instant>,
+    stopped: bool,
+    members_read: Option<Instant>,
+    effects: Vec<Effect>,
+}
+
+impl State {
+    /// Creates the state of an instance that has just started, with its first effects.
+    pub fn new(settings: Settings) -> (State, Vec<Effect>) {
+        let limits = limit::Limiter::new(settings.fleet_size);
+        let mut state = State {
+            settings,
+            config: Arc::new(Config::default()),
+            sync: sync::Sync::default(),
+            members: member::Table::default(),
+            limits,
+            dispatcher: place::Dispatcher::default(),
+            requests: IndexMap::new(),
+            burn: burn::Report::default(),
+            trace: trace::Ring::default(),
+            draining: None,
+            stopped: false,
+            members_read: None,
+            effects: Vec::new(),
+        };
+        state.start();
+        let effects = std::mem::take(&mut state.effects);
+        (state, effects)
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn step(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Arrival(arrival) => self.arrive(now, arrival),
+            Event::Gone(request) => self.caller_gone(now, request),
+            Event::Report(report) => self.report(now, report),
+            Event::Message(_) => {}
+            Event::Stored { tag, answer } => self.stored(now, tag, answer),
+            Event::Load { .. } => {}
+            Event::Drain => self.drain(now),
+            Event::Query { id, query } => self.query(id, query),
+        }
+        self.place(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// Returns the number of requests that are not yet answered.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn emit(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    fn log(&mut self, code: log::Code, detail: impl Into<String>) {
+        self.emit(Effect::Log(Record::new(code, detail)));
+    }
+
+    /// Ends a request with an error; the only place where one is given to a caller.
+    fn fail(&mut self, request: request::Id, failure: Failure) {
+        self.requests.swap_remove(&request);
+        self.emit(Effect::Fail { request, failure });
+    }
+
+    fn query(&mut self, id: u64, query: Query) {
+        let value = match query {
+            Query::Status => self.status(),
+            Query::Explain(request) => self.trace.explain(request),
+            Query::Burn => self.burn.value(),
+        };
+        self.emit(Effect::Reply { id, value });
+    }
+
+    fn status(&self) -> Value {
+        json!({
+            "instance": self.settings.name,
+            "incarnation": self.settings.incarnation,
+            "datacentre": self.settings.datacentre,
+            "generation": self.config.generation,
+            "requests": self.requests.len(),
+            "draining": self.draining.is_some(),
+            "members": self.members.iter().count(),
+            "burn": self.burn.value(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/control.rs
@@ -0,0 +1,91 @@
+//! Configuration, members, drain: what happens besides requests.
+
+use std::time::Duration;
+
+use crate::{
+    Effect, Instant, log,
+    store::{Answer, Call, Tag},
+    sync,
+};
+
+use super::State;
+
+/// Time between two reads of the platform's list of instances.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+/// What the instance with the first rank for this word does is publish.
+const PUBLISHER: &str = "publisher";
+
+impl State {
+    pub(super) fn start(&mut self) {
+        self.log(log::STARTED, self.settings.name.to_string());
+        let outputs = self.sync.start();
+        self.apply(outputs);
+    }
+
+    pub(super) fn tick(&mut self, now: Instant) {
+        let due = self.members_read.is_none_or(|at| now.since(at) >= MEMBERS_INTERVAL);
+        if due {
+            self.members_read = Some(now);
+            self.emit(Effect::Store { tag: Tag::Instances, call: Call::Instances });
+        }
+        let drained = self.draining.is_some_and(|at| now.since(at) >= self.settings.balancer_lag);
+        if drained && self.requests.is_empty() && !self.stopped {
+            self.stopped = true;
+            self.log(log::STOPPED, self.settings.name.to_string());
+            self.emit(Effect::Stopped);
+        }
+    }
+
+    pub(super) fn stored(&mut self, now: Instant, tag: Tag, answer: Answer) {
+        match (tag, answer) {
+            (Tag::Claim(id), answer) => self.claim_written(now, id, answer),
+            (Tag::ReadClaim(id), answer) => self.claim_read(now, id, answer),
+            (Tag::Settle(_) | Tag::Status, _) => {}
+            (Tag::Instances, Answer::Instances(records)) => {
+                let led = self.leads();
+                self.members.replace(records);
+                if !led && self.leads() {
+                    let outputs = self.sync.publish();
+                    self.apply(outputs);
+                }
+            }
+            (Tag::Instances, _) => {}
+            (tag, answer) => {
+                let leads = self.leads();
+                let outputs = self.sync.stored(&tag, answer, leads);
+                self.apply(outputs);
+            }
+        }
+    }
+
+    /// Returns whether this instance publishes; two for a while do no harm, since the manifest
+    /// changes by conditional update only.
+    fn leads(&self) -> bool {
+        let mut live: Vec<_> = self.members.iter().collect();
+        live.sort_by_key(|it| crate::member::rank(&it.name, PUBLISHER));
+        live.last().is_some_and(|it| it.name == self.settings.name)
+    }
+
+    fn apply(&mut self, outputs: Vec<sync::Output>) {
+        for output in outputs {
+            match output {
+                sync::Output::Call(tag, call) => self.emit(Effect::Store { tag, call }),
+                sync::Output::Log(record) => self.emit(Effect::Log(record)),
+                sync::Output::Adopt(config) => {
+                    self.log(log::CONFIG_ADOPTED, format!("generation {}", config.generation));
+                    self.config = config;
+                    self.emit(Effect::Adopt(self.config.clone()));
+                    self.emit(Effect::Ready(self.draining.is_none()));
+                }
+            }
+        }
+    }
+
+    pub(super) fn drain(&mut self, now: Instant) {
+        if self.draining.is_none() {
+            self.draining = Some(now);
+            self.log(log::DRAINING, format!("{} requests open", self.requests.len()));
+            self.emit(Effect::Ready(false));
+        }
+    }
+}
--- a/crates/siskinctl/src/cmd/key.rs
+++ b/crates/siskinctl/src/cmd/key.rs
@@ -5,7 +5,6 @@
 use anyhow::{Context, bail};
 use clap::Subcommand;
 use serde_json::json;
-use sha2::{Digest, Sha256};
 use siskinstile_core::check::{self, Problem};
 use siskinstile_core::object::{Key, Kind, Name};
 
@@ -60,12 +59,6 @@
     Ok(Code::Success)
 }
 
-/// Returns the hexadecimal hash of a salt and a secret.
-pub fn hash(salt: &[u8], secret: &str) -> String {
-    let digest = Sha256::new().chain_update(salt).chain_update(secret).finalize();
-    hex::encode(digest)
-}
-
 fn generate(name: &str, team: &str) -> (Key, String) {
     let salt: [u8; SALT_BYTES] = rand::random();
     let secret = hex::encode(rand::random::<[u8; SECRET_BYTES]>());
@@ -73,7 +66,7 @@
         name: Name::from(name),
         team: Name::from(team),
         salt: hex::encode(salt).into(),
-        hash: hash(&salt, &secret).into(),
+        hash: key::hash(&salt, &secret).into(),
         withdrawn: false,
         offline_grace_s: None,
     };
--- /dev/null
+++ b/crates/siskinstiled/src/admin.rs
@@ -0,0 +1,115 @@
+//! The listener for operators: `/live`, `/ready`, `/status`, `/explain/ID`, `/burn`, `/drain`,
+//! `/metrics`.
+
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use serde_json::{Value, json};
+use siskinstile_core::{Event, Query, request};
+use tokio::{net::TcpListener, sync::oneshot, time};
+
+use crate::control::Shared;
+
+/// Limit on the control thread's reply.
+const REPLY: Duration = Duration::from_secs(2);
+/// Pause after an error from accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Limit on a head.
+const HEAD: Duration = Duration::from_secs(10);
+
+/// Returns the process's metrics recorder, installed at the first call.
+pub fn recorder() -> &'static PrometheusHandle {
+    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+    RECORDER.get_or_init(|| {
+        PrometheusBuilder::new().install_recorder().expect("the only recorder of the process")
+    })
+}
+
+/// Serves operators.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    recorder();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(_) => {
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| answer(request, shared.clone()));
+            let mut builder = hyper::server::conn::http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(HEAD);
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    shared: Arc<Shared>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let path = request.uri().path();
+    let ready = shared.ready.load(Ordering::Acquire);
+    let response = match (request.method().as_str(), path) {
+        ("GET", "/live") => text(200, "live\n".into()),
+        ("GET", "/ready") if ready => text(200, "ready\n".into()),
+        ("GET", "/ready") => text(503, "not ready\n".into()),
+        ("GET", "/metrics") => text(200, recorder().render()),
+        ("GET", "/status") => ask(&shared, Query::Status).await,
+        ("GET", "/burn") => ask(&shared, Query::Burn).await,
+        ("POST", "/drain") => {
+            let _ = shared.events.send(Event::Drain);
+            value(202, &json!({ "draining": true }))
+        }
+        ("GET", path) => match path.strip_prefix("/explain/").and_then(request::Id::parse) {
+            Some(id) => ask(&shared, Query::Explain(id)).await,
+            None => value(404, &json!({ "error": "no such page" })),
+        },
+        _ => value(405, &json!({ "error": "wrong method" })),
+    };
+    Ok(response)
+}
+
+async fn ask(shared: &Shared, query: Query) -> Response<Full<Bytes>> {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let id = NEXT.fetch_add(1, Ordering::Relaxed);
+    let (sender, receiver) = oneshot::channel();
+    if let Ok(mut questions) = shared.questions.lock() {
+        questions.insert(id, sender);
+    }
+    let _ = shared.events.send(Event::Query { id, query });
+    match time::timeout(REPLY, receiver).await {
+        Ok(Ok(Value::Null)) => value(404, &json!({ "error": "nothing is known of it" })),
+        Ok(Ok(reply)) => value(200, &reply),
+        _ => value(503, &json!({ "error": "the control thread gave no reply" })),
+    }
+}
+
+fn text(status: u16, body: String) -> Response<Full<Bytes>> {
+    build(status, "text/plain; charset=utf-8", body)
+}
+
+fn value(status: u16, body: &Value) -> Response<Full<Bytes>> {
+    build(status, "application/json", body.to_string())
+}
+
+fn build(status: u16, content_type: &str, body: String) -> Response<Full<Bytes>> {
+    Response::builder()
+        .status(status)
+        .header("content-type", content_type)
+        .body(Full::new(Bytes::from(body)))
+        .expect("status and header are valid")
+}
--- /dev/null
+++ b/crates/siskinstiled/src/control.rs
@@ -0,0 +1,176 @@
+//! The thread that owns the control state, and the carrying out of effects.
+
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant as Clock},
+};
+
+use arc_swap::ArcSwap;
+use crossbeam::channel::{self, Receiver, Sender};
+use indexmap::IndexMap;
+use serde_json::Value;
+use siskinstile_core::{
+    Config, Effect, Event, Instant, State, error, request, state,
+    store::{Answer, Call, Tag},
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    endpoint::{self, Job},
+    platform::Platform,
+    relay::{Part, Registry},
+    worker::Workers,
+};
+
+/// Times that a cancel is sent to an endpoint that does not answer.
+const CANCEL_TRIES: u32 = 3;
+/// Time between two of them.
+const CANCEL_PAUSE: Duration = Duration::from_millis(500);
+/// Time before a platform call without an answer is passed on as lost.
+const LOST_PAUSE: Duration = Duration::from_millis(200);
+
+/// What the traffic threads share with the control thread.
+pub struct Shared {
+    /// Events for the control thread.
+    pub events: Sender<Event>,
+    /// The relays of open requests.
+    pub relays: Registry,
+    /// The configuration in force.
+    pub config: ArcSwap<Config>,
+    /// Whether the instance takes new requests.
+    pub ready: AtomicBool,
+    /// Operators' questions that wait for a reply.
+    pub questions: Mutex<IndexMap<u64, oneshot::Sender<Value>>>,
+}
+
+/// Carries out effects.
+pub struct Executor {
+    /// What the traffic threads share.
+    pub shared: Arc<Shared>,
+    /// Threads for blocking calls.
+    pub workers: Workers,
+    /// The platform.
+    pub platform: Arc<dyn Platform>,
+    /// The runtime of the door.
+    pub runtime: tokio::runtime::Handle,
+    /// Told once when the instance has stopped.
+    pub stopped: Sender<()>,
+}
+
+/// Runs the reducer until the instance has stopped or the sender of `halt` is gone.
+pub fn run(
+    mut state: State,
+    first: Vec<Effect>,
+    events: &Receiver<Event>,
+    halt: &Receiver<Infallible>,
+    executor: &Executor,
+) {
+    let start = Clock::now();
+    let ticks = channel::tick(state::TICK);
+    let mut stopped = executor.carry_out(first);
+    while !stopped {
+        let event = crossbeam::select! {
+            recv(events) -> event => event.ok(),
+            recv(ticks) -> _ => Some(Event::Tick),
+            recv(halt) -> _ => None,
+        };
+        let Some(event) = event else { break };
+        let now = Instant(start.elapsed().as_micros() as u64);
+        stopped = executor.carry_out(state.step(now, event));
+    }
+    let _ = executor.stopped.send(());
+}
+
+impl Executor {
+    /// Carries out effects and returns whether the instance has stopped.
+    fn carry_out(&self, effects: Vec<Effect>) -> bool {
+        let mut stopped = false;
+        for effect in effects {
+            stopped |= matches!(effect, Effect::Stopped);
+            self.carry_out_one(effect);
+        }
+        stopped
+    }
+
+    fn carry_out_one(&self, effect: Effect) {
+        let shared = &self.shared;
+        match effect {
+            Effect::Call { request, attempt, endpoint, step, keep } => {
+                let events = shared.events.clone();
+                let Some(relay) = shared.relays.get(request) else { return };
+                self.workers.run(move || {
+                    let job = Job { request, attempt, endpoint: &endpoint, keep, relay: &relay };
+                    let report = |outcome| {
+                        let report = request::Report { request, attempt, outcome };
+                        let _ = events.send(Event::Report(report));
+                    };
+                    let first = || report(request::Outcome::First);
+                    report(endpoint::adapter(endpoint.role).run(job, &step, &first));
+                });
+            }
+            Effect::Cancel { request, attempt, endpoint } => {
+                self.workers.run(move || cancel(request, attempt, &endpoint));
+            }
+            Effect::Fail { request, failure } => {
+                metrics::counter!("siskinstile_failed_total", "kind" => failure.kind.as_str())
+                    .increment(1);
+                shared.relays.end(request, Part::Failed(failure), &self.runtime);
+            }
+            Effect::Finish { request } => {
+                metrics::counter!("siskinstile_answered_total").increment(1);
+                shared.relays.end(request, Part::End, &self.runtime);
+            }
+            Effect::Replay { request, answer } => {
+                metrics::counter!("siskinstile_replayed_total").increment(1);
+                shared.relays.end(request, Part::Replay(answer), &self.runtime);
+            }
+            Effect::Send { .. } => {}
+            Effect::Store { tag, call } => self.store(tag, call),
+            Effect::Adopt(config) => {
+                metrics::gauge!("siskinstile_generation").set(config.generation as f64);
+                shared.config.store(config);
+            }
+            Effect::Log(record) => record.write(),
+            Effect::Reply { id, value } => {
+                let question = shared.questions.lock().ok().and_then(|mut it| it.swap_remove(&id));
+                if let Some(question) = question {
+                    let _ = question.send(value);
+                }
+            }
+            Effect::Ready(ready) => shared.ready.store(ready, Ordering::Release),
+            Effect::Stopped => {}
+        }
+    }
+
+    fn store(&self, tag: Tag, call: Call) {
+        let (events, platform) = (self.shared.events.clone(), self.platform.clone());
+        self.workers.run(move || {
+            let answer = platform.call(&call);
+            metrics::counter!("siskinstile_platform_calls_total").increment(1);
+            if answer == Answer::Lost {
+                metrics::counter!("siskinstile_platform_lost_total").increment(1);
+                thread::sleep(LOST_PAUSE);
+            }
+            let _ = events.send(Event::Stored { tag, answer });
+        });
+    }
+}
+
+fn cancel(request: request::Id, attempt: u32, endpoint: &siskinstile_core::object::Endpoint) {
+    for _ in 0..CANCEL_TRIES {
+        match endpoint::adapter(endpoint.role).cancel(request, attempt, endpoint) {
+            Ok(()) => return,
+            Err(_) => thread::sleep(CANCEL_PAUSE),
+        }
+    }
+}
+
+/// Returns the failure for a request that the control thread can no longer take.
+pub fn no_control() -> error::Failure {
+    error::Failure::not_run(error::Kind::Draining)
+}
--- /dev/null
+++ b/crates/siskinstiled/src/daemon.rs
@@ -0,0 +1,136 @@
+//! A running instance.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex, atomic::AtomicBool},
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use anyhow::Context as _;
+use arc_swap::ArcSwap;
+use crossbeam::channel::{self, Receiver, Sender};
+use indexmap::IndexMap;
+use siskinstile_core::{Config, Event, State, state};
+use tokio::net::TcpListener;
+
+use crate::{
+    Settings, admin,
+    control::{self, Executor, Shared},
+    door,
+    platform::Http,
+    relay::Registry,
+    worker::Workers,
+};
+
+/// Threads of the runtime that serves callers and operators.
+const RUNTIME_THREADS: usize = 2;
+
+/// A running instance; it stops at once when dropped.
+pub struct Daemon {
+    door: SocketAddr,
+    admin: SocketAddr,
+    shared: Arc<Shared>,
+    stopped: Receiver<()>,
+    runtime: Option<tokio::runtime::Runtime>,
+    /// Ends the control thread when dropped.
+    _halt: Sender<Infallible>,
+}
+
+impl Daemon {
+    /// Binds the listeners and starts the threads of an instance.
+    ///
+    /// # Errors
+    ///
+    /// A listener cannot be bound or a thread cannot be started.
+    pub fn spawn(settings: &Settings) -> anyhow::Result<Daemon> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(RUNTIME_THREADS)
+            .enable_all()
+            .build()
+            .context("cannot start the runtime")?;
+        let door_listener = bind(&runtime, settings.door.listen)?;
+        let admin_listener = bind(&runtime, settings.admin.listen)?;
+        let (events, inbox) = channel::unbounded();
+        let shared = Arc::new(Shared {
+            events,
+            relays: Registry::default(),
+            config: ArcSwap::from_pointee(Config::default()),
+            ready: AtomicBool::new(false),
+            questions: Mutex::new(IndexMap::new()),
+        });
+        let (stopped_sender, stopped) = channel::bounded(1);
+        let (halt_sender, halt) = channel::bounded(0);
+        let executor = Executor {
+            shared: shared.clone(),
+            workers: Workers::open(),
+            platform: Arc::new(Http::open(settings.platform.address)),
+            runtime: runtime.handle().clone(),
+            stopped: stopped_sender,
+        };
+        let (state, first) = State::new(core_settings(settings));
+        thread::Builder::new()
+            .name("control".into())
+            .spawn(move || control::run(state, first, &inbox, &halt, &executor))
+            .context("cannot start the control thread")?;
+        let (door, admin) = (door_listener.local_addr()?, admin_listener.local_addr()?);
+        runtime.spawn(door::serve(door_listener, shared.clone(), settings.door.max_connections));
+        runtime.spawn(admin::serve(admin_listener, shared.clone()));
+        Ok(Daemon { door, admin, shared, stopped, runtime: Some(runtime), _halt: halt_sender })
+    }
+
+    /// Returns the address of the listener for callers.
+    pub fn door(&self) -> SocketAddr {
+        self.door
+    }
+
+    /// Returns the address of the listener for operators.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Begins a graceful stop.
+    pub fn drain(&self) {
+        let _ = self.shared.events.send(Event::Drain);
+    }
+
+    /// Waits until the instance has stopped and returns whether it has.
+    pub fn wait(&self, limit: Duration) -> bool {
+        !matches!(self.stopped.recv_timeout(limit), Err(channel::RecvTimeoutError::Timeout))
+    }
+
+    /// Returns the generation of the configuration in force.
+    pub fn generation(&self) -> u64 {
+        self.shared.config.load().generation
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+fn bind(runtime: &tokio::runtime::Runtime, address: SocketAddr) -> anyhow::Result<TcpListener> {
+    runtime
+        .block_on(TcpListener::bind(address))
+        .with_context(|| format!("cannot listen on {address}"))
+}
+
+fn core_settings(settings: &Settings) -> state::Settings {
+    state::Settings {
+        name: settings.instance.name.clone(),
+        incarnation: incarnation(),
+        datacentre: settings.instance.datacentre.clone(),
+        fleet_size: settings.fleet.size,
+        balancer_lag: settings.fleet.balancer_lag(),
+    }
+}
+
+/// Returns a number that grows with each start: the milliseconds of the wall clock.
+fn incarnation() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/siskinstiled/src/door.rs
@@ -0,0 +1,164 @@
+//! The listener for callers: OpenAI-style completions and plain services by route.
+
+mod answer;
+mod body;
+mod completion;
+mod plain;
+
+use std::{
+    convert::Infallible,
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use hyper::{Request, Response, body::Incoming, header, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use siskinstile_core::{
+    Event, error::Failure, error::Kind, key, key::Secret, log as events, request,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, mpsc},
+    time,
+};
+
+use crate::{
+    control::Shared,
+    relay::{Part, Payload},
+};
+
+/// Largest head of a request, in bytes.
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Limit on the arrival of a head.
+pub const HEAD_LIMIT: Duration = Duration::from_secs(10);
+/// Pause after an error from accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Characters counted as one token.
+const TOKEN_CHARS: usize = 4;
+
+type Answer = Response<BoxBody<Bytes, io::Error>>;
+
+/// Returns the estimated number of tokens of a text.
+pub fn tokens(text: &str) -> u64 {
+    text.len().div_ceil(TOKEN_CHARS) as u64
+}
+
+/// Serves callers; an error from accept or too many connections never end it.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>, max_connections: usize) {
+    let places = Arc::new(Semaphore::new(max_connections));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => match places.clone().try_acquire_owned() {
+                Ok(place) => {
+                    let shared = shared.clone();
+                    tokio::spawn(async move {
+                        connection(stream, shared).await;
+                        drop(place);
+                    });
+                }
+                Err(_) => refuse(&stream),
+            },
+            Err(error) => {
+                events::Record::new(events::ACCEPT_FAILED, error.to_string()).write();
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Refuses a connection beyond the limit, as far as that goes without waiting.
+fn refuse(stream: &TcpStream) {
+    const BUSY: &[u8] =
+        b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    metrics::counter!("siskinstile_connections_refused_total").increment(1);
+    let _ = stream.try_write(BUSY);
+}
+
+async fn connection(stream: TcpStream, shared: Arc<Shared>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(handle(request, shared).await) }
+    });
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT).max_buf_size(MAX_HEAD_BYTES);
+    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Answer {
+    let id = request::Id(rand::random());
+    let result = match request.uri().path() {
+        "/v1/completions" | "/v1/chat/completions" => completion::serve(id, request, &shared).await,
+        "/v1/models" => completion::models(id, &request, &shared),
+        _ => plain::serve(id, request, &shared).await,
+    };
+    result.unwrap_or_else(|failure| answer::failure(id, &failure))
+}
+
+/// Returns the key that came with a request.
+fn presented_key(request: &Request<Incoming>) -> Option<Secret> {
+    let text = request.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = text.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| Secret::new(key.trim()))
+}
+
+/// Refuses early, before a body is read, what the control thread would refuse anyhow.
+fn check_key(request: &Request<Incoming>, shared: &Shared) -> Result<(), Failure> {
+    let config = shared.config.load();
+    let key = presented_key(request).unwrap_or_else(|| Secret::new(""));
+    match key::verify(&config.set, &key) {
+        _ if config.generation == 0 => Err(Failure::not_run(Kind::NotReady)),
+        Some(_) => Ok(()),
+        None => Err(Failure::not_run(Kind::Unauthorized)),
+    }
+}
+
+/// Returns the caller's idempotency key.
+fn idempotency(request: &Request<Incoming>) -> Option<Arc<str>> {
+    Some(request.headers().get("idempotency-key")?.to_str().ok()?.into())
+}
+
+/// An open request, whose end the control thread must hear of.
+struct Open {
+    id: request::Id,
+    shared: Arc<Shared>,
+    parts: mpsc::Receiver<Part>,
+    ended: bool,
+}
+
+impl Open {
+    /// Hands a request to the control thread.
+    fn submit(shared: &Arc<Shared>, arrival: request::Arrival, payload: Payload) -> Open {
+        let id = arrival.id;
+        let parts = shared.relays.open(id, payload);
+        metrics::counter!("siskinstile_requests_total").increment(1);
+        let _ = shared.events.send(Event::Arrival(arrival));
+        Open { id, shared: shared.clone(), parts, ended: false }
+    }
+
+    /// Waits for the next part of the answer.
+    async fn next(&mut self) -> Part {
+        let part = self.parts.recv().await;
+        let part = part.unwrap_or_else(|| Part::Failed(crate::control::no_control()));
+        self.ended = matches!(part, Part::End | Part::Failed(_) | Part::Replay(_));
+        part
+    }
+}
+
+impl Drop for Open {
+    /// Tells the control thread that the caller has left, unless the answer has ended.
+    fn drop(&mut self) {
+        if !self.ended {
+            self.shared.relays.close(self.id);
+            let _ = self.shared.events.send(Event::Gone(self.id));
+        }
+    }
+}
+
+/// Returns whether the instance takes requests.
+pub fn is_ready(shared: &Shared) -> bool {
+    shared.ready.load(Ordering::Acquire)
+}
--- /dev/null
+++ b/crates/siskinstiled/src/door/answer.rs
@@ -0,0 +1,58 @@
+//! Answers to callers.
+
+use std::io;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, combinators::BoxBody};
+use hyper::Response;
+use serde_json::{Value, json};
+use siskinstile_core::{error::Failure, request};
+
+use super::Answer;
+
+/// Header that carries the request's identifier.
+pub(super) const REQUEST_ID: &str = "x-request-id";
+
+/// Returns a body that is whole.
+pub(super) fn whole(body: impl Into<Bytes>) -> BoxBody<Bytes, io::Error> {
+    Full::new(body.into()).map_err(|never| match never {}).boxed()
+}
+
+/// Returns a JSON answer.
+pub(super) fn json(id: request::Id, status: u16, body: &Value) -> Answer {
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .header(REQUEST_ID, id.to_string())
+        .body(whole(body.to_string()))
+        .expect("status and headers are valid")
+}
+
+/// Returns the JSON of an error.
+pub(super) fn failure_value(id: request::Id, failure: &Failure) -> Value {
+    let row = failure.kind.row();
+    let message = match &failure.detail {
+        Some(detail) => format!("{}: {detail}", row.message),
+        None => row.message.to_owned(),
+    };
+    json!({
+        "error": {
+            "kind": failure.kind,
+            "message": message,
+            "request_id": id.to_string(),
+            "ran": failure.ran,
+        }
+    })
+}
+
+/// Returns the answer for an error, by the table of kinds.
+pub(super) fn failure(id: request::Id, failure: &Failure) -> Answer {
+    let row = failure.kind.row();
+    let mut answer = json(id, row.status, &failure_value(id, failure));
+    let wait = failure.retry_after.map(|it| it.as_millis().div_ceil(1_000).max(1));
+    if let Some(seconds) = wait.or(row.retry.then_some(1)) {
+        let value = seconds.to_string().parse().expect("digits are a valid header");
+        answer.headers_mut().insert("retry-after", value);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/siskinstiled/src/door/body.rs
@@ -0,0 +1,44 @@
+//! Bodies of requests, read within a limit of size and silence.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt as _;
+use hyper::body::{Body as _, Incoming};
+use siskinstile_core::error::{Failure, Kind};
+use tokio::time;
+
+/// Limit on the arrival of a body.
+pub(super) const BODY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// `BodyTooLarge`, `RequestTimeout`, or `BadRequest` for a body that breaks off.
+pub(super) async fn read(body: Incoming, limit: u64) -> Result<Bytes, Failure> {
+    if body.size_hint().lower() > limit {
+        return Err(too_large(limit));
+    }
+    match time::timeout(BODY_LIMIT, collect(body, limit)).await {
+        Ok(result) => result,
+        Err(_) => Err(Failure::not_run(Kind::RequestTimeout)),
+    }
+}
+
+async fn collect(mut body: Incoming, limit: u64) -> Result<Bytes, Failure> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Failure::not_run(Kind::BadRequest))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if (whole.len() + data.len()) as u64 > limit {
+            return Err(too_large(limit));
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
+fn too_large(limit: u64) -> Failure {
+    Failure::not_run(Kind::BodyTooLarge).with_detail(format!("at most {limit} bytes"))
+}
--- /dev/null
+++ b/crates/siskinstiled/src/door/completion.rs
@@ -0,0 +1,223 @@
+//! Completions: `/v1/completions`, `/v1/chat/completions` and `/v1/models`.
+
+use std::{io, sync::Arc};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::{
+    Request, Response,
+    body::{Frame, Incoming},
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use siskinstile_core::{
+    error::{Failure, Kind},
+    request::{self, Arrival, Target},
+};
+
+use super::{Answer, Open, answer, body, check_key, idempotency, presented_key, tokens};
+use crate::{
+    control::Shared,
+    relay::{Part, Payload},
+};
+
+/// Most tokens that a completion generates where the caller names no number.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+/// Characters of a piece of engine memory: 2,000 tokens.
+const PIECE_CHARS: usize = 8_000;
+
+/// The fields of a completion request that matter here; others are ignored.
+#[derive(Deserialize)]
+struct Ask {
+    model: String,
+    prompt: Option<String>,
+    messages: Option<Vec<Message>>,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    role: String,
+    content: String,
+}
+
+/// How the tokens of an answer are written.
+#[derive(Clone)]
+struct Shape {
+    id: request::Id,
+    chat: bool,
+    model: String,
+}
+
+/// Serves a completion.
+pub(super) async fn serve(
+    id: request::Id,
+    request: Request<Incoming>,
+    shared: &Arc<Shared>,
+) -> Result<Answer, Failure> {
+    if request.method() != "POST" {
+        return Err(Failure::not_run(Kind::MethodNotAllowed));
+    }
+    check_key(&request, shared)?;
+    let chat = request.uri().path() == "/v1/chat/completions";
+    let (key, idempotency) = (presented_key(&request), idempotency(&request));
+    let limit = shared.config.load().model_body_limit();
+    let bytes = body::read(request.into_body(), limit).await?;
+    let ask: Ask = serde_json::from_slice(&bytes).map_err(bad_json)?;
+    let prompt = prompt(&ask, chat)?;
+    let max_tokens = ask.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    if max_tokens == 0 {
+        return Err(bad("max_tokens must be at least 1"));
+    }
+    let arrival = Arrival {
+        id,
+        key,
+        target: Target::Model(ask.model.as_str().into()),
+        idempotency,
+        digest: digest(&bytes),
+        prompt_tokens: tokens(&prompt),
+        max_tokens,
+        prefixes: prefixes(&prompt),
+    };
+    let shape = Shape { id, chat, model: ask.model.clone() };
+    let payload = Payload::Completion { model: ask.model, prompt, max_tokens, priority: 0 };
+    let open = Open::submit(shared, arrival, payload);
+    match ask.stream {
+        true => stream_answer(open, shape).await,
+        false => whole_answer(open, &shape).await,
+    }
+}
+
+fn bad(detail: impl Into<String>) -> Failure {
+    Failure::not_run(Kind::BadRequest).with_detail(detail)
+}
+
+fn bad_json(error: serde_json::Error) -> Failure {
+    bad(error.to_string())
+}
+
+fn prompt(ask: &Ask, chat: bool) -> Result<String, Failure> {
+    match (&ask.prompt, &ask.messages) {
+        (Some(prompt), _) if !chat => Ok(prompt.clone()),
+        (_, Some(messages)) if chat => {
+            let lines = messages.iter().map(|it| format!("{}: {}\n", it.role, it.content));
+            Ok(lines.collect())
+        }
+        _ if chat => Err(bad("messages is missing")),
+        _ => Err(bad("prompt is missing")),
+    }
+}
+
+pub(super) fn digest(bytes: &[u8]) -> u64 {
+    use sha2::{Digest as _, Sha256};
+    let hash: [u8; 32] = Sha256::digest(bytes).into();
+    u64::from_be_bytes(hash[..8].try_into().expect("8 of 32 bytes"))
+}
+
+/// Returns the hash of each prefix of whole pieces.
+fn prefixes(prompt: &str) -> Arc<[u64]> {
+    let bytes = prompt.as_bytes();
+    (1..=bytes.len() / PIECE_CHARS).map(|n| digest(&bytes[..n * PIECE_CHARS])).collect()
+}
+
+async fn whole_answer(mut open: Open, shape: &Shape) -> Result<Answer, Failure> {
+    let mut text = String::new();
+    let mut count = 0;
+    loop {
+        match open.next().await {
+            Part::Token(token) => {
+                text.push_str(&token);
+                count += 1;
+            }
+            Part::Failed(failure) => return Err(failure),
+            Part::End => return Ok(answer::json(shape.id, 200, &shape.whole(&text, count))),
+            Part::Head { .. } | Part::Bytes(_) | Part::Replay(_) => {}
+        }
+    }
+}
+
+/// Streams an answer; an error before the first token still gets its own status.
+async fn stream_answer(mut open: Open, shape: Shape) -> Result<Answer, Failure> {
+    let first = match open.next().await {
+        Part::Failed(failure) => return Err(failure),
+        part => part,
+    };
+    let id = shape.id;
+    let state = (Some(first), Some(open), shape);
+    let frames = stream::unfold(state, |(first, open, shape)| async move {
+        let mut open = open?;
+        let part = match first {
+            Some(part) => part,
+            None => open.next().await,
+        };
+        let (text, ended) = shape.event(&part);
+        let open = (!ended).then_some(open);
+        Some((Ok::<_, io::Error>(Frame::data(Bytes::from(text))), (None, open, shape)))
+    });
+    let response = Response::builder()
+        .header("content-type", "text/event-stream")
+        .header("cache-control", "no-cache")
+        .header(answer::REQUEST_ID, id.to_string());
+    Ok(response.body(StreamBody::new(frames).boxed()).expect("headers are valid"))
+}
+
+impl Shape {
+    /// Returns the event for a part, and whether it is the last.
+    fn event(&self, part: &Part) -> (String, bool) {
+        match part {
+            Part::Token(token) => (format!("data: {}\n\n", self.piece(token)), false),
+            Part::End => ("data: [DONE]\n\n".into(), true),
+            Part::Failed(failure) => {
+                let value = answer::failure_value(self.id, failure);
+                (format!("data: {value}\n\n"), true)
+            }
+            Part::Head { .. } | Part::Bytes(_) | Part::Replay(_) => (String::new(), false),
+        }
+    }
+
+    fn piece(&self, token: &str) -> Value {
+        let (object, choice) = match self.chat {
+            true => ("chat.completion.chunk", json!({ "index": 0, "delta": { "content": token } })),
+            false => ("text_completion", json!({ "index": 0, "text": token })),
+        };
+        let id = self.id.to_string();
+        json!({ "id": id, "object": object, "model": self.model, "choices": [choice] })
+    }
+
+    fn whole(&self, text: &str, count: u64) -> Value {
+        let (object, mut choice) = match self.chat {
+            true => {
+                let message = json!({ "role": "assistant", "content": text });
+                ("chat.completion", json!({ "index": 0, "message": message }))
+            }
+            false => ("text_completion", json!({ "index": 0, "text": text })),
+        };
+        choice["finish_reason"] = "stop".into();
+        json!({
+            "id": self.id.to_string(),
+            "object": object,
+            "model": self.model,
+            "choices": [choice],
+            "usage": { "completion_tokens": count },
+        })
+    }
+}
+
+/// Lists the models.
+pub(super) fn models(
+    id: request::Id,
+    request: &Request<Incoming>,
+    shared: &Shared,
+) -> Result<Answer, Failure> {
+    if request.method() != "GET" {
+        return Err(Failure::not_run(Kind::MethodNotAllowed));
+    }
+    check_key(request, shared)?;
+    let config = shared.config.load();
+    let models: Vec<Value> =
+        config.models().map(|name| json!({ "id": name, "object": "model" })).collect();
+    Ok(answer::json(id, 200, &json!({ "object": "list", "data": models })))
+}
--- /dev/null
+++ b/crates/siskinstiled/src/endpoint.rs
@@ -0,0 +1,64 @@
+//! Endpoints behind a trait.
+
+mod engine;
+mod plain;
+
+use siskinstile_core::{
+    object::{self, Role},
+    request,
+};
+
+use crate::relay::Relay;
+
+pub use engine::Engine;
+pub use plain::Plain;
+
+/// A step of an attempt, with the relay of its request.
+#[derive(Clone, Copy)]
+pub struct Job<'a> {
+    /// The request.
+    pub request: request::Id,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// The endpoint.
+    pub endpoint: &'a object::Endpoint,
+    /// Whether the whole answer is to be kept.
+    pub keep: bool,
+    /// The relay of the request.
+    pub relay: &'a Relay,
+}
+
+/// Carries out steps at endpoints; blocks until they have come to something.
+pub trait Endpoint: Send + Sync {
+    /// Carries out a step; `first` is called when the first part of the answer has been relayed.
+    fn run(&self, job: Job<'_>, step: &request::Step, first: &dyn Fn()) -> request::Outcome;
+
+    /// Ends what the endpoint does for an attempt.
+    ///
+    /// # Errors
+    ///
+    /// The endpoint could not be told; it is worth telling it again.
+    fn cancel(
+        &self,
+        request: request::Id,
+        attempt: u32,
+        endpoint: &object::Endpoint,
+    ) -> Result<(), attohttpc::Error>;
+}
+
+/// Returns the adapter for a role.
+pub fn adapter(role: Role) -> &'static dyn Endpoint {
+    match role {
+        Role::Prefill | Role::Decode => &Engine,
+        Role::Plain => &Plain,
+    }
+}
+
+/// Returns whether any byte of a failed call may have left.
+fn may_have_left(error: &attohttpc::Error) -> bool {
+    match error.kind() {
+        attohttpc::ErrorKind::Io(io) => io.kind() != std::io::ErrorKind::ConnectionRefused,
+        attohttpc::ErrorKind::ConnectNotSupported | attohttpc::ErrorKind::InvalidBaseUrl => false,
+        _ => true,
+    }
+}
--- /dev/null
+++ b/crates/siskinstiled/src/main.rs
@@ -0,0 +1,85 @@
+//! Runs one instance of siskinstile.
+
+use std::{path::PathBuf, process::ExitCode, thread, time::Duration};
+
+use clap::Parser;
+use siskinstiled::{Daemon, Settings};
+
+/// Routes callers' requests to pools of language-model workers and plain services.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+struct Args {
+    /// Settings file, in TOML.
+    #[arg(long)]
+    config: PathBuf,
+    /// Only check the settings.
+    #[arg(long)]
+    check: bool,
+}
+
+/// Exit code after a second signal, which ends the process at once.
+const CUT_SHORT: u8 = 3;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match run(&Args::parse()) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &Args) -> anyhow::Result<ExitCode> {
+    let settings = Settings::open(&args.config)?;
+    if args.check {
+        println!("{}: fine", args.config.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let signals = signals()?;
+    let daemon = Daemon::spawn(&settings)?;
+    println!("door {} admin {}", daemon.door(), daemon.admin());
+    let mut draining = false;
+    loop {
+        if daemon.wait(Duration::from_millis(50)) {
+            return Ok(ExitCode::SUCCESS);
+        }
+        match signals.try_recv() {
+            Ok(()) if draining => {
+                eprintln!("second signal: open requests are cut");
+                return Ok(ExitCode::from(CUT_SHORT));
+            }
+            Ok(()) => {
+                draining = true;
+                daemon.drain();
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// Returns a channel that gets a message for each SIGTERM or SIGINT.
+fn signals() -> anyhow::Result<crossbeam::channel::Receiver<()>> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (sender, receiver) = crossbeam::channel::unbounded();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let (mut term, mut int) = {
+        let _guard = runtime.enter();
+        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?)
+    };
+    thread::spawn(move || {
+        runtime.block_on(async {
+            loop {
+                tokio::select! {
+                    _ = term.recv() => {}
+                    _ = int.recv() => {}
+                }
+                if sender.send(()).is_err() {
+                    break;
+                }
+            }
+        });
+    });
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/siskinstiled/src/settings.rs
@@ -0,0 +1,137 @@
+//! The daemon's settings, read from a TOML file and checked before anything starts.
+
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use anyhow::{Context as _, bail};
+use siskinstile_core::object::Name;
+use siskinstile_macros::value;
+
+/// The settings of one instance.
+#[value(serde)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The instance itself.
+    pub instance: Instance,
+    /// The listener for callers.
+    #[serde(default)]
+    pub door: Door,
+    /// The listener for operators.
+    #[serde(default)]
+    pub admin: Admin,
+    /// The platform.
+    pub platform: Platform,
+    /// What all instances share.
+    #[serde(default)]
+    pub fleet: Fleet,
+}
+
+/// Who the instance is.
+#[value(serde)]
+#[serde(deny_unknown_fields)]
+pub struct Instance {
+    /// Unique name.
+    pub name: Name,
+    /// Name of its data centre.
+    pub datacentre: Name,
+}
+
+/// The listener for callers.
+#[value(serde)]
+#[serde(deny_unknown_fields, default)]
+pub struct Door {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Most connections at once.
+    pub max_connections: usize,
+}
+
+impl Default for Door {
+    fn default() -> Door {
+        Door { listen: SocketAddr::from(([127, 0, 0, 1], 8080)), max_connections: 1_024 }
+    }
+}
+
+/// The listener for operators.
+#[value(serde)]
+#[serde(deny_unknown_fields, default)]
+pub struct Admin {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+}
+
+impl Default for Admin {
+    fn default() -> Admin {
+        Admin { listen: SocketAddr::from(([127, 0, 0, 1], 8081)) }
+    }
+}
+
+/// The platform's object API.
+#[value(serde)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// What all instances share.
+#[value(serde)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fleet {
+    /// Number of instances among which rates are split.
+    pub size: u64,
+    /// Milliseconds that the balancer takes to stop sending to an instance that is not ready.
+    pub balancer_lag_ms: u64,
+}
+
+impl Default for Fleet {
+    fn default() -> Fleet {
+        Fleet { size: 6, balancer_lag_ms: 2_000 }
+    }
+}
+
+impl Fleet {
+    /// Returns the time that the balancer takes to stop sending to an instance that is not ready.
+    pub fn balancer_lag(&self) -> Duration {
+        Duration::from_millis(self.balancer_lag_ms)
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the file, the line and what would be right.
+    pub fn open(path: &Path) -> anyhow::Result<Settings> {
+        let text = fs::read_to_string(path)
+            .with_context(|| format!("cannot read settings {}", path.display()))?;
+        Settings::parse(&text).with_context(|| format!("settings {}", path.display()))
+    }
+
+    /// Parses and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the line and what would be right.
+    pub fn parse(text: &str) -> anyhow::Result<Settings> {
+        let settings: Settings = toml::from_str(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> anyhow::Result<()> {
+        if self.instance.name.is_empty() {
+            bail!("instance.name is empty; give each instance a unique name");
+        }
+        if self.instance.datacentre.is_empty() {
+            bail!("instance.datacentre is empty; name the data centre of this instance");
+        }
+        if self.door.max_connections == 0 {
+            bail!("door.max_connections is 0; it must be at least 1");
+        }
+        if self.fleet.size == 0 {
+            bail!("fleet.size is 0; it must be the number of instances of the fleet");
+        }
+        Ok(())
+    }
+}
