--- /dev/null
+++ b/crates/fakes/src/plain.rs
@@ -0,0 +1,96 @@
+//! A plain service that answers any request with what it saw.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+use serde_json::{Map, Value, json};
+use siskinstile_macros::value;
+
+use crate::{
+    http::{Answer, Call, Handler},
+    knob::Knobs,
+    server::Server,
+};
+
+/// Settings of a plain service.
+#[value(serde, default)]
+pub struct Config {
+    /// Name that its answers carry.
+    pub name: String,
+    /// Time that each run takes, in milliseconds.
+    pub delay_ms: u64,
+}
+
+/// A running plain service; it stops when dropped.
+pub struct Plain {
+    server: Server,
+    runs: Arc<Runs>,
+}
+
+struct Runs {
+    config: Config,
+    ids: Mutex<Vec<String>>,
+}
+
+impl Plain {
+    /// Starts a plain service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be opened.
+    pub fn spawn(config: Config) -> anyhow::Result<Plain> {
+        let runs = Arc::new(Runs { config, ids: Mutex::default() });
+        let server = Server::spawn(Arc::clone(&runs), Knobs::default())?;
+        Ok(Plain { server, runs })
+    }
+
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns its faults.
+    pub fn knobs(&self) -> &Knobs {
+        self.server.knobs()
+    }
+
+    /// Returns the `X-Request-Id` of each run in order, empty for one without.
+    pub fn runs(&self) -> Vec<String> {
+        self.runs.ids.lock().expect("no holder panics").clone()
+    }
+
+    /// Returns the text of the last 1,000 requests.
+    pub fn seen(&self) -> Vec<String> {
+        self.server.seen()
+    }
+}
+
+impl Runs {
+    fn start(&self, call: &Call) -> usize {
+        let mut ids = self.ids.lock().expect("no holder panics");
+        ids.push(call.header("X-Request-Id").unwrap_or_default().to_owned());
+        ids.len()
+    }
+}
+
+impl Handler for Runs {
+    fn handle(&self, call: &Call) -> Answer {
+        let count = self.start(call);
+        thread::sleep(Duration::from_millis(self.config.delay_ms));
+        let headers: Map<String, Value> =
+            call.headers.iter().map(|(name, value)| (name.clone(), json!(value))).collect();
+        let body = json!({
+            "endpoint": self.config.name,
+            "method": call.method,
+            "path": call.target,
+            "count": count,
+            "body": String::from_utf8_lossy(&call.body),
+            "headers": headers,
+        });
+        Answer::Json(200, body)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/relay.rs
@@ -0,0 +1,147 @@
+//! A relay of bytes before the HTTP server, which closes and mutes single connections.
+//!
+//! `tiny_http` gives no access to its sockets, so that each caller's connection ends here and goes
+//! on through a second one, known to the server by its peer address.
+
+use std::{
+    collections::HashMap,
+    io::{self, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+};
+
+use crate::knob::Knobs;
+
+/// Size of a copy buffer, in bytes.
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// A listening relay; it closes every connection when dropped.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    acceptor: Option<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    target: SocketAddr,
+    knobs: Knobs,
+    stopping: AtomicBool,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+}
+
+/// The two connections of one caller.
+#[derive(Debug)]
+struct Link {
+    number: u64,
+    caller: TcpStream,
+    server: TcpStream,
+}
+
+impl Relay {
+    pub(crate) fn spawn(target: SocketAddr, knobs: Knobs) -> io::Result<Relay> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let stopping = AtomicBool::new(false);
+        let shared = Arc::new(Shared { target, knobs, stopping, links: Mutex::default() });
+        let inner = Arc::clone(&shared);
+        let acceptor = Some(thread::spawn(move || accept(&listener, &inner)));
+        Ok(Relay { address, shared, acceptor })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns a function that closes the connection of the peer that the server sees, after the
+    /// bytes already sent.
+    pub(crate) fn closer(&self) -> impl Fn(SocketAddr) + Send + Sync + 'static {
+        let shared = Arc::clone(&self.shared);
+        move |peer| {
+            let links = shared.links.lock().expect("no holder panics");
+            if let Some(link) = links.get(&peer) {
+                let _ = link.server.shutdown(Shutdown::Write);
+            }
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+        if let Some(acceptor) = self.acceptor.take() {
+            let _ = acceptor.join();
+        }
+        let links = self.shared.links.lock().expect("no holder panics");
+        links.values().for_each(|link| link.close());
+    }
+}
+
+impl Link {
+    fn close(&self) {
+        let _ = self.caller.shutdown(Shutdown::Both);
+        let _ = self.server.shutdown(Shutdown::Both);
+    }
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+    for caller in listener.incoming() {
+        if shared.stopping.load(Ordering::SeqCst) {
+            return;
+        }
+        if let Err(error) = caller.and_then(|caller| link(caller, shared)) {
+            log::warn!("relay: {error}");
+        }
+    }
+}
+
+fn link(caller: TcpStream, shared: &Arc<Shared>) -> io::Result<()> {
+    let number = shared.knobs.admit();
+    let server = TcpStream::connect(shared.target)?;
+    caller.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let peer = server.local_addr()?;
+    let link = Arc::new(Link { number, caller, server });
+    shared.links.lock().expect("no holder panics").insert(peer, Arc::clone(&link));
+    let (up, down) = (Arc::clone(shared), Arc::clone(shared));
+    let other = Arc::clone(&link);
+    thread::spawn(move || {
+        copy(&other.caller, &other.server, || false);
+        up.end(peer, &other);
+    });
+    thread::spawn(move || {
+        copy(&link.server, &link.caller, || down.knobs.is_muted(link.number));
+        down.end(peer, &link);
+    });
+    Ok(())
+}
+
+impl Shared {
+    fn end(&self, peer: SocketAddr, link: &Link) {
+        if self.knobs.is_muted(link.number) && !self.stopping.load(Ordering::SeqCst) {
+            // A muted connection stays open until the caller closes it.
+            let _ = io::copy(&mut &link.caller, &mut io::sink());
+        }
+        link.close();
+        self.links.lock().expect("no holder panics").remove(&peer);
+    }
+}
+
+fn copy(mut from: &TcpStream, mut to: &TcpStream, muted: impl Fn() -> bool) {
+    let mut buffer = [0; BUFFER_BYTES];
+    loop {
+        match from.read(&mut buffer) {
+            Ok(0) => return,
+            Ok(_) if muted() => {}
+            Ok(n) if to.write_all(&buffer[..n]).is_ok() => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Ok(_) | Err(_) => return,
+        }
+    }
+}
