--- a/crates/fakes/tests/testsuite/engine.rs
+++ b/crates/fakes/tests/testsuite/engine.rs
@@ -157,3 +157,51 @@
         assert_eq!(engine.role() == Role::Decode, !fences);
     }
 }
+
+#[test]
+fn cache_events_are_late_and_have_gaps() {
+    let pre = prefill(Config::default());
+    let events = || call(pre.address(), "GET", "/events?since=0", &json!(null)).1;
+    pre.knobs().set_drop_events(true);
+    compute(&pre, &"a".repeat(2_000));
+    pre.knobs().set_drop_events(false);
+    compute(&pre, &"b".repeat(2_000));
+    assert_eq!(events()["events"][0]["seq"], 1);
+    pre.knobs().set_late_events_ms(3_600_000);
+    assert_eq!(events(), json!({"next": 0, "events": []}));
+}
+
+#[test]
+fn load_lags() {
+    let pre = prefill(Config::default());
+    let dec = decode(Config { load_lag_ms: 400, ..Config::default() });
+    let kv = compute(&pre, "hello");
+    assert_eq!(import(&pre, &dec, &kv, 1, 5), 200);
+    let holds = || call(dec.address(), "GET", "/load", &json!(null)).1["holds"].clone();
+    wait_until("hold shown", || holds() != json!([]));
+    call(dec.address(), "POST", "/cancel", &json!({"request": REQUEST, "attempt": 1}));
+    assert!(dec.holds().is_empty());
+    wait_until("end of hold shown", || holds() == json!([]));
+}
+
+#[test]
+fn cancel_ends_waiting_prefill() {
+    let pre = prefill(Config { places: 1, prefill_rate: 1, ..Config::default() });
+    let at = pre.address();
+    let callers: Vec<_> = (1..=2)
+        .map(|attempt| {
+            let body = json!({
+                "request": REQUEST, "attempt": attempt, "model": "m", "prompt": "x".repeat(400),
+            });
+            thread::spawn(move || call(at, "POST", "/prefill", &body).0)
+        })
+        .collect();
+    let load = || call(at, "GET", "/load", &json!(null)).1;
+    wait_until("queue", || load()["running"] == 1 && load()["queued"] == 1);
+    call(at, "POST", "/cancel", &json!({"request": REQUEST}));
+    for caller in callers {
+        assert_eq!(caller.join().unwrap(), 409);
+    }
+    assert_eq!(load()["running"], 0);
+    assert_eq!(pre.prefills(), 0);
+}
--- a/crates/fakes/tests/testsuite/platform.rs
+++ b/crates/fakes/tests/testsuite/platform.rs
@@ -45,3 +45,18 @@
     assert_eq!(removal["events"][0]["value"], json!(null));
     assert_eq!(removal["events"][0]["version"], 3);
 }
+
+#[test]
+fn instances_come_and_go() {
+    let platform = Platform::spawn().unwrap();
+    let at = platform.address();
+    let record = json!({
+        "name": "i1", "address": "127.0.0.1:1", "admin": "127.0.0.1:2", "datacentre": "d1",
+        "incarnation": 1, "state": "live",
+    });
+    let list = || call(at, "GET", "/instances", &json!(null)).1;
+    assert_eq!(call(at, "PUT", "/instances/i1", &record), (200, json!({})));
+    assert_eq!(list(), json!({"instances": [record]}));
+    assert_eq!(call(at, "DELETE", "/instances/i1", &json!(null)), (200, json!({})));
+    assert_eq!(list(), json!({"instances": []}));
+}
