Add the demo and the first pages

Cause: a new user could not see the system work. Change: a fleet of stand-ins and two instances in one process, real requests over HTTP for both examples, README, CONTRIBUTING, catalogues of error kinds and log events with a test that compares them with the code.

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,8 +1,8 @@
 //! The reducer: one instance's whole control state, and the step from an event to effects.
 //!
-//! A request walks through the submodules in this order: [`admission`] checks route, key and rate,
-//! [`claims`] claims it on the platform if it is not idempotent, and [`attempts`] runs it at
-//! endpoints until it is answered. [`control`] keeps the configuration and the members.
+//! A request walks through the submodules in this order: `admission` checks route, key and rate,
+//! `claims` claims it on the platform if it is not idempotent, and `attempts` runs it at
+//! endpoints until it is answered. `control` keeps the configuration and the members.
 
 mod admission;
 mod attempts;
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the core.
 
 mod check;
+mod log;
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -1,1 +1,5 @@
 //! Demo, benchmark, fuzz, policy and capacity commands.
+
+pub mod client;
+pub mod demo;
+pub mod fleet;
--- /dev/null
+++ b/crates/harness/tests/testsuite/demo.rs
@@ -0,0 +1,9 @@
+use std::path::Path;
+
+use siskinstile_harness::demo;
+
+#[test]
+fn demo_every_example() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    demo::run(&examples, false).unwrap();
+}
--- /dev/null
+++ b/crates/harness/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the whole path over real sockets.
+
+mod demo;
--- a/crates/siskinctl/src/cmd/key.rs
+++ b/crates/siskinctl/src/cmd/key.rs
@@ -6,6 +6,7 @@
 use clap::Subcommand;
 use serde_json::json;
 use siskinstile_core::check::{self, Problem};
+use siskinstile_core::key;
 use siskinstile_core::object::{Key, Kind, Name};
 
 use crate::args::Format;
--- a/crates/siskinctl/tests/testsuite/examples.rs
+++ b/crates/siskinctl/tests/testsuite/examples.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use rstest::rstest;
-use siskinctl::{Code, cmd, files};
+use siskinctl::{Code, files};
 
 use crate::{example, run};
 
@@ -22,6 +22,6 @@
         let rest = readme.split_once(&start).unwrap().1;
         let secret = rest.split_once('`').unwrap().0;
         let salt = hex::decode(&*key.salt).unwrap();
-        assert_eq!(cmd::key::hash(&salt, secret), *key.hash);
+        assert_eq!(siskinstile_core::key::hash(&salt, secret), *key.hash);
     }
 }
--- a/crates/siskinctl/tests/testsuite/key.rs
+++ b/crates/siskinctl/tests/testsuite/key.rs
@@ -1,6 +1,6 @@
 //! Tests of `key new`.
 
-use siskinctl::{Code, cmd};
+use siskinctl::Code;
 
 use crate::run;
 
@@ -11,7 +11,7 @@
     let made: serde_json::Value = serde_json::from_str(&out).unwrap();
     let secret = made["key"].as_str().unwrap().strip_prefix("k.").unwrap();
     let salt = hex::decode(made["object"]["salt"].as_str().unwrap()).unwrap();
-    assert_eq!(made["object"]["hash"], cmd::key::hash(&salt, secret));
+    assert_eq!(made["object"]["hash"], siskinstile_core::key::hash(&salt, secret));
 }
 
 #[test]
