Settle the message families and split the reducer by part

Cause: lanes of work need files and messages of their own. Change: one message family for each part of the core (members, configuration, limits, holds, dispatch), the reducer split along the same lines, heartbeats inside a data centre, start-time fair queueing, and a world on virtual time that drives several real reducers over links that delay, lose, double or cut.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod effect;
 pub mod error;
 pub mod event;
+pub mod fair;
 pub mod key;
 pub mod limit;
 pub mod log;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -4,7 +4,7 @@
 use siskinstile_macros::value;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::object::Name;
+use crate::{Instant, object::Name};
 
 /// One instance as the platform lists it.
 #[value(serde)]
@@ -39,6 +39,20 @@
 #[value(default)]
 pub struct Table {
     records: IndexMap<Name, Record>,
+    heard: IndexMap<Name, Heard>,
+}
+
+/// What the last heartbeat of an instance told.
+#[value(id)]
+pub struct Heard {
+    /// When it came.
+    pub at: Instant,
+    /// Incarnation of the sender.
+    pub incarnation: u64,
+    /// Generation of the configuration in force at the sender.
+    pub generation: u64,
+    /// Whether the sender is leaving.
+    pub leaving: bool,
 }
 
 impl Table {
@@ -57,6 +71,19 @@
         self.records.values()
     }
 
+    /// Notes a heartbeat, unless it is of an incarnation older than one heard before.
+    pub fn hear(&mut self, name: &Name, heard: Heard) {
+        let known = self.heard.get(name).map_or(0, |it| it.incarnation);
+        if heard.incarnation >= known {
+            self.heard.insert(name.clone(), heard);
+        }
+    }
+
+    /// Returns what the last heartbeat of an instance told.
+    pub fn heard(&self, name: &str) -> Option<&Heard> {
+        self.heard.get(name)
+    }
+
     /// Returns the live instances of a data centre in the order of their rank for `key`.
     pub fn ranked(&self, datacentre: &str, key: &str) -> Vec<&Record> {
         let mut live: Vec<&Record> = self
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -8,6 +8,11 @@
 mod attempts;
 mod claims;
 mod control;
+mod dispatch;
+mod drain;
+mod holds;
+mod limits;
+mod messages;
 
 use std::{sync::Arc, time::Duration};
 
@@ -92,7 +97,7 @@
             Event::Arrival(arrival) => self.arrive(now, arrival),
             Event::Gone(request) => self.caller_gone(now, request),
             Event::Report(report) => self.report(now, report),
-            Event::Message(_) => {}
+            Event::Message(envelope) => self.message(now, envelope),
             Event::Stored { tag, answer } => self.stored(now, tag, answer),
             Event::Load { .. } => {}
             Event::Drain => self.drain(now),
@@ -102,6 +107,14 @@
         std::mem::take(&mut self.effects)
     }
 
+    fn tick(&mut self, now: Instant) {
+        self.control_tick(now);
+        self.limit_tick(now);
+        self.dispatch_tick(now);
+        self.hold_tick(now);
+        self.drain_tick(now);
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> &Arc<Config> {
         &self.config
--- a/crates/core/src/state/admission.rs
+++ b/crates/core/src/state/admission.rs
@@ -26,7 +26,7 @@
     }
 
     fn admit(&mut self, now: Instant, arrival: Arrival) -> Result<Request, Failure> {
-        if self.draining.is_some_and(|since| now.since(since) >= self.settings.balancer_lag) {
+        if self.has_left(now) {
             return Err(Failure::not_run(Kind::Draining));
         }
         if self.config.generation == 0 {
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -8,7 +8,6 @@
     error::{Failure, Kind, Ran},
     log,
     object::Endpoint,
-    place::{Decision, Job},
     request::{Id, Outcome, Phase, Placement, Report, Step},
 };
 
@@ -20,32 +19,10 @@
 const MAX_STEP_RETRIES: u32 = 3;
 
 impl State {
-    /// Queues a request for endpoints.
-    pub(super) fn enqueue(&mut self, now: Instant, id: Id) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        request.phase = Phase::Queued;
-        let job =
-            Job { request: id, pool: request.route.pool.clone(), avoid: request.avoid.clone() };
-        let Some(pool) = self.config.pool(&job.pool).cloned() else {
-            return self.give_up(now, id, Failure::not_run(Kind::NoEndpoint));
-        };
-        if self.dispatcher.submit(&pool, job).is_err() {
-            self.give_up(now, id, Failure::not_run(Kind::QueueFull));
-        }
-    }
-
-    /// Starts an attempt of each request that can be placed now.
-    pub(super) fn place(&mut self, now: Instant) {
-        let config = self.config.clone();
-        for decision in self.dispatcher.poll(&config, &self.settings.datacentre.clone()) {
-            let Decision::Placed { request, placement } = decision;
-            self.begin(now, request, placement);
-        }
-    }
-
-    fn begin(&mut self, now: Instant, id: Id, placement: Placement) {
+    /// Starts an attempt at the endpoints that the dispatcher chose.
+    pub(super) fn begin(&mut self, now: Instant, id: Id, placement: Placement) {
         let Some(request) = self.requests.get_mut(&id) else {
-            return self.free(&placement);
+            return self.release(&placement);
         };
         request.attempt += 1;
         request.retries = 0;
@@ -70,12 +47,6 @@
         self.emit(Effect::Call { request: id, attempt, endpoint, step, keep });
     }
 
-    fn free(&mut self, placement: &Placement) {
-        for endpoint in placement.prefill.iter().chain([&placement.run]) {
-            self.dispatcher.release(endpoint);
-        }
-    }
-
     /// Takes a report on a step; one of an older attempt changes nothing.
     pub(super) fn report(&mut self, now: Instant, report: Report) {
         let Report { request: id, attempt, outcome } = report;
@@ -171,11 +142,11 @@
             let endpoint = endpoint.clone();
             self.effects.push(Effect::Cancel { request: id, attempt, endpoint });
         }
-        self.free(&placement);
+        self.release(&placement);
     }
 
     /// Ends a request that has not run, or whose attempts have all failed, with an error.
-    fn give_up(&mut self, now: Instant, id: Id, failure: Failure) {
+    pub(super) fn give_up(&mut self, now: Instant, id: Id, failure: Failure) {
         let cause = match failure.kind {
             Kind::EndpointFailed => burn::Cause::Endpoint,
             Kind::QueueFull | Kind::NoEndpoint => burn::Cause::Queue,
@@ -205,7 +176,7 @@
         self.count_end(now, id, tokens);
         self.trace.note(now, id, format!("answered, {tokens} tokens"));
         if let Some(request) = self.requests.swap_remove(&id) {
-            request.placement.iter().for_each(|placement| self.free(placement));
+            request.placement.iter().for_each(|placement| self.release(placement));
         }
         self.emit(Effect::Finish { request: id });
     }
@@ -242,7 +213,7 @@
         let not_sent = matches!(request.phase, Phase::Admitting | Phase::Claiming | Phase::Queued);
         let charged = request.charged;
         self.trace.note(now, id, "the caller left");
-        self.dispatcher.remove(id);
+        self.withdraw(id);
         match not_sent {
             true => {
                 self.settle(id, ClaimOutcome::NotRun);
--- a/crates/core/src/state/control.rs
+++ b/crates/core/src/state/control.rs
@@ -1,14 +1,21 @@
-//! Configuration, members, drain: what happens besides requests.
+//! Configuration and members.
 
 use std::time::Duration;
 
+use siskinstile_wire::{
+    Body,
+    message::{config as wire_config, member as wire_member},
+};
+
 use crate::{
     Effect, Instant, log,
+    member::Heard,
+    object::Name,
     store::{Answer, Call, Tag},
     sync,
 };
 
-use super::State;
+use super::{State, messages::Sender};
 
 /// Time between two reads of the platform's list of instances.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
@@ -22,17 +29,12 @@
         self.apply(outputs);
     }
 
-    pub(super) fn tick(&mut self, now: Instant) {
+    pub(super) fn control_tick(&mut self, now: Instant) {
         let due = self.members_read.is_none_or(|at| now.since(at) >= MEMBERS_INTERVAL);
         if due {
             self.members_read = Some(now);
             self.emit(Effect::Store { tag: Tag::Instances, call: Call::Instances });
-        }
-        let drained = self.draining.is_some_and(|at| now.since(at) >= self.settings.balancer_lag);
-        if drained && self.requests.is_empty() && !self.stopped {
-            self.stopped = true;
-            self.log(log::STOPPED, self.settings.name.to_string());
-            self.emit(Effect::Stopped);
+            self.beat();
         }
     }
 
@@ -81,11 +83,48 @@
         }
     }
 
-    pub(super) fn drain(&mut self, now: Instant) {
-        if self.draining.is_none() {
-            self.draining = Some(now);
-            self.log(log::DRAINING, format!("{} requests open", self.requests.len()));
-            self.emit(Effect::Ready(false));
+    /// Tells the other instances of the data centre that this one lives.
+    fn beat(&mut self) {
+        let beat = wire_member::Heartbeat {
+            generation: self.config.generation,
+            leaving: self.draining.is_some(),
+        };
+        let own = self.settings.name.clone();
+        let peers: Vec<Name> = self
+            .members
+            .ranked(&self.settings.datacentre, "")
+            .into_iter()
+            .map(|it| it.name.clone())
+            .filter(|name| *name != own)
+            .collect();
+        for peer in peers {
+            let kind = Some(wire_member::Kind::Heartbeat(beat.clone()));
+            self.send(&peer, Body::Member(wire_member::Message { kind }));
         }
     }
+
+    pub(super) fn member_message(
+        &mut self,
+        now: Instant,
+        from: &Sender,
+        message: wire_member::Message,
+    ) {
+        let Some(wire_member::Kind::Heartbeat(beat)) = message.kind else { return };
+        let heard = Heard {
+            at: now,
+            incarnation: from.incarnation,
+            generation: beat.generation,
+            leaving: beat.leaving,
+        };
+        self.members.hear(&from.name, heard);
+    }
+
+    /// The configuration is not handed over among instances yet.
+    pub(super) fn config_message(
+        &mut self,
+        _now: Instant,
+        _from: &Sender,
+        _message: wire_config::Message,
+    ) {
+    }
 }
--- /dev/null
+++ b/crates/core/src/state/drain.rs
@@ -0,0 +1,28 @@
+//! The graceful stop: unready first, refusals after the balancer's lag, exit when nothing is open.
+
+use crate::{Effect, Instant, log};
+
+use super::State;
+
+impl State {
+    pub(super) fn drain(&mut self, now: Instant) {
+        if self.draining.is_none() {
+            self.draining = Some(now);
+            self.log(log::DRAINING, format!("{} requests open", self.requests.len()));
+            self.emit(Effect::Ready(false));
+        }
+    }
+
+    /// Returns whether the balancer has had time to stop sending requests.
+    pub(super) fn has_left(&self, now: Instant) -> bool {
+        self.draining.is_some_and(|at| now.since(at) >= self.settings.balancer_lag)
+    }
+
+    pub(super) fn drain_tick(&mut self, now: Instant) {
+        if self.has_left(now) && self.requests.is_empty() && !self.stopped {
+            self.stopped = true;
+            self.log(log::STOPPED, self.settings.name.to_string());
+            self.emit(Effect::Stopped);
+        }
+    }
+}
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -3,3 +3,5 @@
 pub mod client;
 pub mod demo;
 pub mod fleet;
+pub mod policy;
+pub mod world;
--- /dev/null
+++ b/crates/harness/src/world/store.rs
@@ -0,0 +1,105 @@
+//! The platform's store in memory.
+
+use indexmap::IndexMap;
+use siskinstile_core::{
+    member::{Record, Standing},
+    object::Name,
+    store::{Answer, Call, Object},
+};
+
+/// Objects with versions, their history and the list of instances.
+#[derive(Debug, Clone, Default)]
+pub struct Store {
+    /// Calls that were carried out, watches too.
+    pub calls: u64,
+    /// Writes among them.
+    pub writes: u64,
+    revision: u64,
+    objects: IndexMap<(Name, Name), Object>,
+    history: Vec<Object>,
+    instances: IndexMap<Name, Record>,
+}
+
+impl Store {
+    /// Shows an instance in the list.
+    pub fn list(&mut self, record: Record) {
+        self.instances.insert(record.name.clone(), record);
+    }
+
+    /// Takes an instance off the list.
+    pub fn unlist(&mut self, name: &str) {
+        self.instances.swap_remove(name);
+    }
+
+    /// Shows an instance as leaving.
+    pub fn leaving(&mut self, name: &str) {
+        if let Some(record) = self.instances.get_mut(name) {
+            record.state = Standing::Leaving;
+        }
+    }
+
+    /// Returns an object.
+    pub fn get(&self, kind: &str, name: &str) -> Option<&Object> {
+        self.objects.get(&(kind.into(), name.into()))
+    }
+
+    /// Iterates over the objects of a kind.
+    pub fn of_kind(&self, kind: &str) -> impl Iterator<Item = &Object> {
+        self.objects.values().filter(move |it| &*it.kind == kind)
+    }
+
+    /// Carries out a call that is not a watch.
+    pub fn call(&mut self, call: &Call) -> Answer {
+        self.calls += 1;
+        match call {
+            Call::List { kind } => {
+                let objects = self.of_kind(kind).cloned().collect();
+                Answer::Objects { revision: self.revision, objects }
+            }
+            Call::Get { kind, name } => {
+                self.get(kind, name).cloned().map_or(Answer::Missing, Answer::Object)
+            }
+            Call::Put { kind, name, value, if_version } => {
+                self.write(kind, name, Some(value.clone()), *if_version)
+            }
+            Call::Delete { kind, name, if_version } => self.write(kind, name, None, *if_version),
+            Call::Watch { .. } => Answer::Expired,
+            Call::Instances => Answer::Instances(self.instances.values().cloned().collect()),
+        }
+    }
+
+    fn write(
+        &mut self,
+        kind: &Name,
+        name: &Name,
+        value: Option<serde_json::Value>,
+        if_version: Option<u64>,
+    ) -> Answer {
+        let key = (kind.clone(), name.clone());
+        let current = self.objects.get(&key).map_or(0, |it| it.version);
+        match (if_version, &value) {
+            (Some(version), _) if version != current => return Answer::Conflict,
+            (_, None) if current == 0 => return Answer::Missing,
+            _ => {}
+        }
+        self.writes += 1;
+        self.revision += 1;
+        let removed = value.is_none();
+        let object =
+            Object { kind: kind.clone(), name: name.clone(), version: self.revision, value };
+        self.history.push(object.clone());
+        match removed {
+            true => drop(self.objects.swap_remove(&key)),
+            false => drop(self.objects.insert(key, object)),
+        }
+        Answer::Written { version: self.revision }
+    }
+
+    /// Returns the changes after a revision.
+    pub fn events(&mut self, kinds: &[Name], since: u64) -> Answer {
+        let start = self.history.partition_point(|it| it.version <= since);
+        let objects =
+            self.history[start..].iter().filter(|it| kinds.contains(&it.kind)).cloned().collect();
+        Answer::Objects { revision: self.revision, objects }
+    }
+}
--- a/crates/harness/tests/testsuite/main.rs
+++ b/crates/harness/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the whole path over real sockets.
 
 mod demo;
+mod world;
