Count service levels over sliding windows and plot the burn report

Change: windows of 5 min, 1 h, 6 h and 3 d in twelve slots each, causes decayed over six hours, latency in hdrhistogram, reports that merge over instances, siskinctl burn as text, JSON and HTML with plots; the fleet waits for the whole set. Conclusion: looked at both plots as pictures; the legend covered a bar and now has room of its own.

--- /dev/null
+++ b/crates/core/src/burn/series.rs
@@ -0,0 +1,53 @@
+//! The counts of one service and team.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use siskinstile_macros::value;
+
+use super::{
+    Cause, Count,
+    window::{Ring, WINDOWS},
+};
+use crate::Instant;
+
+/// Time constant of the decay of the counts by cause.
+const DECAY: Duration = Duration::from_secs(6 * 3_600);
+
+/// The counts of one service and team.
+#[value(default)]
+pub struct Series {
+    rings: [Ring; WINDOWS.len()],
+    causes: [f32; Cause::ALL.len()],
+    decayed_at: Instant,
+}
+
+impl Series {
+    /// Counts a request, with what burned it if it missed the objective.
+    pub fn count(&mut self, now: Instant, cause: Option<Cause>) {
+        for (ring, window) in self.rings.iter_mut().zip(WINDOWS) {
+            ring.count(now, window.length, cause.is_some());
+        }
+        let Some(cause) = cause else { return };
+        let factor = self.decay(now);
+        self.causes.iter_mut().for_each(|count| *count *= factor);
+        self.decayed_at = now;
+        self.causes[cause as usize] += 1.0;
+    }
+
+    fn decay(&self, now: Instant) -> f32 {
+        (-now.since(self.decayed_at).as_secs_f32() / DECAY.as_secs_f32()).exp()
+    }
+
+    /// Returns the counts by window.
+    pub fn windows(&self, now: Instant) -> Vec<Count> {
+        self.rings.iter().zip(WINDOWS).map(|(ring, window)| ring.sum(now, window.length)).collect()
+    }
+
+    /// Returns the counts by cause, without those that are zero.
+    pub fn causes(&self, now: Instant) -> IndexMap<Cause, f64> {
+        let factor = self.decay(now);
+        let count = |cause: Cause| (cause, f64::from(self.causes[cause as usize] * factor));
+        Cause::ALL.into_iter().map(count).filter(|(_, count)| *count > 0.0).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/burn/window.rs
@@ -0,0 +1,76 @@
+//! Counts over sliding windows, in a fixed number of slots each.
+
+use std::time::Duration;
+
+use siskinstile_macros::value;
+
+use super::Count;
+use crate::Instant;
+
+/// Slots of a window: it slides in steps of a twelfth.
+const SLOTS: usize = 12;
+
+/// A window's name and length.
+#[value(id)]
+pub struct Window {
+    /// Name for reports.
+    pub name: &'static str,
+    /// Length.
+    pub length: Duration,
+}
+
+const fn window(name: &'static str, seconds: u64) -> Window {
+    Window { name, length: Duration::from_secs(seconds) }
+}
+
+/// The windows, shortest first.
+pub const WINDOWS: [Window; 4] =
+    [window("5m", 300), window("1h", 3_600), window("6h", 21_600), window("3d", 259_200)];
+
+/// The counts of one window.
+#[value(id, default)]
+pub(super) struct Ring {
+    total: [u32; SLOTS],
+    bad: [u32; SLOTS],
+    /// Number of the newest slot since the clock's zero.
+    newest: u64,
+}
+
+impl Ring {
+    /// Counts a request.
+    pub(super) fn count(&mut self, now: Instant, length: Duration, bad: bool) {
+        self.advance(slot(now, length));
+        let index = self.newest as usize % SLOTS;
+        self.total[index] = self.total[index].saturating_add(1);
+        self.bad[index] = self.bad[index].saturating_add(u32::from(bad));
+    }
+
+    /// Returns the sum of the slots that lie within the window.
+    pub(super) fn sum(&self, now: Instant, length: Duration) -> Count {
+        let current = slot(now, length);
+        let mut count = Count::default();
+        for back in 0..SLOTS as u64 {
+            let Some(number) = self.newest.checked_sub(back) else { break };
+            if number + SLOTS as u64 > current {
+                let index = number as usize % SLOTS;
+                count.total += u64::from(self.total[index]);
+                count.bad += u64::from(self.bad[index]);
+            }
+        }
+        count
+    }
+
+    fn advance(&mut self, to: u64) {
+        let steps = to.saturating_sub(self.newest).min(SLOTS as u64);
+        for step in 1..=steps {
+            let index = (to - steps + step) as usize % SLOTS;
+            self.total[index] = 0;
+            self.bad[index] = 0;
+        }
+        self.newest = self.newest.max(to);
+    }
+}
+
+fn slot(now: Instant, length: Duration) -> u64 {
+    now.0 / (length.as_micros() as u64 / SLOTS as u64)
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -101,7 +101,7 @@
             Event::Stored { tag, answer } => self.stored(now, tag, answer),
             Event::Load { .. } => {}
             Event::Drain => self.drain(now),
-            Event::Query { id, query } => self.query(id, query),
+            Event::Query { id, query } => self.query(now, id, query),
         }
         self.place(now);
         std::mem::take(&mut self.effects)
@@ -139,16 +139,16 @@
         self.emit(Effect::Fail { request, failure });
     }
 
-    fn query(&mut self, id: u64, query: Query) {
+    fn query(&mut self, now: Instant, id: u64, query: Query) {
         let value = match query {
-            Query::Status => self.status(),
+            Query::Status => self.status(now),
             Query::Explain(request) => self.trace.explain(request),
-            Query::Burn => self.burn.value(),
+            Query::Burn => self.burn_value(now),
         };
         self.emit(Effect::Reply { id, value });
     }
 
-    fn status(&self) -> Value {
+    fn status(&self, now: Instant) -> Value {
         json!({
             "instance": self.settings.name,
             "incarnation": self.settings.incarnation,
@@ -157,7 +157,12 @@
             "requests": self.requests.len(),
             "draining": self.draining.is_some(),
             "members": self.members.iter().count(),
-            "burn": self.burn.value(),
+            "burn": self.burn_value(now),
         })
     }
+
+    fn burn_value(&self, now: Instant) -> Value {
+        let snapshot = self.burn.snapshot(now, &self.config.set);
+        serde_json::to_value(snapshot).expect("a snapshot is plain data")
+    }
 }
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -189,6 +189,7 @@
         let first = request.first.unwrap_or(now);
         let first_ms = first.since(request.arrived).as_millis() as u64;
         let between_ms = now.since(first).as_millis() as u64 / tokens.max(1);
+        self.burn.latency(now, &route.service, first_ms, between_ms);
         match () {
             () if first_ms > route.first_token_ms => {
                 self.burn.bad(now, &route.service, &team, burn::Cause::Queue);
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the core.
 
+mod burn;
 mod check;
 mod log;
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -120,17 +120,9 @@
     pub fn apply(&self) -> anyhow::Result<()> {
         let dir = self.objects.display().to_string();
         self.siskinctl(&["apply", &dir, "--platform", &self.platform.address().to_string()])?;
-        self.wait_generation(1)
-    }
-
-    /// Waits until every instance has a generation of at least `generation` in force.
-    ///
-    /// # Errors
-    ///
-    /// Not in time.
-    pub fn wait_generation(&self, generation: u64) -> anyhow::Result<()> {
-        wait(IN_FORCE, || self.daemons.iter().all(|it| it.generation() >= generation))
-            .context("the configuration is not in force everywhere")
+        let (set, _) = siskinctl::files::load(&self.objects)?;
+        wait(IN_FORCE, || self.daemons.iter().all(|it| it.config().set == set))
+            .context("the objects are not in force everywhere")
     }
 
     /// Runs the command line and returns what it printed.
--- a/crates/siskinctl/src/cmd/burn.rs
+++ b/crates/siskinctl/src/cmd/burn.rs
@@ -1,9 +1,12 @@
-//! `siskinctl burn`: shows the service-level burn report of an instance.
+//! `siskinctl burn`: shows the service-level burn report, merged over instances.
 
-use std::io::Write;
+mod plot;
+mod text;
+
+use std::{fs, io::Write, path::PathBuf};
 
 use anyhow::Context;
-use serde_json::Value;
+use siskinstile_core::burn::Snapshot;
 
 use crate::args::Format;
 use crate::client::Client;
@@ -12,20 +15,33 @@
 /// Arguments of `burn`.
 #[derive(Debug, clap::Args)]
 pub struct Args {
-    /// Admin address of an instance, `IP:PORT`.
+    /// Admin address of an instance, `IP:PORT`; repeat it to merge several.
+    #[arg(long, required = true)]
+    pub admin: Vec<String>,
+    /// Also writes the report with plots to this HTML file.
     #[arg(long)]
-    pub admin: String,
+    pub html: Option<PathBuf>,
 }
 
 /// Shows the burn report.
 ///
 /// # Errors
 ///
-/// Returns an error if the instance refuses or is not reachable.
+/// Returns an error if an instance refuses or is not reachable, or the file cannot be written.
 pub fn execute(args: &Args, format: Format, out: &mut dyn Write) -> anyhow::Result<Code> {
-    let client = Client::open(&args.admin);
-    let answer: Option<Value> = client.fetch("/burn")?;
-    let value = answer.context("the instance has no burn report")?;
-    output::document(out, format, &value)?;
+    let mut merged = Snapshot::default();
+    for admin in &args.admin {
+        let client = Client::open(admin);
+        let answer: Option<Snapshot> = client.fetch("/burn")?;
+        merged.merge(&answer.context("the instance has no burn report")?);
+    }
+    if let Some(path) = &args.html {
+        let page = plot::page(&merged)?;
+        fs::write(path, page).with_context(|| format!("cannot write {}", path.display()))?;
+    }
+    match format {
+        Format::Text => text::write(out, &merged)?,
+        Format::Json => output::json(out, &serde_json::to_value(&merged)?)?,
+    }
     Ok(Code::Success)
 }
--- /dev/null
+++ b/crates/siskinctl/src/cmd/burn/plot.rs
@@ -0,0 +1,132 @@
+//! The burn report as an HTML page with plots.
+
+use anyhow::anyhow;
+use plotters::prelude::*;
+use siskinstile_core::burn::{Cause, Snapshot, window::WINDOWS};
+
+/// Size of a plot, in pixels.
+const SIZE: (u32, u32) = (760, 340);
+/// Width of a bar, in parts of the room of its group.
+const GROUP: f64 = 0.8;
+/// Width of the plot over that of the groups, so that the legend covers none of them.
+const LEGEND: f64 = 1.25;
+/// The burn rate at which the budget lasts exactly as long as its period.
+const EVEN: f64 = 1.0;
+
+/// One group of bars.
+struct Group {
+    name: String,
+    values: Vec<f64>,
+}
+
+/// Returns the page.
+///
+/// # Errors
+///
+/// A plot cannot be drawn.
+pub(super) fn page(report: &Snapshot) -> anyhow::Result<String> {
+    let windows: Vec<&str> = WINDOWS.iter().map(|it| it.name).collect();
+    let burn: Vec<Group> = report
+        .services
+        .iter()
+        .map(|service| {
+            let total = report.total(&service.service);
+            let rates = total.windows.iter().map(|it| it.burn(service.objective_percent));
+            Group { name: service.service.to_string(), values: rates.collect() }
+        })
+        .collect();
+    let causes: Vec<Group> = report
+        .services
+        .iter()
+        .map(|service| {
+            let total = report.total(&service.service);
+            let count = |cause| total.causes.get(&cause).copied().unwrap_or(0.0);
+            Group {
+                name: service.service.to_string(),
+                values: Cause::ALL.into_iter().map(count).collect(),
+            }
+        })
+        .collect();
+    let names: Vec<&str> = Cause::ALL.iter().map(|it| it.as_str()).collect();
+    let burn = bars("Burn rate by service and window", &burn, &windows, Some(EVEN))?;
+    let causes = bars("Requests that burned the budget, by cause", &causes, &names, None)?;
+    let mut table = Vec::new();
+    super::text::write(&mut table, report)?;
+    let table = escape(&String::from_utf8_lossy(&table));
+    Ok(format!(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Burn report</title>\
+         <body style=\"font-family: sans-serif; margin: 2em\"><h1>Burn report</h1>\
+         {burn}{causes}<pre>{table}</pre></body></html>\n"
+    ))
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// Draws groups of bars, one colour for each name, and a line at `mark`.
+fn bars(
+    title: &str,
+    groups: &[Group],
+    names: &[&str],
+    mark: Option<f64>,
+) -> anyhow::Result<String> {
+    let mut svg = String::new();
+    draw(&mut svg, title, groups, names, mark).map_err(|error| anyhow!("plot: {error}"))?;
+    Ok(svg)
+}
+
+fn draw(
+    svg: &mut String,
+    title: &str,
+    groups: &[Group],
+    names: &[&str],
+    mark: Option<f64>,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let highest = groups.iter().flat_map(|it| &it.values).copied().fold(EVEN, f64::max);
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..groups.len().max(1) as f64 * LEGEND, 0.0..highest * 1.25)?;
+    let label = |x: &f64| {
+        let middle = (x.fract() - 0.5).abs() < 0.01;
+        let group = groups.get(*x as usize).filter(|_| middle);
+        group.map_or_else(String::new, |it| it.name.clone())
+    };
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .max_light_lines(0)
+        .x_labels(groups.len() * 2 * 2 + 1)
+        .x_label_formatter(&label)
+        .draw()?;
+    let width = GROUP / names.len().max(1) as f64;
+    for (index, name) in names.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        let bar = |(group, it): (usize, &Group)| {
+            let left = group as f64 + (1.0 - GROUP) / 2.0 + index as f64 * width;
+            let height = it.values.get(index).copied().unwrap_or(0.0);
+            Rectangle::new([(left, 0.0), (left + width * 0.9, height)], colour.filled())
+        };
+        chart
+            .draw_series(groups.iter().enumerate().map(bar))?
+            .label(*name)
+            .legend(move |(x, y)| Rectangle::new([(x, y - 5), (x + 10, y + 5)], colour.filled()));
+    }
+    if let Some(mark) = mark {
+        let line = [(0.0, mark), (groups.len().max(1) as f64, mark)];
+        chart.draw_series(LineSeries::new(line, &BLACK))?;
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::UpperRight)
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK.mix(0.3))
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
