Measure the slopes of the core's costs with a command

Change: capacity measure runs the real reducer with 7,600 teams, 20,000 keys, 21 models, 1,900 endpoints and 360 members and counts time, encoded bytes and allocated memory. It found that a status query held the control thread for 261 ms, since it wrote the burn report of every team as JSON: the report is now a typed reply that is turned into JSON by the listener, and status leaves it out.

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -7,7 +7,7 @@
 use siskinstile_wire::Body;
 
 use crate::{
-    Config,
+    Config, burn,
     error::Failure,
     object::{Endpoint, Name},
     request, store,
@@ -80,10 +80,31 @@
         /// Number of the question.
         id: u64,
         /// The reply.
-        value: Value,
+        reply: Reply,
     },
     /// Says whether the instance takes new requests.
     Ready(bool),
     /// Nothing is left to do after a drain: the process may exit.
     Stopped,
 }
+
+/// A reply to an operator; large ones are turned into JSON off the control thread.
+#[value]
+pub enum Reply {
+    /// A small one, or null if nothing is known.
+    Value(Value),
+    /// How service levels burn.
+    Burn(Box<burn::Snapshot>),
+}
+
+impl Reply {
+    /// Returns the reply as JSON.
+    pub fn to_value(&self) -> Value {
+        match self {
+            Reply::Value(value) => value.clone(),
+            Reply::Burn(snapshot) => {
+                serde_json::to_value(snapshot).expect("a snapshot is plain data")
+            }
+        }
+    }
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     Config, Effect, Event, Instant, Query, burn,
+    effect::Reply,
     error::Failure,
     limit,
     log::{self, Record},
@@ -140,15 +141,15 @@
     }
 
     fn query(&mut self, now: Instant, id: u64, query: Query) {
-        let value = match query {
-            Query::Status => self.status(now),
-            Query::Explain(request) => self.trace.explain(request),
-            Query::Burn => self.burn_value(now),
+        let reply = match query {
+            Query::Status => Reply::Value(self.status()),
+            Query::Explain(request) => Reply::Value(self.trace.explain(request)),
+            Query::Burn => Reply::Burn(Box::new(self.burn.snapshot(now, &self.config.set))),
         };
-        self.emit(Effect::Reply { id, value });
+        self.emit(Effect::Reply { id, reply });
     }
 
-    fn status(&self, now: Instant) -> Value {
+    fn status(&self) -> Value {
         json!({
             "instance": self.settings.name,
             "incarnation": self.settings.incarnation,
@@ -157,12 +158,6 @@
             "requests": self.requests.len(),
             "draining": self.draining.is_some(),
             "members": self.members.iter().count(),
-            "burn": self.burn_value(now),
         })
     }
-
-    fn burn_value(&self, now: Instant) -> Value {
-        let snapshot = self.burn.snapshot(now, &self.config.set);
-        serde_json::to_value(snapshot).expect("a snapshot is plain data")
-    }
 }
--- /dev/null
+++ b/crates/harness/src/capacity/rig.rs
@@ -0,0 +1,272 @@
+//! One instance of the real reducer at the target size, with the platform's store beside it.
+
+use std::{sync::Arc, time::Duration};
+
+use siskinstile_core::{
+    Effect, Event, Instant, Set, State, key,
+    key::Secret,
+    member::{Record, Standing},
+    object::{Endpoint, Key, Kind, Name, Pool, Role, Route, Service, Team, Urgency, Workload},
+    request::{Arrival, Id, Target},
+    state,
+    store::{Answer, Call},
+};
+
+use crate::world::Store;
+
+/// Sizes of a set and of a fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Teams.
+    pub teams: usize,
+    /// Keys.
+    pub keys: usize,
+    /// Models, each with a pool and a route.
+    pub models: usize,
+    /// Endpoints over all pools.
+    pub endpoints: usize,
+    /// Instances of the own data centre.
+    pub neighbours: usize,
+    /// Instances of the whole fleet.
+    pub instances: usize,
+    /// Data centres.
+    pub datacentres: usize,
+}
+
+/// The target size.
+pub const TARGET: Size = Size {
+    teams: 7_600,
+    keys: 20_000,
+    models: 21,
+    endpoints: 1_900,
+    neighbours: 36,
+    instances: 360,
+    datacentres: 10,
+};
+
+/// Ticks in which an instance takes up what the platform holds.
+const SETTLE_TICKS: u32 = 200;
+/// Rate of every team, in tokens a second: so high that no request of a measurement is refused.
+const RATE: u64 = 5_000_000;
+/// Salt of every key, in hexadecimal digits.
+const SALT: &str = "000102030405060708090a0b0c0d0e0f";
+
+/// Returns a valid set of a size.
+pub fn set(size: &Size) -> Set {
+    let mut set = Set::default();
+    let models: Vec<Name> = (0..size.models).map(|it| format!("model-{it}").into()).collect();
+    for model in &models {
+        let service = Service {
+            name: model.clone(),
+            workload: Workload::Model,
+            models: vec![model.clone()],
+            objective_percent: 95.0,
+        };
+        set.services.insert(model.clone(), service);
+        set.routes.insert(model.clone(), route(model));
+    }
+    for index in 0..size.teams {
+        let name: Name = format!("team-{index}").into();
+        let team = Team {
+            name: name.clone(),
+            weight: 1,
+            rate: RATE,
+            burst: 10 * RATE,
+            offline_grace_s: None,
+        };
+        set.teams.insert(name, team);
+    }
+    for index in 0..size.keys {
+        let name: Name = format!("key-{index}").into();
+        set.keys.insert(name.clone(), key_object(name, index % size.teams.max(1)));
+    }
+    for (index, model) in models.iter().enumerate() {
+        set.pools.insert(model.clone(), pool(size, index, model));
+    }
+    set
+}
+
+fn route(model: &Name) -> Route {
+    Route {
+        name: model.clone(),
+        service: model.clone(),
+        pool: model.clone(),
+        model: Some(model.clone()),
+        method: None,
+        path: None,
+        urgency: Urgency::Urgent,
+        idempotent: true,
+        open: false,
+        body_limit: 1 << 20,
+        first_token_ms: 1_700,
+        between_tokens_ms: 45,
+        cost: 1,
+    }
+}
+
+fn key_object(name: Name, team: usize) -> Key {
+    let salt: Vec<u8> = (0..16).collect();
+    Key {
+        hash: key::hash(&salt, &secret(&name)).into(),
+        name,
+        team: format!("team-{team}").into(),
+        salt: SALT.into(),
+        withdrawn: false,
+        offline_grace_s: None,
+    }
+}
+
+fn secret(name: &str) -> String {
+    format!("secret-of-{name}")
+}
+
+fn pool(size: &Size, index: usize, model: &Name) -> Pool {
+    let count = size.endpoints / size.models;
+    let endpoints = (0..count).map(|number| Endpoint {
+        name: format!("{model}-worker-{number}").into(),
+        address: format!("10.{index}.{}.{}:8000", number / 250, number % 250 + 1).into(),
+        datacentre: format!("dc-{}", number % size.datacentres).into(),
+        role: if (number / size.datacentres).is_multiple_of(2) {
+            Role::Prefill
+        } else {
+            Role::Decode
+        },
+        places: 16,
+        memory: 400_000,
+        fences: true,
+        leaving: false,
+    });
+    Pool {
+        name: model.clone(),
+        service: model.clone(),
+        endpoints: endpoints.collect(),
+        prefill_rate: 20_000,
+        link_slots: 4,
+        transfer_ms: 10,
+        queue_limit: 256,
+    }
+}
+
+/// An instance and the platform.
+pub struct Rig {
+    /// The instance.
+    pub state: State,
+    /// The platform.
+    pub store: Store,
+    /// Its clock.
+    pub now: Instant,
+}
+
+impl Rig {
+    /// Starts an instance and lets it publish and adopt the set.
+    pub fn open(size: &Size) -> Rig {
+        let mut store = Store::default();
+        for (kind, name, value) in set(size).values() {
+            let kind: Name = kind.as_str().into();
+            store.call(&Call::Put { kind, name, value, if_version: Some(0) });
+        }
+        store.list(record(size, 0));
+        let settings = state::Settings {
+            name: "instance-0".into(),
+            incarnation: 1,
+            datacentre: "dc-0".into(),
+            fleet_size: size.instances as u64,
+            balancer_lag: Duration::from_secs(2),
+        };
+        let (state, effects) = State::new(settings);
+        let mut rig = Rig { state, store, now: Instant::from_millis(1) };
+        rig.answer(effects);
+        rig.settle();
+        (1..size.instances).for_each(|index| rig.store.list(record(size, index)));
+        rig.settle();
+        rig
+    }
+
+    /// Lets ten seconds pass.
+    fn settle(&mut self) {
+        (0..SETTLE_TICKS).for_each(|_| self.tick());
+    }
+
+    /// Returns whether the whole set is in force.
+    pub fn is_ready(&self) -> bool {
+        Kind::ALL.iter().all(|kind| {
+            let held = self.store.of_kind(kind.as_str()).count();
+            let set = &self.state.config().set;
+            let own = match kind {
+                Kind::Service => set.services.len(),
+                Kind::Team => set.teams.len(),
+                Kind::Key => set.keys.len(),
+                Kind::Route => set.routes.len(),
+                Kind::Pool => set.pools.len(),
+            };
+            held == own
+        })
+    }
+
+    /// Lets the time of a tick pass.
+    pub fn tick(&mut self) {
+        self.now = self.now + state::TICK;
+        self.step(Event::Tick);
+    }
+
+    /// Hands the instance an event and answers its platform calls.
+    pub fn step(&mut self, event: Event) -> Vec<Effect> {
+        let effects = self.state.step(self.now, event);
+        self.answer(effects)
+    }
+
+    /// Answers platform calls, except watches, and returns the other effects.
+    pub fn answer(&mut self, effects: Vec<Effect>) -> Vec<Effect> {
+        let mut others = Vec::new();
+        let mut waiting = effects;
+        while !waiting.is_empty() {
+            let mut next = Vec::new();
+            for effect in waiting {
+                match effect {
+                    Effect::Store { call: Call::Watch { .. }, .. } => {}
+                    Effect::Store { tag, call } => {
+                        let answer = self.store.call(&call);
+                        next.extend(self.state.step(self.now, Event::Stored { tag, answer }));
+                    }
+                    other => others.push(other),
+                }
+            }
+            waiting = next;
+        }
+        others
+    }
+
+    /// Returns the answer that a watch of everything would get now.
+    pub fn changes(&mut self, since: u64) -> Answer {
+        let kinds: Vec<Name> = Kind::ALL.iter().map(|it| it.as_str().into()).collect();
+        self.store.events(&kinds, since)
+    }
+}
+
+fn record(size: &Size, index: usize) -> Record {
+    let datacentre = index / size.neighbours.max(1) % size.datacentres.max(1);
+    Record {
+        name: format!("instance-{index}").into(),
+        address: format!("10.200.{}.{}:7000", index / 250, index % 250 + 1).into(),
+        admin: None,
+        datacentre: format!("dc-{datacentre}").into(),
+        incarnation: 1,
+        state: Standing::Live,
+    }
+}
+
+/// Returns a request of a team for a model, with a prompt of some thousand tokens.
+pub fn arrival(size: &Size, number: u64) -> Arrival {
+    let key = number as usize % size.keys;
+    let name = format!("key-{key}");
+    Arrival {
+        id: Id(number + 1),
+        key: Some(Secret::new(format!("{name}.{}", secret(&name)))),
+        target: Target::Model(format!("model-{}", number as usize % size.models).into()),
+        idempotency: None,
+        digest: number,
+        prompt_tokens: 4_000,
+        max_tokens: 256,
+        prefixes: Arc::new([number, number + 1]),
+    }
+}
--- a/crates/siskinstiled/src/admin.rs
+++ b/crates/siskinstiled/src/admin.rs
@@ -91,7 +91,8 @@
         questions.insert(id, sender);
     }
     let _ = shared.events.send(Event::Query { id, query });
-    match time::timeout(REPLY, receiver).await {
+    let reply = time::timeout(REPLY, receiver).await;
+    match reply.map(|reply| reply.map(|it| it.to_value())) {
         Ok(Ok(Value::Null)) => value(404, &json!({ "error": "nothing is known of it" })),
         Ok(Ok(reply)) => value(200, &reply),
         _ => value(503, &json!({ "error": "the control thread gave no reply" })),
--- a/crates/siskinstiled/src/control.rs
+++ b/crates/siskinstiled/src/control.rs
@@ -13,9 +13,10 @@
 use arc_swap::ArcSwap;
 use crossbeam::channel::{self, Receiver, Sender};
 use indexmap::IndexMap;
-use serde_json::Value;
 use siskinstile_core::{
-    Config, Effect, Event, Instant, State, error, request, state,
+    Config, Effect, Event, Instant, State,
+    effect::Reply,
+    error, request, state,
     store::{Answer, Call, Tag},
 };
 use tokio::sync::oneshot;
@@ -45,7 +46,7 @@
     /// Whether the instance takes new requests.
     pub ready: AtomicBool,
     /// Operators' questions that wait for a reply.
-    pub questions: Mutex<IndexMap<u64, oneshot::Sender<Value>>>,
+    pub questions: Mutex<IndexMap<u64, oneshot::Sender<Reply>>>,
 }
 
 /// Carries out effects.
@@ -136,10 +137,10 @@
                 shared.config.store(config);
             }
             Effect::Log(record) => record.write(),
-            Effect::Reply { id, value } => {
+            Effect::Reply { id, reply } => {
                 let question = shared.questions.lock().ok().and_then(|mut it| it.swap_remove(&id));
                 if let Some(question) = question {
-                    let _ = question.send(value);
+                    let _ = question.send(reply);
                 }
             }
             Effect::Ready(ready) => shared.ready.store(ready, Ordering::Release),
