Add the transport between instances

Cause: Effect::Send was dropped by the daemon, so no message of one instance reached another.

Change: a listener and one kept outgoing connection to each peer over framed TCP, with heartbeats both ways each second, 2 s of silence as the limit, a bounded queue and jittered reconnects. Mutual TLS by rustls from files that are read again when they change; off only by tls = "off"; the sender's name has to be in its certificate. The callers' listener can serve TLS too. The list of instances of the test fleet shows the peer address.

Conclusion: messages are sent soon or lost; what must not be lost is repeated by the core.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -41,11 +41,16 @@
 pub const REQUEST_FAILED: Code = code(401, Level::Warn, "request failed");
 /// A peer connection failed.
 pub const PEER_LOST: Code = code(500, Level::Warn, "connection to an instance failed");
+/// The certificates have been read again.
+pub const CERTIFICATES_READ: Code = code(501, Level::Info, "certificates read again");
+/// Changed certificates could not be read.
+pub const CERTIFICATES_UNREADABLE: Code =
+    code(502, Level::Error, "changed certificates unreadable, the old ones stay");
 /// A listener could not accept a connection.
 pub const ACCEPT_FAILED: Code = code(600, Level::Warn, "accepting a connection failed");
 
 /// Every code, for the catalogue.
-pub const CODES: [Code; 12] = [
+pub const CODES: [Code; 14] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -57,6 +62,8 @@
     ATTEMPT_RETRIED,
     REQUEST_FAILED,
     PEER_LOST,
+    CERTIFICATES_READ,
+    CERTIFICATES_UNREADABLE,
     ACCEPT_FAILED,
 ];
 
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -94,13 +94,14 @@
             instance: settings::Instance { name: name.into(), datacentre: datacentre.clone() },
             door: settings::Door { listen: any, ..settings::Door::default() },
             admin: settings::Admin { listen: any },
+            peer: Some(settings::Peer { listen: any, tls: settings::Tls::Off(settings::Off::Off) }),
             platform: settings::Platform { address: self.platform.address() },
             fleet: settings::Fleet { size: size as u64, balancer_lag_ms: 200 },
         };
         let daemon = Daemon::spawn(&settings)?;
         let record = json!({
             "name": name,
-            "address": daemon.door().to_string(),
+            "address": daemon.peer().context("no peer listener")?.to_string(),
             "admin": daemon.admin().to_string(),
             "datacentre": datacentre,
             "incarnation": 1,
--- a/crates/siskinstiled/src/control.rs
+++ b/crates/siskinstiled/src/control.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     endpoint::{self, Job},
+    peer::Peers,
     platform::Platform,
     relay::{Part, Registry},
     worker::Workers,
@@ -56,6 +57,8 @@
     pub workers: Workers,
     /// The platform.
     pub platform: Arc<dyn Platform>,
+    /// The connections to other instances.
+    pub peers: Option<Arc<Peers>>,
     /// The runtime of the door.
     pub runtime: tokio::runtime::Handle,
     /// Told once when the instance has stopped.
@@ -129,7 +132,11 @@
                 metrics::counter!("siskinstile_replayed_total").increment(1);
                 shared.relays.end(request, Part::Replay(answer), &self.runtime);
             }
-            Effect::Send { .. } => {}
+            Effect::Send { to, body } => {
+                if let Some(peers) = &self.peers {
+                    peers.send(&to, body);
+                }
+            }
             Effect::Store { tag, call } => self.store(tag, call),
             Effect::Adopt(config) => {
                 metrics::gauge!("siskinstile_generation").set(config.generation as f64);
--- a/crates/siskinstiled/src/daemon.rs
+++ b/crates/siskinstiled/src/daemon.rs
@@ -19,6 +19,7 @@
     Settings, admin,
     control::{self, Executor, Shared},
     door,
+    peer::{self, Peers},
     platform::Http,
     relay::Registry,
     worker::Workers,
@@ -31,6 +32,7 @@
 pub struct Daemon {
     door: SocketAddr,
     admin: SocketAddr,
+    peer: Option<SocketAddr>,
     shared: Arc<Shared>,
     stopped: Receiver<()>,
     runtime: Option<tokio::runtime::Runtime>,
@@ -62,22 +64,41 @@
         });
         let (stopped_sender, stopped) = channel::bounded(1);
         let (halt_sender, halt) = channel::bounded(0);
+        let core = core_settings(settings);
+        let identity = peer::Identity { name: core.name.clone(), incarnation: core.incarnation };
+        let peers = settings.peer.as_ref().map(|it| {
+            Peers::bind(runtime.handle(), it, identity, shared.events.clone()).map(Arc::new)
+        });
+        let peers = peers.transpose()?;
         let executor = Executor {
             shared: shared.clone(),
             workers: Workers::open(),
             platform: Arc::new(Http::open(settings.platform.address)),
+            peers: peers.clone(),
             runtime: runtime.handle().clone(),
             stopped: stopped_sender,
         };
-        let (state, first) = State::new(core_settings(settings));
+        let (state, first) = State::new(core);
         thread::Builder::new()
             .name("control".into())
             .spawn(move || control::run(state, first, &inbox, &halt, &executor))
             .context("cannot start the control thread")?;
         let (door, admin) = (door_listener.local_addr()?, admin_listener.local_addr()?);
-        runtime.spawn(door::serve(door_listener, shared.clone(), settings.door.max_connections));
+        let tls = settings.door.tls.as_ref();
+        let tls = tls.map(|it| peer::tls::open_door(runtime.handle(), it)).transpose()?;
+        let max_connections = settings.door.max_connections;
+        runtime.spawn(door::serve(door_listener, shared.clone(), max_connections, tls));
         runtime.spawn(admin::serve(admin_listener, shared.clone()));
-        Ok(Daemon { door, admin, shared, stopped, runtime: Some(runtime), _halt: halt_sender })
+        let peer = peers.map(|it| it.address());
+        Ok(Daemon {
+            door,
+            admin,
+            peer,
+            shared,
+            stopped,
+            runtime: Some(runtime),
+            _halt: halt_sender,
+        })
     }
 
     /// Returns the address of the listener for callers.
@@ -90,6 +111,11 @@
         self.admin
     }
 
+    /// Returns the address of the listener for other instances.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.peer
+    }
+
     /// Begins a graceful stop.
     pub fn drain(&self) {
         let _ = self.shared.events.send(Event::Drain);
--- a/crates/siskinstiled/src/door.rs
+++ b/crates/siskinstiled/src/door.rs
@@ -20,10 +20,12 @@
     Event, error::Failure, error::Kind, key, key::Secret, log as events, request,
 };
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, mpsc},
+    sync::{Semaphore, mpsc, watch},
     time,
 };
+use tokio_rustls::TlsAcceptor;
 
 use crate::{
     control::Shared,
@@ -47,15 +49,21 @@
 }
 
 /// Serves callers; an error from accept or too many connections never end it.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>, max_connections: usize) {
+pub async fn serve(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    max_connections: usize,
+    tls: Option<watch::Receiver<TlsAcceptor>>,
+) {
     let places = Arc::new(Semaphore::new(max_connections));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => match places.clone().try_acquire_owned() {
                 Ok(place) => {
                     let shared = shared.clone();
+                    let tls = tls.as_ref().map(|it| it.borrow().clone());
                     tokio::spawn(async move {
-                        connection(stream, shared).await;
+                        secure(stream, tls, shared).await;
                         drop(place);
                     });
                 }
@@ -77,8 +85,19 @@
     let _ = stream.try_write(BUSY);
 }
 
-async fn connection(stream: TcpStream, shared: Arc<Shared>) {
+/// Serves a connection, over TLS where the listener has a certificate.
+async fn secure(stream: TcpStream, tls: Option<TlsAcceptor>, shared: Arc<Shared>) {
     let _ = stream.set_nodelay(true);
+    let Some(tls) = tls else { return connection(stream, shared).await };
+    if let Ok(Ok(stream)) = time::timeout(HEAD_LIMIT, tls.accept(stream)).await {
+        connection(stream, shared).await;
+    }
+}
+
+async fn connection<S>(stream: S, shared: Arc<Shared>)
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     let service = service_fn(move |request| {
         let shared = shared.clone();
         async move { Ok::<_, Infallible>(handle(request, shared).await) }
--- a/crates/siskinstiled/src/lib.rs
+++ b/crates/siskinstiled/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod door;
 pub mod endpoint;
+pub mod peer;
 pub mod platform;
 pub mod relay;
 pub mod settings;
--- a/crates/siskinstiled/src/settings.rs
+++ b/crates/siskinstiled/src/settings.rs
@@ -1,6 +1,11 @@
 //! The daemon's settings, read from a TOML file and checked before anything starts.
 
-use std::{fs, net::SocketAddr, path::Path, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use anyhow::{Context as _, bail};
 use siskinstile_core::object::Name;
@@ -18,6 +23,9 @@
     /// The listener for operators.
     #[serde(default)]
     pub admin: Admin,
+    /// The listener for other instances; without it the instance sends and hears no messages.
+    #[serde(default)]
+    pub peer: Option<Peer>,
     /// The platform.
     pub platform: Platform,
     /// What all instances share.
@@ -43,11 +51,63 @@
     pub listen: SocketAddr,
     /// Most connections at once.
     pub max_connections: usize,
+    /// Certificate by which callers are served over TLS.
+    pub tls: Option<Certificate>,
+}
+
+/// A certificate and its key, in PEM files that are read again when they change.
+#[value(serde)]
+#[serde(deny_unknown_fields)]
+pub struct Certificate {
+    /// File with the certificate and its chain.
+    pub certificate: PathBuf,
+    /// File with the private key.
+    pub key: PathBuf,
+}
+
+/// The listener for other instances.
+#[value(serde)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// Address to listen on; the platform's list of instances has to show it.
+    pub listen: SocketAddr,
+    /// How instances prove who they are.
+    pub tls: Tls,
+}
+
+/// How instances prove who they are to one another.
+#[value(serde)]
+#[serde(untagged)]
+pub enum Tls {
+    /// Not at all; written as `tls = "off"`.
+    Off(Off),
+    /// By certificates of the fleet.
+    Files(TlsFiles),
+}
+
+/// The word that turns TLS off.
+#[value(serde)]
+#[serde(rename_all = "lowercase")]
+pub enum Off {
+    /// TLS is off.
+    Off,
+}
+
+/// Certificates of the fleet, in PEM files that are read again when they change.
+#[value(serde)]
+#[serde(deny_unknown_fields)]
+pub struct TlsFiles {
+    /// File with the instance's certificate and its chain.
+    pub certificate: PathBuf,
+    /// File with the private key.
+    pub key: PathBuf,
+    /// File with the certificates of the fleet's authority.
+    pub authority: PathBuf,
 }
 
 impl Default for Door {
     fn default() -> Door {
-        Door { listen: SocketAddr::from(([127, 0, 0, 1], 8080)), max_connections: 1_024 }
+        Door { listen: SocketAddr::from(([127, 0, 0, 1], 8080)), max_connections: 1_024, tls: None }
     }
 }
 
--- /dev/null
+++ b/crates/siskinstiled/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the daemon's adapters over loopback.
+
+mod peer;
