--- a/crates/core/src/burn.rs
+++ b/crates/core/src/burn.rs
@@ -2,7 +2,8 @@
 //!
 //! For each service and team the report keeps the windows of [`window::WINDOWS`], a decayed count
 //! by cause, and, for each service, histograms of latency. Reports of several instances are merged
-//! by adding. Nothing is kept on disk: an instance that dies takes its part of the windows along.
+//! by adding. Nothing is kept on disk: an instance that leaves hands its counts to a peer of its data
+//! centre, one that dies takes them along.
 
 pub mod latency;
 pub mod series;
@@ -11,12 +12,16 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use siskinstile_macros::value;
+use siskinstile_wire::message::burn as message;
 
 use crate::{Instant, Set, object::Name};
 
 pub use latency::Latency;
 pub use series::Series;
 
+/// Series of one message, so that it stays far below the largest frame.
+pub const SERIES_A_MESSAGE: usize = 200;
+
 /// What burned a request's part of the error budget.
 #[value(id, serde)]
 #[serde(rename_all = "lowercase")]
@@ -99,6 +104,29 @@
         self.latency.retain(|service, _| set.services.contains_key(service));
     }
 
+    /// Returns the counts as messages of at most [`SERIES_A_MESSAGE`] series each.
+    pub fn hand_over(&self, now: Instant) -> Vec<message::Message> {
+        let all: Vec<message::Series> = self
+            .series
+            .iter()
+            .map(|((service, team), series)| {
+                let (slots, causes) = series.hand_over(now);
+                let (service, team) = (service.to_string(), team.to_string());
+                message::Series { service, team, slots, causes }
+            })
+            .collect();
+        let part = |part: &[message::Series]| message::Message { series: part.to_vec() };
+        all.chunks(SERIES_A_MESSAGE).map(part).collect()
+    }
+
+    /// Adds the counts that a leaving instance has handed over.
+    pub fn take_over(&mut self, now: Instant, message: &message::Message) {
+        for part in &message.series {
+            let (service, team) = (part.service.as_str().into(), part.team.as_str().into());
+            self.series(&service, &team).take_over(now, &part.slots, &part.causes);
+        }
+    }
+
     /// Returns the report as of `now`.
     pub fn snapshot(&self, now: Instant, set: &Set) -> Snapshot {
         let row = |((service, team), series): (&(Name, Name), &Series)| Row {
--- a/crates/core/src/burn/series.rs
+++ b/crates/core/src/burn/series.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Cause, Count,
-    window::{Ring, WINDOWS},
+    window::{Ring, SLOTS, WINDOWS},
 };
 use crate::Instant;
 
@@ -50,4 +50,23 @@
         let count = |cause: Cause| (cause, f64::from(self.causes[cause as usize] * factor));
         Cause::ALL.into_iter().map(count).filter(|(_, count)| *count > 0.0).collect()
     }
+
+    /// Returns the counts as a leaving instance hands them over.
+    pub(super) fn hand_over(&self, now: Instant) -> (Vec<u32>, Vec<f32>) {
+        let rings = self.rings.iter().zip(WINDOWS);
+        let slots = rings.flat_map(|(ring, window)| ring.slots(now, window.length)).flatten();
+        let factor = self.decay(now);
+        (slots.collect(), self.causes.iter().map(|count| count * factor).collect())
+    }
+
+    /// Adds what a leaving instance has handed over.
+    pub(super) fn take_over(&mut self, now: Instant, slots: &[u32], causes: &[f32]) {
+        let windows = self.rings.iter_mut().zip(WINDOWS).zip(slots.chunks(SLOTS * 2));
+        windows.for_each(|((ring, window), slots)| ring.add(now, window.length, slots));
+        let factor = self.decay(now);
+        self.decayed_at = now;
+        for (index, count) in self.causes.iter_mut().enumerate() {
+            *count = *count * factor + causes.get(index).copied().unwrap_or(0.0);
+        }
+    }
 }
--- a/crates/core/src/burn/window.rs
+++ b/crates/core/src/burn/window.rs
@@ -8,7 +8,7 @@
 use crate::Instant;
 
 /// Slots of a window: it slides in steps of a twelfth.
-const SLOTS: usize = 12;
+pub(super) const SLOTS: usize = 12;
 
 /// A window's name and length.
 #[value(id)]
@@ -60,6 +60,29 @@
         count
     }
 
+    /// Returns all and bad requests of each slot, newest first.
+    pub(super) fn slots(&self, now: Instant, length: Duration) -> impl Iterator<Item = [u32; 2]> {
+        let current = slot(now, length);
+        (0..SLOTS as u64).map(move |age| {
+            let number = current
+                .checked_sub(age)
+                .filter(|it| *it <= self.newest && it + SLOTS as u64 > self.newest);
+            let index = number.map(|it| it as usize % SLOTS);
+            index.map_or([0, 0], |index| [self.total[index], self.bad[index]])
+        })
+    }
+
+    /// Adds the slots of another instance; those older than the clock's zero go to the oldest.
+    pub(super) fn add(&mut self, now: Instant, length: Duration, slots: &[u32]) {
+        let current = slot(now, length);
+        self.advance(current);
+        for (age, pair) in slots.chunks_exact(2).take(SLOTS).enumerate() {
+            let index = current.saturating_sub(age as u64) as usize % SLOTS;
+            self.total[index] = self.total[index].saturating_add(pair[0]);
+            self.bad[index] = self.bad[index].saturating_add(pair[1]);
+        }
+    }
+
     fn advance(&mut self, to: u64) {
         let steps = to.saturating_sub(self.newest).min(SLOTS as u64);
         for step in 1..=steps {
--- a/crates/core/src/state/drain.rs
+++ b/crates/core/src/state/drain.rs
@@ -1,5 +1,7 @@
 //! The graceful stop: unready first, refusals after the balancer's lag, exit when nothing is open.
 
+use siskinstile_wire::Body;
+
 use crate::{Effect, Instant, log};
 
 use super::State;
@@ -21,8 +23,21 @@
     pub(super) fn drain_tick(&mut self, now: Instant) {
         if self.has_left(now) && self.requests.is_empty() && !self.stopped {
             self.stopped = true;
+            self.hand_over_burn(now);
             self.log(log::STOPPED, self.settings.name.to_string());
             self.emit(Effect::Stopped);
         }
     }
+
+    /// Hands the service-level counts to the first ranked peer of the data centre.
+    fn hand_over_burn(&mut self, now: Instant) {
+        let own = &self.settings.name;
+        let peers = self.members.ranked(&self.settings.datacentre, own);
+        let Some(peer) = peers.iter().map(|it| &it.name).find(|name| *name != own).cloned() else {
+            return;
+        };
+        for message in self.burn.hand_over(now) {
+            self.send(&peer, Body::Burn(message));
+        }
+    }
 }
--- a/crates/core/tests/testsuite/burn.rs
+++ b/crates/core/tests/testsuite/burn.rs
@@ -80,3 +80,20 @@
     let after: Snapshot = serde_json::from_value(serde_json::to_value(&before).unwrap()).unwrap();
     assert_eq!(before, after);
 }
+
+#[test]
+fn report_hand_over() {
+    let (service, team): (Name, Name) = ("assistant".into(), "wash-bays".into());
+    let mut leaving = Report::default();
+    leaving.good(Instant::from_millis(1_000), &service, &team);
+    leaving.bad(Instant::from_millis(299_000), &service, &team, Cause::Prefill);
+    let mut peer = Report::default();
+    let now = Instant::from_millis(7_200_000);
+    peer.good(now, &service, &team);
+    for message in leaving.hand_over(Instant::from_millis(299_000)) {
+        peer.take_over(now, &message);
+    }
+    let rows = peer.snapshot(now, &Set::default()).rows;
+    assert_eq!(rows[0].windows, [Count { total: 3, bad: 1 }; 4]);
+    assert!((rows[0].causes[&Cause::Prefill] - 1.0).abs() < 1e-3);
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,6 +3,7 @@
 //! Durations travel in milliseconds and never as points in time, since clocks are not shared. Each
 //! part of the core has a family of messages of its own.
 
+pub mod burn;
 pub mod config;
 pub mod dispatch;
 pub mod hold;
@@ -19,7 +20,7 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// The message itself; none from a newer version that this one does not know.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8")]
     pub body: Option<Body>,
 }
 
@@ -41,4 +42,7 @@
     /// Queueing and placement.
     #[prost(message, tag = "7")]
     Dispatch(dispatch::Message),
+    /// Service-level counts of a leaving instance.
+    #[prost(message, tag = "8")]
+    Burn(burn::Message),
 }
