--- a/crates/harness/src/bin/capacity.rs
+++ b/crates/harness/src/bin/capacity.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context as _;
 use clap::{Parser, Subcommand};
-use siskinstile_harness::capacity::{Slopes, measure, model};
+use siskinstile_harness::capacity::{Slopes, measure, model, spread};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 #[global_allocator]
@@ -31,6 +31,8 @@
         #[arg(long)]
         write: bool,
     },
+    /// Counts the holds at the busiest peer when an instance dies, by the choice of its peers.
+    Spread,
     /// Writes the table that the committed slopes give into the page.
     Write,
 }
@@ -41,6 +43,7 @@
     let committed = || Slopes::parse(&fs::read_to_string(&file).context("cannot read the slopes")?);
     match args.command.unwrap_or(Command::Table) {
         Command::Table => print!("{}", model::table(&committed()?)),
+        Command::Spread => print!("{}", spread::table()),
         Command::Write => write(&args.docs, &committed()?)?,
         Command::Measure { write: commit } => {
             let slopes = measure::measure(&allocated);
--- a/crates/harness/src/capacity.rs
+++ b/crates/harness/src/capacity.rs
@@ -8,5 +8,6 @@
 pub mod model;
 pub mod rig;
 pub mod slopes;
+pub mod spread;
 
 pub use slopes::Slopes;
