Add the fuzz: several instances against an oracle

Cause: nothing showed whether the promises on requests hold when instances, links, endpoints and the platform fail at any moment. Change: a case is a seed and operations; it runs on the world with engines that hold memory and plain services that record every run. The oracle checks nine promises; a failing case is shrunk and replayed. Faults can be planted in the reducer for tests of the oracle. Seen: requests without an answer (a call that never reports), idempotency keys in use for good (instance dead, claim write lost).

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -10,6 +10,7 @@
 mod control;
 mod dispatch;
 mod drain;
+mod fault;
 mod holds;
 mod limits;
 mod messages;
@@ -20,6 +21,8 @@
 use serde_json::{Value, json};
 use siskinstile_macros::value;
 
+pub use fault::Fault;
+
 use crate::{
     Config, Effect, Event, Instant, Query, burn,
     error::Failure,
@@ -63,6 +66,7 @@
     draining: Option<Instant>,
     stopped: bool,
     members_read: Option<Instant>,
+    planted: Option<Fault>,
     effects: Vec<Effect>,
 }
 
@@ -83,6 +87,7 @@
             draining: None,
             stopped: false,
             members_read: None,
+            planted: None,
             effects: Vec::new(),
         };
         state.start();
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod client;
 pub mod demo;
 pub mod fleet;
+pub mod fuzz;
 pub mod policy;
 pub mod world;
