Mend attempts, claims, holds and draining by what the fuzz found

Cause: a call that never reports left its request without an answer; an idempotency key stayed in use for good when its runner died or its claim write was lost; an idempotent request that may have run said so to nobody; engine memory of a dead instance stayed; an instance paused past the balancer's lag stopped with requests unread. Change: each step has a limit; whatever may have left marks the request as sent, and only an unsent one says ran: no; retries have a budget for each pool and never go to the failed endpoint first; a prefill result is transferred again while it lives; a claim names its runner, outcomes are written until the platform has them, claims in doubt are marked as not run; holds are told to two peers, which cancel them when the instance is gone; only running time counts for the balancer's lag.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -12,7 +12,7 @@
 use crate::{
     error::{Failure, Kind, Ran},
     object::Name,
-    request::{Arrival, Copy},
+    request::{Arrival, Copy, Id},
 };
 
 /// Kind of the platform's objects that hold claims.
@@ -23,6 +23,12 @@
 pub struct Claim {
     /// The request that made it.
     pub token: String,
+    /// Name of the instance that runs the request.
+    #[serde(default)]
+    pub instance: Name,
+    /// Incarnation of that instance.
+    #[serde(default)]
+    pub incarnation: u64,
     /// Digest of its method, path and body.
     pub digest: u64,
     /// Its outcome; none while it runs.
@@ -60,25 +66,38 @@
     Name::from(&digest[..40])
 }
 
+/// The instance that runs a claimed request.
+#[value]
+pub struct Runner {
+    /// Its name.
+    pub instance: Name,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
 /// Returns the value of a request's claim.
-pub fn value(arrival: &Arrival, outcome: Option<Outcome>) -> Value {
-    let claim = Claim { token: arrival.id.to_string(), digest: arrival.digest, outcome };
+pub fn value(token: Id, digest: u64, runner: &Runner, outcome: Option<Outcome>) -> Value {
+    let Runner { instance, incarnation } = runner.clone();
+    let claim = Claim { token: token.to_string(), instance, incarnation, digest, outcome };
     serde_json::to_value(claim).expect("a claim is plain data")
 }
 
-/// Judges a claim found on the platform.
-pub fn judge(arrival: &Arrival, found: &Value) -> Verdict {
-    let Ok(claim) = serde_json::from_value::<Claim>(found.clone()) else {
-        return Verdict::Fail(Failure::not_run(Kind::Internal).with_ran(Ran::Unknown));
-    };
+/// Reads a claim.
+pub fn read(found: &Value) -> Option<Claim> {
+    serde_json::from_value(found.clone()).ok()
+}
+
+/// Judges a claim found on the platform; `runs` tells whether its runner may still be at work.
+pub fn judge(arrival: &Arrival, found: &Value, runs: impl Fn(&Claim) -> bool) -> Verdict {
+    let unknown = |kind| Verdict::Fail(Failure::not_run(kind).with_ran(Ran::Unknown));
+    let Some(claim) = read(found) else { return unknown(Kind::Internal) };
     match claim.outcome {
         _ if claim.token == arrival.id.to_string() => Verdict::Own,
+        Some(Outcome::NotRun) => Verdict::Free,
         _ if claim.digest != arrival.digest => Verdict::Fail(Failure::not_run(Kind::KeyReused)),
-        None => Verdict::Fail(Failure::not_run(Kind::InProgress).with_ran(Ran::Unknown)),
         Some(Outcome::Answered(answer)) => Verdict::Replay(answer),
-        Some(Outcome::NotRun) => Verdict::Free,
-        Some(Outcome::Unknown) => {
-            Verdict::Fail(Failure::not_run(Kind::OutcomeUnknown).with_ran(Ran::Unknown))
-        }
+        Some(Outcome::Unknown) => unknown(Kind::OutcomeUnknown),
+        None if runs(&claim) => unknown(Kind::InProgress),
+        None => unknown(Kind::OutcomeUnknown),
     }
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -73,6 +73,22 @@
         }
     }
 
+    /// Moves the decode part of an attempt to another endpoint, if one has a place.
+    pub fn move_run(
+        &mut self,
+        pool: &Pool,
+        datacentre: &str,
+        from: &Endpoint,
+    ) -> Option<Arc<Endpoint>> {
+        let to = self.pick(pool, from.role, datacentre, std::slice::from_ref(&from.name))?;
+        if to.name == from.name {
+            return None;
+        }
+        self.release(from);
+        *self.used.entry(to.name.clone()).or_default() += 1;
+        Some(to)
+    }
+
     /// Places the jobs that can be placed now.
     pub fn poll(&mut self, config: &Config, datacentre: &str) -> Vec<Decision> {
         let mut out = Vec::new();
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -152,6 +152,8 @@
     Claiming,
     /// Waits for a place.
     Queued,
+    /// Waits for a peer to note what it is about to hold.
+    Holding,
     /// Its prompt is being computed.
     Prefill,
     /// Its KV cache is being transferred.
@@ -204,4 +206,39 @@
     pub claim: Option<u64>,
     /// Endpoints that failed it, not to be tried again first.
     pub avoid: Vec<Name>,
+    /// Whether any byte of any attempt may have left.
+    pub sent: bool,
+    /// When its step began.
+    pub since: Instant,
+    /// When its prefill result was reported.
+    pub computed: Instant,
+    /// Peers that were told of what its attempt holds.
+    pub told: Vec<Told>,
+    /// Writes of its claim; more than none without a known version leave the claim in doubt.
+    pub claim_writes: u32,
+}
+
+impl Request {
+    /// Returns whether a call of its attempt is under way.
+    pub fn is_running(&self) -> bool {
+        matches!(self.phase, Phase::Prefill | Phase::Import | Phase::Decode | Phase::Forward)
+    }
+}
+
+/// A peer that was told of what an attempt holds.
+#[value]
+pub struct Told {
+    /// Name of the peer.
+    pub peer: Name,
+    /// Whether it has noted the hold.
+    pub acked: bool,
+    /// Times that it was told.
+    pub tries: u32,
+}
+
+impl Told {
+    /// Creates the entry of a peer that has not been told yet.
+    pub fn new(peer: Name) -> Told {
+        Told { peer, acked: false, tries: 0 }
+    }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -14,6 +14,7 @@
 mod holds;
 mod limits;
 mod messages;
+mod retries;
 
 use std::{sync::Arc, time::Duration};
 
@@ -25,12 +26,12 @@
 
 use crate::{
     Config, Effect, Event, Instant, Query, burn,
-    error::Failure,
-    limit,
+    error::{Failure, Ran},
+    hold, limit,
     log::{self, Record},
     member,
     object::Name,
-    place, request, sync, trace,
+    place, request, retry, sync, trace,
 };
 
 /// Time between two [`Event::Tick`]s.
@@ -66,6 +67,9 @@
     draining: Option<Instant>,
     stopped: bool,
     members_read: Option<Instant>,
+    ledger: hold::Ledger,
+    budgets: IndexMap<Name, retry::Budget>,
+    settling: IndexMap<request::Id, claims::Settling>,
     planted: Option<Fault>,
     effects: Vec<Effect>,
 }
@@ -87,6 +91,9 @@
             draining: None,
             stopped: false,
             members_read: None,
+            ledger: hold::Ledger::default(),
+            budgets: IndexMap::new(),
+            settling: IndexMap::new(),
             planted: None,
             effects: Vec::new(),
         };
@@ -117,6 +124,8 @@
         self.limit_tick(now);
         self.dispatch_tick(now);
         self.hold_tick(now);
+        self.attempt_tick(now);
+        self.claim_tick(now);
         self.drain_tick(now);
     }
 
@@ -139,7 +148,15 @@
     }
 
     /// Ends a request with an error; the only place where one is given to a caller.
-    fn fail(&mut self, request: request::Id, failure: Failure) {
+    ///
+    /// It says that the request did not run only if no byte of it can have left.
+    fn fail(&mut self, request: request::Id, mut failure: Failure) {
+        let sent = self.requests.get(&request).is_some_and(|it| it.sent || it.is_running());
+        if sent && failure.ran == Ran::No && !self.has(Fault::ClaimNotRun) {
+            failure.ran = Ran::Unknown;
+        }
+        self.settle_failed(request, failure.ran);
+        self.end_attempt(request);
         self.requests.swap_remove(&request);
         self.emit(Effect::Fail { request, failure });
     }
--- a/crates/core/src/state/admission.rs
+++ b/crates/core/src/state/admission.rs
@@ -56,6 +56,11 @@
             charged,
             claim: None,
             avoid: Vec::new(),
+            sent: false,
+            since: now,
+            computed: now,
+            told: Vec::new(),
+            claim_writes: 0,
             arrival,
         })
     }
@@ -94,10 +99,10 @@
             request.charged,
         );
         self.trace.note(now, id, text);
-        let needs_claim = !request.route.idempotent && request.arrival.idempotency.is_some();
+        let needs_claim = self.needs_claim(&request);
         self.requests.insert(id, request);
         match needs_claim {
-            true => self.claim(id),
+            true => self.claim(now, id),
             false => self.enqueue(now, id),
         }
     }
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -1,22 +1,17 @@
-//! From the queue to the answer: placement, steps at endpoints, retries, the end.
+//! From the queue to the answer: placement, steps at endpoints, the end.
 
 use std::sync::Arc;
 
 use crate::{
     Effect, Instant, burn,
     claim::Outcome as ClaimOutcome,
-    error::{Failure, Kind, Ran},
-    log,
+    error::Ran,
     object::Endpoint,
     request::{Id, Outcome, Phase, Placement, Report, Step},
+    retry::Budget,
 };
 
-use super::State;
-
-/// Most attempts for one request.
-const MAX_ATTEMPTS: u32 = 4;
-/// Most times that a transfer or a stream is tried again within one attempt.
-const MAX_STEP_RETRIES: u32 = 3;
+use super::{Fault, State};
 
 impl State {
     /// Starts an attempt at the endpoints that the dispatcher chose.
@@ -26,6 +21,7 @@
         };
         request.attempt += 1;
         request.retries = 0;
+        request.kv = None;
         let text = format!(
             "attempt {} placed at {} {}",
             request.attempt,
@@ -33,16 +29,33 @@
             placement.run.name,
         );
         request.placement = Some(placement.clone());
+        let (first, pool) = (request.attempt == 1, request.route.pool.clone());
+        if first {
+            self.budgets.entry(pool).or_insert_with(|| Budget::new(now)).earn();
+        }
         self.trace.note(now, id, text);
         match placement.prefill {
-            Some(prefill) => self.call(id, Phase::Prefill, prefill, Step::Prefill),
-            None => self.call(id, Phase::Forward, placement.run, Step::Forward),
+            Some(_) => self.take_hold(now, id),
+            None => self.call(now, id, Phase::Forward, placement.run, Step::Forward),
         }
     }
 
-    fn call(&mut self, id: Id, phase: Phase, endpoint: Arc<Endpoint>, step: Step) {
+    /// Calls the first endpoint of an attempt whose peers have been told.
+    pub(super) fn start_steps(&mut self, now: Instant, id: Id) {
+        let Some(request) = self.requests.get(&id) else { return };
+        match &request.placement {
+            Some(Placement { prefill: Some(prefill), .. }) if request.kv.is_none() => {
+                let prefill = prefill.clone();
+                self.call(now, id, Phase::Prefill, prefill, Step::Prefill);
+            }
+            _ => self.import(now, id),
+        }
+    }
+
+    fn call(&mut self, now: Instant, id: Id, phase: Phase, endpoint: Arc<Endpoint>, step: Step) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.phase = phase;
+        request.since = now;
         let (attempt, keep) = (request.attempt, request.claim.is_some());
         self.emit(Effect::Call { request: id, attempt, endpoint, step, keep });
     }
@@ -50,17 +63,20 @@
     /// Takes a report on a step; one of an older attempt changes nothing.
     pub(super) fn report(&mut self, now: Instant, report: Report) {
         let Report { request: id, attempt, outcome } = report;
+        let old_counts = self.has(Fault::OldAttempt);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.attempt != attempt {
+        if request.attempt != attempt && !old_counts {
             return;
         }
+        request.sent |= !matches!(outcome, Outcome::Broken { sent: false, .. });
         match (request.phase.clone(), outcome) {
             (Phase::Prefill, Outcome::Computed { kv, cached }) => {
                 request.kv = Some(kv);
+                request.computed = now;
                 self.trace.note(now, id, format!("prefill done, {cached} tokens were cached"));
-                self.import(id);
+                self.import(now, id);
             }
-            (Phase::Import, Outcome::Imported) => self.decode(id),
+            (Phase::Import, Outcome::Imported) => self.decode(now, id),
             (Phase::Decode | Phase::Forward, Outcome::First) => {
                 request.first.get_or_insert(now);
             }
@@ -68,100 +84,46 @@
                 let kept = answer.map_or(ClaimOutcome::Unknown, ClaimOutcome::Answered);
                 self.finish(now, id, tokens, kept);
             }
-            (_, Outcome::Refused { status }) => self.refused(now, id, status),
-            (_, Outcome::Broken { sent, next_index }) => {
-                request.next_index = request.next_index.max(next_index);
+            (_, Outcome::Refused { status }) if request.is_running() => {
+                self.refused(now, id, status);
+            }
+            (_, Outcome::Broken { sent, next_index }) if request.is_running() => {
+                if next_index > request.next_index {
+                    request.next_index = next_index;
+                    request.retries = 0;
+                }
                 self.broken(now, id, sent);
             }
             _ => {}
         }
     }
 
-    fn import(&mut self, id: Id) {
+    /// Has the KV cache transferred, to another decode endpoint if the one chosen is leaving.
+    pub(super) fn import(&mut self, now: Instant, id: Id) {
         let Some(request) = self.requests.get(&id) else { return };
         let Some(Placement { prefill: Some(prefill), run }) = request.placement.clone() else {
             return;
         };
+        if self.is_leaving(&run) {
+            return self.reuse_prefill(now, id, true);
+        }
         let kv = request.kv.clone().unwrap_or_default();
         let step = Step::Import { kv, from: prefill.address.clone() };
-        self.call(id, Phase::Import, run, step);
-    }
-
-    fn decode(&mut self, id: Id) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let Some(placement) = request.placement.clone() else { return };
-        let step = Step::Decode { from_index: request.next_index };
-        self.call(id, Phase::Decode, placement.run, step);
-    }
-
-    /// The endpoint has said that it did not run the step.
-    fn refused(&mut self, now: Instant, id: Id, status: u16) {
-        self.trace.note(now, id, format!("endpoint refused with status {status}"));
-        self.try_again(now, id);
-    }
-
-    fn broken(&mut self, now: Instant, id: Id, sent: bool) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        self.trace.note(now, id, format!("{:?} broke, sent: {sent}", request.phase));
-        let may_repeat = request.route.idempotent || !sent;
-        let again_here = request.retries < MAX_STEP_RETRIES;
-        request.retries += 1;
-        match request.phase {
-            _ if !may_repeat => self.end_unknown(now, id),
-            Phase::Import if again_here => self.import(id),
-            Phase::Decode if again_here => self.decode(id),
-            _ => self.try_again(now, id),
-        }
+        self.call(now, id, Phase::Import, run, step);
     }
 
-    fn end_unknown(&mut self, now: Instant, id: Id) {
-        self.end_attempt(id);
-        self.count_bad(now, id, burn::Cause::Endpoint);
-        self.fail_unknown(id);
+    fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let mut all = self.config.pools().flat_map(|pool| &pool.endpoints);
+        let leaving = all.any(|it| it.name == endpoint.name && it.leaving);
+        leaving && !self.has(Fault::UseLeaving)
     }
 
-    /// Ends the attempt and queues the request for another one.
-    fn try_again(&mut self, now: Instant, id: Id) {
-        self.end_attempt(id);
+    /// Has the tokens streamed that the caller lacks.
+    pub(super) fn decode(&mut self, now: Instant, id: Id) {
         let Some(request) = self.requests.get(&id) else { return };
-        if request.attempt >= MAX_ATTEMPTS {
-            let ran = if request.route.idempotent { Ran::Unknown } else { Ran::No };
-            return self.give_up(now, id, Failure::not_run(Kind::EndpointFailed).with_ran(ran));
-        }
-        self.log(log::ATTEMPT_RETRIED, id.to_string());
-        self.enqueue(now, id);
-    }
-
-    /// Cancels what the attempt holds on endpoints and frees its places.
-    fn end_attempt(&mut self, id: Id) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let attempt = request.attempt;
-        let Some(placement) = request.placement.take() else { return };
-        for endpoint in placement.prefill.iter().chain([&placement.run]) {
-            request.avoid.push(endpoint.name.clone());
-            let endpoint = endpoint.clone();
-            self.effects.push(Effect::Cancel { request: id, attempt, endpoint });
-        }
-        self.release(&placement);
-    }
-
-    /// Ends a request that has not run, or whose attempts have all failed, with an error.
-    pub(super) fn give_up(&mut self, now: Instant, id: Id, failure: Failure) {
-        let cause = match failure.kind {
-            Kind::EndpointFailed => burn::Cause::Endpoint,
-            Kind::QueueFull | Kind::NoEndpoint => burn::Cause::Queue,
-            _ => burn::Cause::Refusal,
-        };
-        self.count_bad(now, id, cause);
-        self.trace.note(now, id, format!("failed: {}", failure.kind.as_str()));
-        self.log(log::REQUEST_FAILED, format!("{id} {}", failure.kind.as_str()));
-        if failure.ran == Ran::No {
-            self.settle(id, ClaimOutcome::NotRun);
-            if let Some(charged) = self.requests.get(&id).map(|it| it.charged) {
-                self.refund(id, charged);
-            }
-        }
-        self.fail(id, failure);
+        let Some(placement) = request.placement.clone() else { return };
+        let step = Step::Decode { from_index: request.next_index };
+        self.call(now, id, Phase::Decode, placement.run, step);
     }
 
     fn finish(&mut self, now: Instant, id: Id, tokens: u64, kept: ClaimOutcome) {
@@ -175,6 +137,10 @@
         self.refund(id, unused);
         self.count_end(now, id, tokens);
         self.trace.note(now, id, format!("answered, {tokens} tokens"));
+        self.drop_hold(id);
+        if self.has(Fault::AnswerTwice) {
+            return self.emit(Effect::Finish { request: id });
+        }
         if let Some(request) = self.requests.swap_remove(&id) {
             request.placement.iter().for_each(|placement| self.release(placement));
         }
@@ -200,7 +166,7 @@
         }
     }
 
-    fn count_bad(&mut self, now: Instant, id: Id, cause: burn::Cause) {
+    pub(super) fn count_bad(&mut self, now: Instant, id: Id, cause: burn::Cause) {
         let Some(route) = self.route_of(id) else { return };
         let team = self.requests.get(&id).and_then(|it| it.team.clone());
         let team = team.unwrap_or_else(|| "none".into());
@@ -210,17 +176,13 @@
     /// The caller has left: ends all that is done for it.
     pub(super) fn caller_gone(&mut self, now: Instant, id: Id) {
         let Some(request) = self.requests.get(&id) else { return };
-        let not_sent = matches!(request.phase, Phase::Admitting | Phase::Claiming | Phase::Queued);
-        let charged = request.charged;
+        let (sent, charged) = (request.sent || request.is_running(), request.charged);
         self.trace.note(now, id, "the caller left");
         self.withdraw(id);
-        match not_sent {
-            true => {
-                self.settle(id, ClaimOutcome::NotRun);
-                self.refund(id, charged);
-            }
-            false => self.settle(id, ClaimOutcome::Unknown),
+        if !sent {
+            self.refund(id, charged);
         }
+        self.settle_failed(id, if sent { Ran::Unknown } else { Ran::No });
         self.end_attempt(id);
         self.requests.swap_remove(&id);
     }
--- a/crates/core/src/state/control.rs
+++ b/crates/core/src/state/control.rs
@@ -42,7 +42,8 @@
         match (tag, answer) {
             (Tag::Claim(id), answer) => self.claim_written(now, id, answer),
             (Tag::ReadClaim(id), answer) => self.claim_read(now, id, answer),
-            (Tag::Settle(_) | Tag::Status, _) => {}
+            (Tag::Settle(id), answer) => self.settled(now, id, answer),
+            (Tag::Status, _) => {}
             (Tag::Instances, Answer::Instances(records)) => {
                 let led = self.leads();
                 self.members.replace(records);
--- a/crates/core/src/state/dispatch.rs
+++ b/crates/core/src/state/dispatch.rs
@@ -1,10 +1,13 @@
 //! The queue: from an admitted request to its endpoints.
 
+use std::sync::Arc;
+
 use siskinstile_wire::message::dispatch::Message;
 
 use crate::{
     Instant,
     error::{Failure, Kind},
+    object::Endpoint,
     place::{Decision, Job},
     request::{Id, Phase, Placement},
 };
@@ -47,6 +50,14 @@
         }
     }
 
+    /// Returns another endpoint for the decode part of an attempt, with a place taken there.
+    pub(super) fn move_run(&mut self, id: Id) -> Option<Arc<Endpoint>> {
+        let request = self.requests.get(&id)?;
+        let pool = self.config.pool(&request.route.pool)?.clone();
+        let run = request.placement.as_ref()?.run.clone();
+        self.dispatcher.move_run(&pool, &self.settings.datacentre.clone(), &run)
+    }
+
     /// Each instance places on its own and needs no messages.
     pub(super) fn dispatch_message(&mut self, _now: Instant, _from: &Sender, _message: Message) {}
 
--- a/crates/core/src/state/drain.rs
+++ b/crates/core/src/state/drain.rs
@@ -1,8 +1,13 @@
 //! The graceful stop: unready first, refusals after the balancer's lag, exit when nothing is open.
 
+use std::time::Duration;
+
 use crate::{Effect, Instant, log};
 
-use super::State;
+use super::{Fault, State};
+
+/// Longest time that a stop waits for the platform to take the outcomes of claims.
+const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 
 impl State {
     pub(super) fn drain(&mut self, now: Instant) {
@@ -14,12 +19,23 @@
     }
 
     /// Returns whether the balancer has had time to stop sending requests.
+    ///
+    /// Only time in which this instance ran counts: after a pause, requests that came meanwhile
+    /// wait to be read.
     pub(super) fn has_left(&self, now: Instant) -> bool {
-        self.draining.is_some_and(|at| now.since(at) >= self.settings.balancer_lag)
+        let running = self.ledger.running_since();
+        self.draining.is_some_and(|at| now.since(at.max(running)) >= self.settings.balancer_lag)
+    }
+
+    /// Returns whether no request is open and every claim is settled, as far as that can be.
+    fn is_idle(&self, now: Instant) -> bool {
+        let waited = self.draining.is_some_and(|at| now.since(at) >= SETTLE_LIMIT);
+        let settled = self.settling.is_empty() || waited;
+        (self.requests.is_empty() && settled) || self.has(Fault::CutDrain)
     }
 
     pub(super) fn drain_tick(&mut self, now: Instant) {
-        if self.has_left(now) && self.requests.is_empty() && !self.stopped {
+        if self.has_left(now) && self.is_idle(now) && !self.stopped {
             self.stopped = true;
             self.log(log::STOPPED, self.settings.name.to_string());
             self.emit(Effect::Stopped);
--- a/crates/core/src/state/holds.rs
+++ b/crates/core/src/state/holds.rs
@@ -1,15 +1,256 @@
-//! Holds: engine memory of this and of other instances.
+//! Holds: engine memory of this instance, told to peers, and of peers, cancelled when they are gone.
 
-use siskinstile_wire::message::hold::Message;
+use std::time::Duration;
 
-use crate::Instant;
+use siskinstile_wire::{
+    Body,
+    message::hold::{Kind, Message, Named, Take},
+};
 
-use super::{State, messages::Sender};
+use crate::{
+    Effect, Instant,
+    hold::{
+        self, ASK_AGE, CANCELS, Entry, GONE_SILENCE, Heard, Key, PEERS, PROBE_SILENCE, REMEMBERED,
+        REPEAT, UNLISTED_SILENCE,
+    },
+    object::Name,
+    request::{Id, Phase, Told},
+};
+
+use super::{Fault, State, messages::Sender};
+
+/// Time for which an attempt waits for one of its peers; checked at each tick.
+const TELL_WAIT: Duration = Duration::from_millis(5);
+/// Times that a peer is told again.
+const TELL_TRIES: u32 = 20;
 
 impl State {
-    /// Holds are not told to peers yet.
-    pub(super) fn hold_message(&mut self, _now: Instant, _from: &Sender, _message: Message) {}
+    /// Tells two peers of an attempt that is about to take engine memory, then starts it.
+    pub(super) fn take_hold(&mut self, now: Instant, id: Id) {
+        let peers = self.hold_peers(now, id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.phase = Phase::Holding;
+        request.since = now;
+        request.told = peers.into_iter().map(Told::new).collect();
+        self.tell(id);
+        if self.requests.get(&id).is_some_and(|it| it.told.is_empty()) {
+            self.start_steps(now, id);
+        }
+    }
+
+    /// Returns the peers for a request, spread over the data centre.
+    fn hold_peers(&self, now: Instant, id: Id) -> Vec<Name> {
+        if self.has(Fault::ForgetHold) {
+            return Vec::new();
+        }
+        let ranked = self.members.ranked(&self.settings.datacentre, &id.to_string());
+        let names = ranked.into_iter().map(|it| &it.name);
+        names.filter(|name| self.may_keep(now, name)).take(PEERS).cloned().collect()
+    }
+
+    fn may_keep(&self, now: Instant, name: &Name) -> bool {
+        let leaving = self.members.heard(name).is_some_and(|it| it.leaving);
+        *name != self.settings.name && !leaving && self.ledger.is_near(now, name)
+    }
+
+    /// Tells the peers that have not answered yet.
+    fn tell(&mut self, id: Id) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(placement) = &request.placement else { return };
+        let endpoints = placement.prefill.iter().chain([&placement.run]);
+        let take = Take {
+            request: id.0,
+            attempt: request.attempt,
+            endpoints: endpoints.map(|it| it.name.to_string()).collect(),
+        };
+        let silent = request.told.iter_mut().filter(|it| !it.acked && it.tries < TELL_TRIES);
+        let peers: Vec<Name> = silent
+            .map(|it| {
+                it.tries += 1;
+                it.peer.clone()
+            })
+            .collect();
+        for peer in peers {
+            self.send_hold(&peer, Kind::Take(take.clone()));
+        }
+    }
+
+    /// Tells the peers of an attempt that it holds nothing any more.
+    pub(super) fn drop_hold(&mut self, id: Id) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let named = Named { request: id.0, attempt: request.attempt };
+        for told in std::mem::take(&mut request.told) {
+            self.send_hold(&told.peer, Kind::Gone(named));
+        }
+    }
+
+    fn send_hold(&mut self, to: &str, kind: Kind) {
+        self.send(to, Body::Hold(Message { kind: Some(kind) }));
+    }
+
+    pub(super) fn hold_message(&mut self, now: Instant, from: &Sender, message: Message) {
+        match message.kind {
+            Some(Kind::Take(take)) => self.note_hold(now, from, take),
+            Some(Kind::Noted(named)) => self.hold_noted(now, from, named),
+            Some(Kind::Gone(named)) => drop(self.ledger.entries.swap_remove(&key(from, named))),
+            Some(Kind::Ask(named)) => self.hold_asked(from, named),
+            Some(Kind::Cancelled(named)) => self.hold_cancelled(now, named),
+            None => {}
+        }
+    }
+
+    fn note_hold(&mut self, now: Instant, from: &Sender, take: Take) {
+        let named = Named { request: take.request, attempt: take.attempt };
+        let entry = Entry {
+            incarnation: from.incarnation,
+            endpoints: take.endpoints.iter().map(|it| it.as_str().into()).collect(),
+            at: now,
+            cancels: 0,
+        };
+        self.ledger.entries.entry(key(from, named)).or_insert(entry);
+        self.send_hold(&from.name, Kind::Noted(named));
+    }
+
+    fn hold_noted(&mut self, now: Instant, from: &Sender, named: Named) {
+        let id = Id(named.request);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.attempt != named.attempt {
+            return;
+        }
+        let told = request.told.iter_mut().find(|it| it.peer == from.name);
+        told.into_iter().for_each(|it| it.acked = true);
+        if request.phase == Phase::Holding {
+            self.start_steps(now, id);
+        }
+    }
+
+    /// A peer asks whether a hold is still there; any answer also shows that this instance lives.
+    fn hold_asked(&mut self, from: &Sender, named: Named) {
+        let held = self.requests.get(&Id(named.request)).is_some_and(|it| {
+            it.attempt == named.attempt && it.told.iter().any(|told| told.peer == from.name)
+        });
+        let kind = if held { Kind::Noted(named) } else { Kind::Gone(named) };
+        self.send_hold(&from.name, kind);
+    }
+
+    /// Peers took this instance for gone and cancelled what it held: the attempt is over.
+    fn hold_cancelled(&mut self, now: Instant, named: Named) {
+        let id = Id(named.request);
+        if self.requests.get(&id).is_some_and(|it| it.attempt == named.attempt && it.is_running()) {
+            self.trace.note(now, id, "peers cancelled its hold");
+            self.lost(now, id);
+        }
+    }
+
+    /// Notes that an instance lives, and tells it of the holds that were cancelled meanwhile.
+    pub(super) fn hold_heard(&mut self, now: Instant, from: &Sender) {
+        self.ledger.hear(&from.name, Heard { at: now, incarnation: from.incarnation });
+        let back = |key: &Key, entry: &Entry| {
+            key.owner == from.name && entry.incarnation == from.incarnation && entry.cancels > 0
+        };
+        let cancelled: Vec<Key> = self
+            .ledger
+            .entries
+            .iter()
+            .filter(|(key, entry)| back(key, entry))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in cancelled {
+            self.ledger.entries.swap_remove(&key);
+            let named = Named { request: key.request.0, attempt: key.attempt };
+            self.send_hold(&from.name, Kind::Cancelled(named));
+        }
+    }
 
     /// Does what the keeping of holds does from time to time.
-    pub(super) fn hold_tick(&mut self, _now: Instant) {}
+    pub(super) fn hold_tick(&mut self, now: Instant) {
+        self.ledger.tick(now);
+        self.tell_again(now);
+        let keys: Vec<Key> = self.ledger.entries.keys().cloned().collect();
+        for key in keys {
+            self.watch_hold(now, &key);
+        }
+    }
+
+    fn tell_again(&mut self, now: Instant) {
+        let waiting =
+            |phase: &Phase, since| *phase == Phase::Holding && now.since(since) >= TELL_WAIT;
+        let ids: Vec<Id> =
+            self.requests.iter().filter(|(_, it)| !it.told.is_empty()).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.replace_peers(now, id);
+            self.tell(id);
+            if self.requests.get(&id).is_some_and(|it| waiting(&it.phase, it.since)) {
+                self.start_steps(now, id);
+            }
+        }
+    }
+
+    /// Tells another peer in place of one that has left.
+    fn replace_peers(&mut self, now: Instant, id: Id) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.told.iter().all(|it| self.may_keep(now, &it.peer)) {
+            return;
+        }
+        let peers = self.hold_peers(now, id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let known: Vec<Name> = request.told.iter().map(|it| it.peer.clone()).collect();
+        let new = peers.into_iter().filter(|it| !known.contains(it));
+        request.told.extend(new.map(Told::new));
+    }
+
+    fn watch_hold(&mut self, now: Instant, key: &Key) {
+        let Some(entry) = self.ledger.entries.get(key) else { return };
+        let (cancels, age) = (entry.cancels, now.since(entry.at));
+        let silence = self.ledger.silence(now, &key.owner);
+        let due = age >= REPEAT;
+        match () {
+            () if cancels >= CANCELS => {
+                if age >= REMEMBERED {
+                    self.ledger.entries.swap_remove(key);
+                }
+            }
+            () if cancels > 0 && !due => {}
+            () if cancels > 0 || self.is_gone(now, key) => self.cancel_hold(now, key),
+            () if silence >= PROBE_SILENCE && due => self.ask_hold(now, key),
+            () if age >= ASK_AGE => self.ask_hold(now, key),
+            () => {}
+        }
+    }
+
+    /// Returns whether the instance that held this is gone, or another incarnation runs.
+    fn is_gone(&self, now: Instant, key: &Key) -> bool {
+        let Some(entry) = self.ledger.entries.get(key) else { return false };
+        let record = self.members.get(&key.owner);
+        let newest = record.map(|it| it.incarnation).max(self.ledger.incarnation(&key.owner));
+        let silence = self.ledger.silence(now, &key.owner);
+        newest.is_some_and(|it| it > entry.incarnation)
+            || silence >= GONE_SILENCE
+            || (record.is_none() && silence >= UNLISTED_SILENCE)
+    }
+
+    fn cancel_hold(&mut self, now: Instant, key: &Key) {
+        let config = self.config.clone();
+        let Some(entry) = self.ledger.entries.get_mut(key) else { return };
+        entry.cancels += 1;
+        entry.at = now;
+        let all = config.pools().flat_map(|pool| &pool.endpoints);
+        for endpoint in all.filter(|it| entry.endpoints.contains(&it.name)) {
+            let endpoint = endpoint.clone().into();
+            let (request, attempt) = (key.request, key.attempt);
+            self.effects.push(Effect::Cancel { request, attempt, endpoint });
+        }
+    }
+
+    fn ask_hold(&mut self, now: Instant, key: &Key) {
+        if let Some(entry) = self.ledger.entries.get_mut(key) {
+            entry.at = now;
+        }
+        let named = Named { request: key.request.0, attempt: key.attempt };
+        self.send_hold(&key.owner.clone(), Kind::Ask(named));
+    }
+}
+
+fn key(from: &Sender, named: Named) -> Key {
+    hold::Key { owner: from.name.clone(), request: Id(named.request), attempt: named.attempt }
 }
--- a/crates/core/src/state/messages.rs
+++ b/crates/core/src/state/messages.rs
@@ -19,6 +19,7 @@
     pub(super) fn message(&mut self, now: Instant, envelope: Envelope) {
         let from =
             Sender { name: envelope.from.as_str().into(), incarnation: envelope.incarnation };
+        self.hold_heard(now, &from);
         match envelope.body {
             Some(Body::Member(message)) => self.member_message(now, &from, message),
             Some(Body::Config(message)) => self.config_message(now, &from, message),
--- a/crates/harness/src/fuzz/case.rs
+++ b/crates/harness/src/fuzz/case.rs
@@ -26,27 +26,82 @@
     /// Time passes, in milliseconds.
     Wait(u64),
     /// A caller sends a request, with an idempotency key or none.
-    Submit { at: usize, kind: Kind, key: Option<u64>, body: u64, tokens: u64 },
+    Submit {
+        /// The instance.
+        at: usize,
+        /// What it asks for.
+        kind: Kind,
+        /// The idempotency key.
+        key: Option<u64>,
+        /// Digest of the body.
+        body: u64,
+        /// Tokens to generate.
+        tokens: u64,
+    },
     /// The caller of an open request leaves.
     Leave(usize),
     /// An instance dies; the platform's list shows it on, or not.
-    Kill { at: usize, listed: bool },
+    Kill {
+        /// The instance.
+        at: usize,
+        /// Whether the platform's list goes on showing it.
+        listed: bool,
+    },
     /// A dead instance starts again, empty.
     Restart(usize),
     /// An instance stops for a while, in milliseconds.
-    Pause { at: usize, ms: u64 },
+    Pause {
+        /// The instance.
+        at: usize,
+        /// How long, in milliseconds.
+        ms: u64,
+    },
     /// One direction between two instances gets worse.
-    Link { from: usize, to: usize, loss: u8, twice: u8, most_ms: u64, cut: bool },
+    Link {
+        /// The sender.
+        from: usize,
+        /// The receiver.
+        to: usize,
+        /// Share of messages lost, in percent.
+        loss: u8,
+        /// Share of messages doubled, in percent.
+        twice: u8,
+        /// Longest delay, in milliseconds.
+        most_ms: u64,
+        /// Whether nothing arrives.
+        cut: bool,
+    },
     /// One direction between an instance and the platform gets worse.
-    Platform { at: usize, outward: bool, loss: u8, most_ms: u64, cut: bool },
+    Platform {
+        /// The instance.
+        at: usize,
+        /// Whether it is the direction to the platform.
+        outward: bool,
+        /// Share of messages lost, in percent.
+        loss: u8,
+        /// Longest delay, in milliseconds.
+        most_ms: u64,
+        /// Whether nothing arrives.
+        cut: bool,
+    },
     /// All links are well again.
     Mend,
     /// A share of the calls of endpoints goes wrong, in percent.
     Trouble(u32),
     /// An endpoint is down for a while, in milliseconds.
-    Down { endpoint: usize, ms: u64 },
+    Down {
+        /// The endpoint.
+        endpoint: usize,
+        /// How long, in milliseconds.
+        ms: u64,
+    },
     /// An endpoint is marked as leaving, or no longer.
-    Mark { endpoint: usize, leaving: bool },
+    Mark {
+        /// The endpoint.
+        endpoint: usize,
+        /// Whether it is leaving.
+        leaving: bool,
+    },
     /// An instance stops as planned.
     Drain(usize),
 }
--- a/crates/wire/src/message/hold.rs
+++ b/crates/wire/src/message/hold.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Message {
     /// What it says.
-    #[prost(oneof = "Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5")]
     pub kind: Option<Kind>,
 }
 
@@ -20,6 +20,12 @@
     /// The hold is gone.
     #[prost(message, tag = "3")]
     Gone(Named),
+    /// The sender has noted this hold long ago, or hears nothing: is it still there?
+    #[prost(message, tag = "4")]
+    Ask(Named),
+    /// The sender took the receiver for gone and has cancelled its hold.
+    #[prost(message, tag = "5")]
+    Cancelled(Named),
 }
 
 /// Engine memory that an instance is about to take.
@@ -37,7 +43,7 @@
 }
 
 /// Names a hold.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Named {
     /// Request that it is for.
     #[prost(fixed64, tag = "1")]
