--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod log;
 pub mod member;
 pub mod object;
+pub mod order;
 pub mod place;
 pub mod request;
 pub mod retry;
--- a/crates/core/src/state/retries.rs
+++ b/crates/core/src/state/retries.rs
@@ -18,6 +18,8 @@
 const MAX_STEP_RETRIES: u32 = 3;
 /// Time for which an engine keeps a prefill result.
 const RESULT_LIFE: Duration = Duration::from_millis(800);
+/// Limit on waiting for endpoints; a route with targets refuses long before.
+const QUEUE_LIMIT: Duration = Duration::from_secs(60);
 /// Limit on a prefill, its wait at the engine included.
 const PREFILL_LIMIT: Duration = Duration::from_secs(10);
 /// Limit on a transfer.
@@ -116,6 +118,7 @@
         self.end_attempt(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.phase = Phase::Queued;
+        request.since = now;
         let spent = request.attempt >= MAX_ATTEMPTS;
         let pool = request.route.pool.clone();
         let budget = self.budgets.entry(pool).or_insert_with(|| Budget::new(now));
@@ -162,15 +165,23 @@
         if self.has(Fault::NoDeadline) {
             return;
         }
-        let late: Vec<Id> = self
+        let late: Vec<(Id, bool)> = self
             .requests
             .iter()
             .filter(|(_, it)| limit(it).is_some_and(|limit| now.since(it.since) > limit))
-            .map(|(id, _)| *id)
+            .map(|(id, it)| (*id, it.is_running()))
             .collect();
-        for id in late {
-            self.trace.note(now, id, "the endpoint is silent");
-            self.lost(now, id);
+        for (id, running) in late {
+            match running {
+                true => {
+                    self.trace.note(now, id, "the endpoint is silent");
+                    self.lost(now, id);
+                }
+                false => {
+                    self.withdraw(id);
+                    self.give_up(now, id, Failure::not_run(Kind::TooLate));
+                }
+            }
         }
     }
 }
@@ -184,7 +195,7 @@
     }
 }
 
-/// Returns how long the current step may take; none where no endpoint is at work.
+/// Returns how long the current step may take; none where another part of the core sees to it.
 fn limit(request: &Request) -> Option<Duration> {
     let begun = request.first.is_some();
     let stream_ms =
@@ -196,6 +207,7 @@
         Phase::Decode => Some(FIRST_LIMIT),
         Phase::Forward if begun => Some(RELAY_LIMIT),
         Phase::Forward => Some(FORWARD_LIMIT),
-        Phase::Admitting | Phase::Claiming | Phase::Queued | Phase::Holding => None,
+        Phase::Queued => Some(QUEUE_LIMIT),
+        Phase::Admitting | Phase::Claiming | Phase::Holding => None,
     }
 }
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,4 +1,7 @@
 //! Tests of the core.
 
 mod check;
+mod claim;
 mod log;
+mod order;
+mod retry;
