--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod splice;
 pub mod state;
 pub mod store;
+pub mod sweep;
 pub mod sync;
 pub mod time;
 pub mod trace;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod messages;
 mod retries;
+mod sweeping;
 
 use std::{sync::Arc, time::Duration};
 
@@ -31,7 +32,7 @@
     log::{self, Record},
     member,
     object::Name,
-    place, request, retry, sync, trace,
+    place, request, retry, sweep, sync, trace,
 };
 
 /// Time between two [`Event::Tick`]s.
@@ -70,6 +71,7 @@
     ledger: hold::Ledger,
     budgets: IndexMap<Name, retry::Budget>,
     settling: IndexMap<request::Id, claims::Settling>,
+    sweep: sweep::Sweep,
     planted: Option<Fault>,
     effects: Vec<Effect>,
 }
@@ -94,6 +96,7 @@
             ledger: hold::Ledger::default(),
             budgets: IndexMap::new(),
             settling: IndexMap::new(),
+            sweep: sweep::Sweep::default(),
             planted: None,
             effects: Vec::new(),
         };
@@ -126,6 +129,7 @@
         self.hold_tick(now);
         self.attempt_tick(now);
         self.claim_tick(now);
+        self.sweep_tick(now);
         self.drain_tick(now);
     }
 
--- a/crates/core/src/state/control.rs
+++ b/crates/core/src/state/control.rs
@@ -43,7 +43,8 @@
             (Tag::Claim(id), answer) => self.claim_written(now, id, answer),
             (Tag::ReadClaim(id), answer) => self.claim_read(now, id, answer),
             (Tag::Settle(id), answer) => self.settled(now, id, answer),
-            (Tag::Status, _) => {}
+            (Tag::Sweep, answer) => self.sweep_answered(now, answer),
+            (Tag::Status | Tag::Swept, _) => {}
             (Tag::Instances, Answer::Instances(records)) => {
                 let led = self.leads();
                 self.members.replace(records);
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -30,6 +30,10 @@
     ReadClaim(request::Id),
     /// The outcome recorded in a claim.
     Settle(request::Id),
+    /// The marks by which the age of claims is told, and the list of claims.
+    Sweep,
+    /// The removal of an old claim.
+    Swept,
 }
 
 /// A call to the platform.
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -5,3 +5,4 @@
 mod log;
 mod order;
 mod retry;
+mod sweep;
--- a/crates/core/tests/testsuite/order.rs
+++ b/crates/core/tests/testsuite/order.rs
@@ -10,7 +10,7 @@
 
 const CONTENDERS: usize = 3;
 /// Longest time that an order is on its way.
-const ORDER_DELAY_MS: u64 = 2_000;
+const ORDER_DELAY_MS: u64 = 4_500;
 
 #[derive(Debug, Clone)]
 enum Op {
@@ -31,10 +31,10 @@
 
 fn op() -> impl Strategy<Value = Op> {
     prop_oneof![
-        3 => (0..6_000_u64).prop_map(Op::Wait),
-        8 => (0..CONTENDERS, 0..6_u8).prop_map(|(at, fate)| Op::Poll { at, fate }),
-        3 => (0..CONTENDERS, 0..ORDER_DELAY_MS).prop_map(|(at, delay_ms)| Op::Order { at, delay_ms }),
-        1 => (0..CONTENDERS).prop_map(Op::Restart),
+        6 => (0..1_500_u64).prop_map(Op::Wait),
+        5 => (0..CONTENDERS, 0..6_u8).prop_map(|(at, fate)| Op::Poll { at, fate }),
+        12 => (0..CONTENDERS, 0..ORDER_DELAY_MS).prop_map(|(at, delay_ms)| Op::Order { at, delay_ms }),
+        2 => (0..CONTENDERS).prop_map(Op::Restart),
     ]
 }
 
@@ -130,14 +130,14 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 2_000,
+        cases: 1_000,
         rng_seed: RngSeed::Fixed(4),
         failure_persistence: None,
         ..ProptestConfig::default()
     })]
 
     #[test]
-    fn order_one_holder(ops in proptest::collection::vec(op(), 1..120)) {
+    fn order_one_holder(ops in proptest::collection::vec(op(), 1..250)) {
         let mut bench = Bench::new();
         ops.iter().for_each(|op| bench.apply(op));
     }
--- /dev/null
+++ b/crates/core/tests/testsuite/sweep.rs
@@ -0,0 +1,79 @@
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use siskinstile_core::{
+    Instant,
+    store::{Answer, Call, Object},
+    sweep::Sweep,
+};
+
+/// A platform with one claim, written at the start.
+struct Platform {
+    revision: u64,
+    marks: Option<(u64, Value)>,
+    claim: bool,
+}
+
+impl Platform {
+    fn call(&mut self, call: &Call) -> Answer {
+        let object = |name: &str, version, value| Object {
+            kind: "any".into(),
+            name: name.into(),
+            version,
+            value: Some(value),
+        };
+        match call {
+            Call::Get { .. } => match &self.marks {
+                Some((version, value)) => Answer::Object(object("claims", *version, value.clone())),
+                None => Answer::Missing,
+            },
+            Call::Put { value, .. } => {
+                self.revision += 1;
+                self.marks = Some((self.revision, value.clone()));
+                Answer::Written { version: self.revision }
+            }
+            Call::Delete { if_version: Some(1), .. } => {
+                self.claim = false;
+                Answer::Written { version: 0 }
+            }
+            Call::List { .. } => {
+                let claim = self.claim.then(|| object("claim", 1, json!({})));
+                Answer::Objects { revision: self.revision, objects: claim.into_iter().collect() }
+            }
+            _ => Answer::Lost,
+        }
+    }
+}
+
+/// Returns the hours after which the claim is gone, with a new sweeper each `change` minutes.
+fn hours_until_removal(change: u64) -> u64 {
+    let mut platform = Platform { revision: 1, marks: None, claim: true };
+    let mut sweep = Sweep::default();
+    for minute in 0..60 * 200 {
+        let now = Instant::default() + Duration::from_secs(60 * minute);
+        if minute % change == 0 {
+            sweep = Sweep::default();
+        }
+        let mut calls = sweep.tick(now, true);
+        while let Some(call) = calls.pop() {
+            let answer = platform.call(&call);
+            if !matches!(call, Call::Delete { .. }) {
+                calls.extend(sweep.answered(now, answer));
+            }
+        }
+        if !platform.claim {
+            return minute / 60;
+        }
+    }
+    u64::MAX
+}
+
+#[test]
+fn sweep_after_a_day() {
+    assert!((24..=28).contains(&hours_until_removal(u64::MAX)));
+}
+
+#[test]
+fn sweep_new_sweepers() {
+    assert!((24..=60).contains(&hours_until_removal(90)));
+}
