--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -10,9 +10,12 @@
 mod control;
 mod dispatch;
 mod drain;
+mod fault;
 mod holds;
 mod limits;
 mod messages;
+mod retries;
+mod sweeping;
 
 use std::{sync::Arc, time::Duration};
 
@@ -20,15 +23,17 @@
 use serde_json::{Value, json};
 use siskinstile_macros::value;
 
+pub use fault::Fault;
+
 use crate::{
     Config, Effect, Event, Instant, Query, burn,
     effect::Reply,
-    error::Failure,
-    limit,
+    error::{Failure, Ran},
+    hold, limit,
     log::{self, Record},
     member,
     object::Name,
-    place, request, sync, trace,
+    place, request, retry, sweep, sync, trace,
 };
 
 /// Time between two [`Event::Tick`]s.
@@ -64,6 +69,11 @@
     draining: Option<Instant>,
     stopped: bool,
     members_read: Option<Instant>,
+    ledger: hold::Ledger,
+    budgets: IndexMap<Name, retry::Budget>,
+    settling: IndexMap<request::Id, claims::Settling>,
+    sweep: sweep::Sweep,
+    planted: Option<Fault>,
     effects: Vec<Effect>,
 }
 
@@ -84,6 +94,11 @@
             draining: None,
             stopped: false,
             members_read: None,
+            ledger: hold::Ledger::default(),
+            budgets: IndexMap::new(),
+            settling: IndexMap::new(),
+            sweep: sweep::Sweep::default(),
+            planted: None,
             effects: Vec::new(),
         };
         state.start();
@@ -113,6 +128,9 @@
         self.limit_tick(now);
         self.dispatch_tick(now);
         self.hold_tick(now);
+        self.attempt_tick(now);
+        self.claim_tick(now);
+        self.sweep_tick(now);
         self.drain_tick(now);
     }
 
@@ -135,7 +153,15 @@
     }
 
     /// Ends a request with an error; the only place where one is given to a caller.
-    fn fail(&mut self, request: request::Id, failure: Failure) {
+    ///
+    /// It says that the request did not run only if no byte of it can have left.
+    fn fail(&mut self, request: request::Id, mut failure: Failure) {
+        let sent = self.requests.get(&request).is_some_and(|it| it.sent || it.is_running());
+        if sent && failure.ran == Ran::No && !self.has(Fault::ClaimNotRun) {
+            failure.ran = Ran::Unknown;
+        }
+        self.settle_failed(request, failure.ran);
+        self.end_attempt(request);
         self.requests.swap_remove(&request);
         self.emit(Effect::Fail { request, failure });
     }
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -2,4 +2,8 @@
 
 mod burn;
 mod check;
+mod claim;
 mod log;
+mod order;
+mod retry;
+mod sweep;
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod client;
 pub mod demo;
 pub mod fleet;
+pub mod fuzz;
 pub mod policy;
 pub mod world;
