Refuse impossible settings with file and line

Cause: only four values were checked, and their errors named no line; nothing parsed an example.

The door gets its limits on arrival and silence as settings.

Conclusion: an unknown key, a wrong type and an impossible value are each refused with file, line and what would be right.

--- a/crates/siskinstiled/src/settings.rs
+++ b/crates/siskinstiled/src/settings.rs
@@ -1,8 +1,10 @@
 //! The daemon's settings, read from a TOML file and checked before anything starts.
 
+mod check;
+
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
-use anyhow::{Context as _, bail};
+use anyhow::Context as _;
 use siskinstile_core::object::Name;
 use siskinstile_macros::value;
 
@@ -43,11 +45,40 @@
     pub listen: SocketAddr,
     /// Most connections at once.
     pub max_connections: usize,
+    /// Limit on the arrival of a request's head, in milliseconds.
+    pub head_limit_ms: u64,
+    /// Limit on the arrival of a request's body, in milliseconds.
+    pub body_limit_ms: u64,
+    /// Time without taking a byte after which a caller's connection is closed, in milliseconds.
+    pub silence_limit_ms: u64,
 }
 
 impl Default for Door {
     fn default() -> Door {
-        Door { listen: SocketAddr::from(([127, 0, 0, 1], 8080)), max_connections: 1_024 }
+        Door {
+            listen: SocketAddr::from(([127, 0, 0, 1], 8080)),
+            max_connections: 1_024,
+            head_limit_ms: 10_000,
+            body_limit_ms: 10_000,
+            silence_limit_ms: 10_000,
+        }
+    }
+}
+
+impl Door {
+    /// Returns the limit on the arrival of a request's head.
+    pub fn head_limit(&self) -> Duration {
+        Duration::from_millis(self.head_limit_ms)
+    }
+
+    /// Returns the limit on the arrival of a request's body.
+    pub fn body_limit(&self) -> Duration {
+        Duration::from_millis(self.body_limit_ms)
+    }
+
+    /// Returns the time without taking a byte after which a caller's connection is closed.
+    pub fn silence_limit(&self) -> Duration {
+        Duration::from_millis(self.silence_limit_ms)
     }
 }
 
@@ -115,23 +146,7 @@
     /// Names the line and what would be right.
     pub fn parse(text: &str) -> anyhow::Result<Settings> {
         let settings: Settings = toml::from_str(text)?;
-        settings.check()?;
+        check::check(&settings, text)?;
         Ok(settings)
     }
-
-    fn check(&self) -> anyhow::Result<()> {
-        if self.instance.name.is_empty() {
-            bail!("instance.name is empty; give each instance a unique name");
-        }
-        if self.instance.datacentre.is_empty() {
-            bail!("instance.datacentre is empty; name the data centre of this instance");
-        }
-        if self.door.max_connections == 0 {
-            bail!("door.max_connections is 0; it must be at least 1");
-        }
-        if self.fleet.size == 0 {
-            bail!("fleet.size is 0; it must be the number of instances of the fleet");
-        }
-        Ok(())
-    }
 }
