Bound what bad input costs and prove the door on raw sockets

Cause: nothing tested the door. The tests found that a head of 70 KiB passed, since the HTTP library bounds heads only by its reads, and that an answer cut short lost its head. Reading the code found: the library's own 400 and 431 had no identifier and no JSON; a refusal could be lost to a reset; a caller that took no bytes held a worker thread for good; an answer cut short of its Content-Length looked whole; HEAD waited for a body; a path with dot segments was routed by one path and sent on as another; a caller's X-Request-Id replaced ours; the key passed in a query.

Change: a socket of the door's own limits silence, rewrites the library's errors and reads on after the last answer for a bounded time; the head is measured; dot segments, backslashes and keys in the path are refused; the adapter counts the bytes due and expects none after HEAD, 204 and 304. An idempotent plain call gives up on silence after 1.8 s in its first attempt. Completions tell prompt tokens.

--- a/crates/siskinstiled/src/daemon.rs
+++ b/crates/siskinstiled/src/daemon.rs
@@ -75,7 +75,7 @@
             .spawn(move || control::run(state, first, &inbox, &halt, &executor))
             .context("cannot start the control thread")?;
         let (door, admin) = (door_listener.local_addr()?, admin_listener.local_addr()?);
-        runtime.spawn(door::serve(door_listener, shared.clone(), settings.door.max_connections));
+        runtime.spawn(door::serve(door_listener, shared.clone(), settings.door.clone()));
         runtime.spawn(admin::serve(admin_listener, shared.clone()));
         Ok(Daemon { door, admin, shared, stopped, runtime: Some(runtime), _halt: halt_sender })
     }
--- a/crates/siskinstiled/src/door.rs
+++ b/crates/siskinstiled/src/door.rs
@@ -3,12 +3,18 @@
 mod answer;
 mod body;
 mod completion;
+mod guard;
+mod path;
 mod plain;
+mod socket;
 
 use std::{
     convert::Infallible,
     io,
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -25,15 +31,17 @@
     time,
 };
 
+use self::socket::Socket;
 use crate::{
     control::Shared,
     relay::{Part, Payload},
+    settings,
 };
 
 /// Largest head of a request, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Limit on the arrival of a head.
-pub const HEAD_LIMIT: Duration = Duration::from_secs(10);
+/// Refused connections that wait at once for their caller to read the refusal.
+const MAX_LINGERING: usize = 64;
 /// Pause after an error from accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Characters counted as one token.
@@ -47,19 +55,21 @@
 }
 
 /// Serves callers; an error from accept or too many connections never end it.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>, max_connections: usize) {
-    let places = Arc::new(Semaphore::new(max_connections));
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>, settings: settings::Door) {
+    let places = Arc::new(Semaphore::new(settings.max_connections));
+    let lingering = Arc::new(Semaphore::new(MAX_LINGERING));
+    let settings = Arc::new(settings);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => match places.clone().try_acquire_owned() {
                 Ok(place) => {
-                    let shared = shared.clone();
+                    let (shared, settings) = (shared.clone(), settings.clone());
                     tokio::spawn(async move {
-                        connection(stream, shared).await;
+                        connection(stream, shared, settings).await;
                         drop(place);
                     });
                 }
-                Err(_) => refuse(&stream),
+                Err(_) => refuse(stream, &lingering),
             },
             Err(error) => {
                 events::Record::new(events::ACCEPT_FAILED, error.to_string()).write();
@@ -70,34 +80,62 @@
 }
 
 /// Refuses a connection beyond the limit, as far as that goes without waiting.
-fn refuse(stream: &TcpStream) {
-    const BUSY: &[u8] =
-        b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+fn refuse(stream: TcpStream, lingering: &Arc<Semaphore>) {
     metrics::counter!("siskinstile_connections_refused_total").increment(1);
-    let _ = stream.try_write(BUSY);
+    let failure = Failure::not_run(Kind::QueueFull).with_detail("too many connections");
+    let _ = stream.try_write(&socket::last_answer(&failure));
+    if let Ok(place) = lingering.clone().try_acquire_owned() {
+        tokio::spawn(async move {
+            socket::linger(stream).await;
+            drop(place);
+        });
+    }
 }
 
-async fn connection(stream: TcpStream, shared: Arc<Shared>) {
+async fn connection(stream: TcpStream, shared: Arc<Shared>, settings: Arc<settings::Door>) {
     let _ = stream.set_nodelay(true);
+    let answering = Arc::new(AtomicBool::new(false));
+    let socket = Socket::new(stream, answering.clone(), settings.silence_limit());
+    let limit = settings.body_limit();
     let service = service_fn(move |request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(handle(request, shared).await) }
+        answering.store(true, Ordering::Release);
+        let (shared, answering) = (shared.clone(), answering.clone());
+        async move {
+            let answer = handle(request, shared, limit).await;
+            Ok::<_, Infallible>(answer.map(|body| guard::Body::new(body, answering)))
+        }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT).max_buf_size(MAX_HEAD_BYTES);
-    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(settings.head_limit())
+        .max_buf_size(MAX_HEAD_BYTES);
+    let mut connection = builder.serve_connection(TokioIo::new(socket), service);
+    let _ = (&mut connection).await;
+    socket::linger(connection.into_parts().io.into_inner()).await;
 }
 
-async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Answer {
+async fn handle(request: Request<Incoming>, shared: Arc<Shared>, limit: Duration) -> Answer {
     let id = request::Id(rand::random());
     let result = match request.uri().path() {
-        "/v1/completions" | "/v1/chat/completions" => completion::serve(id, request, &shared).await,
+        _ if head_bytes(&request) > MAX_HEAD_BYTES => Err(Failure::not_run(Kind::HeadTooLarge)),
+        "/v1/completions" | "/v1/chat/completions" => {
+            completion::serve(id, request, &shared, limit).await
+        }
         "/v1/models" => completion::models(id, &request, &shared),
-        _ => plain::serve(id, request, &shared).await,
+        _ => plain::serve(id, request, &shared, limit).await,
     };
     result.unwrap_or_else(|failure| answer::failure(id, &failure))
 }
 
+/// Returns the size of a head, which the HTTP library bounds only by its reads.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    const LINE: usize = ": \r\n".len();
+    let path = request.uri().path_and_query().map_or(0, |it| it.as_str().len());
+    let lines = request.headers().iter().map(|(name, value)| name.as_str().len() + value.len());
+    path + lines.map(|it| it + LINE).sum::<usize>()
+}
+
 /// Returns the key that came with a request.
 fn presented_key(request: &Request<Incoming>) -> Option<Secret> {
     let text = request.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
--- a/crates/siskinstiled/src/door/body.rs
+++ b/crates/siskinstiled/src/door/body.rs
@@ -8,19 +8,16 @@
 use siskinstile_core::error::{Failure, Kind};
 use tokio::time;
 
-/// Limit on the arrival of a body.
-pub(super) const BODY_LIMIT: Duration = Duration::from_secs(10);
-
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes, which must arrive within `arrival`.
 ///
 /// # Errors
 ///
 /// `BodyTooLarge`, `RequestTimeout`, or `BadRequest` for a body that breaks off.
-pub(super) async fn read(body: Incoming, limit: u64) -> Result<Bytes, Failure> {
+pub(super) async fn read(body: Incoming, limit: u64, arrival: Duration) -> Result<Bytes, Failure> {
     if body.size_hint().lower() > limit {
         return Err(too_large(limit));
     }
-    match time::timeout(BODY_LIMIT, collect(body, limit)).await {
+    match time::timeout(arrival, collect(body, limit)).await {
         Ok(result) => result,
         Err(_) => Err(Failure::not_run(Kind::RequestTimeout)),
     }
--- a/crates/siskinstiled/src/door/completion.rs
+++ b/crates/siskinstiled/src/door/completion.rs
@@ -1,6 +1,6 @@
 //! Completions: `/v1/completions`, `/v1/chat/completions` and `/v1/models`.
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -50,6 +50,8 @@
     id: request::Id,
     chat: bool,
     model: String,
+    prompt_tokens: u64,
+    max_tokens: u64,
 }
 
 /// Serves a completion.
@@ -57,6 +59,7 @@
     id: request::Id,
     request: Request<Incoming>,
     shared: &Arc<Shared>,
+    arrival: Duration,
 ) -> Result<Answer, Failure> {
     if request.method() != "POST" {
         return Err(Failure::not_run(Kind::MethodNotAllowed));
@@ -65,9 +68,10 @@
     let chat = request.uri().path() == "/v1/chat/completions";
     let (key, idempotency) = (presented_key(&request), idempotency(&request));
     let limit = shared.config.load().model_body_limit();
-    let bytes = body::read(request.into_body(), limit).await?;
+    let bytes = body::read(request.into_body(), limit, arrival).await?;
     let ask: Ask = serde_json::from_slice(&bytes).map_err(bad_json)?;
     let prompt = prompt(&ask, chat)?;
+    let prompt_tokens = tokens(&prompt);
     let max_tokens = ask.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
     if max_tokens == 0 {
         return Err(bad("max_tokens must be at least 1"));
@@ -78,11 +82,11 @@
         target: Target::Model(ask.model.as_str().into()),
         idempotency,
         digest: digest(&bytes),
-        prompt_tokens: tokens(&prompt),
+        prompt_tokens,
         max_tokens,
         prefixes: prefixes(&prompt),
     };
-    let shape = Shape { id, chat, model: ask.model.clone() };
+    let shape = Shape { id, chat, model: ask.model.clone(), prompt_tokens, max_tokens };
     let payload = Payload::Completion { model: ask.model, prompt, max_tokens, priority: 0 };
     let open = Open::submit(shared, arrival, payload);
     match ask.stream {
@@ -195,13 +199,17 @@
             }
             false => ("text_completion", json!({ "index": 0, "text": text })),
         };
-        choice["finish_reason"] = "stop".into();
+        choice["finish_reason"] = if count < self.max_tokens { "stop" } else { "length" }.into();
         json!({
             "id": self.id.to_string(),
             "object": object,
             "model": self.model,
             "choices": [choice],
-            "usage": { "completion_tokens": count },
+            "usage": {
+                "prompt_tokens": self.prompt_tokens,
+                "completion_tokens": count,
+                "total_tokens": self.prompt_tokens + count,
+            },
         })
     }
 }
--- a/crates/siskinstiled/src/door/plain.rs
+++ b/crates/siskinstiled/src/door/plain.rs
@@ -1,6 +1,6 @@
 //! Plain services by route.
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, time::Duration};
 
 use futures_util::stream;
 use http_body_util::{BodyExt as _, StreamBody};
@@ -13,20 +13,24 @@
     error::{Failure, Kind, Ran},
     request::{self, Arrival, Copy, Target},
 };
+use tokio::task;
 
-use super::{Answer, Open, answer, body, check_key, completion, idempotency, presented_key};
+use super::{Answer, Open, answer, body, check_key, completion, idempotency, path, presented_key};
 use crate::{
     control::Shared,
     relay::{Part, Payload},
 };
 
-/// Request headers that do not pass on: those of one hop, and those that carry a key.
-const DROPPED: [&str; 12] = [
+/// Request headers that do not pass on: those of one hop, those that carry a key, and the
+/// identifier, which the door sets.
+const DROPPED: [&str; 14] = [
     "authorization",
     "proxy-authorization",
     "cookie",
     "host",
+    "x-request-id",
     "connection",
+    "proxy-connection",
     "content-length",
     "transfer-encoding",
     "keep-alive",
@@ -41,7 +45,9 @@
     id: request::Id,
     request: Request<Incoming>,
     shared: &Arc<Shared>,
+    arrival: Duration,
 ) -> Result<Answer, Failure> {
+    path::check(request.uri(), presented_text(request.headers()))?;
     let method = request.method().as_str();
     let path = request.uri().path();
     let target = Target::Path { method: method.into(), path: path.into() };
@@ -56,7 +62,7 @@
     let (key, idempotency) = (presented_key(&request), idempotency(&request));
     let (method, whole_path) = (method.to_owned(), full_path(&request));
     let headers = passing(request.headers());
-    let body = body::read(request.into_body(), route.body_limit).await?;
+    let body = body::read(request.into_body(), route.body_limit, arrival).await?;
     let mut digested = format!("{method} {whole_path}\n").into_bytes();
     digested.extend_from_slice(&body);
     let arrival = Arrival {
@@ -69,7 +75,8 @@
         max_tokens: 0,
         prefixes: Arc::new([]),
     };
-    let payload = Payload::Plain { method, path: whole_path, headers, body };
+    let idempotent = route.idempotent;
+    let payload = Payload::Plain { method, path: whole_path, headers, body, idempotent };
     relay(id, Open::submit(shared, arrival, payload)).await
 }
 
@@ -77,14 +84,23 @@
     request.uri().path_and_query().map_or("/", |it| it.as_str()).to_owned()
 }
 
+/// Returns the text of the key that came with a request.
+fn presented_text(headers: &HeaderMap) -> Option<&str> {
+    let text = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    text.split_once(' ').map(|it| it.1.trim()).filter(|key| !key.is_empty())
+}
+
 /// Returns the headers that pass on: none of one hop, and none that carries the key in any form.
 fn passing(headers: &HeaderMap) -> Vec<(String, String)> {
-    let authorization = headers.get(header::AUTHORIZATION).and_then(|it| it.to_str().ok());
-    let key = authorization.and_then(|it| it.split_once(' ')).map(|it| it.1.trim());
-    let carries_key = |value: &str| key.is_some_and(|key| !key.is_empty() && value.contains(key));
+    let secret = presented_text(headers).map(path::secret);
+    let carries_key = |value: &str| secret.is_some_and(|it| value.contains(it));
+    let connection = headers.get_all(header::CONNECTION);
+    let hops: Vec<&str> =
+        connection.iter().filter_map(|it| it.to_str().ok()).flat_map(|it| it.split(',')).collect();
+    let is_hop = |name: &str| hops.iter().any(|it| it.trim().eq_ignore_ascii_case(name));
     headers
         .iter()
-        .filter(|(name, _)| !DROPPED.contains(&name.as_str()))
+        .filter(|(name, _)| !DROPPED.contains(&name.as_str()) && !is_hop(name.as_str()))
         .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
         .filter(|(_, value)| !carries_key(value))
         .collect()
@@ -113,7 +129,11 @@
         match open.next().await {
             Part::Bytes(bytes) => Some((Ok(Frame::data(bytes)), Some(open))),
             Part::End => None,
-            _ => Some((Err(io::Error::other("the answer broke off")), None)),
+            _ => {
+                // Lets what came before the break leave first.
+                task::yield_now().await;
+                Some((Err(io::Error::other("the answer broke off")), None))
+            }
         }
     });
     let body = StreamBody::new(frames).boxed();
--- a/crates/siskinstiled/src/endpoint.rs
+++ b/crates/siskinstiled/src/endpoint.rs
@@ -3,6 +3,8 @@
 mod engine;
 mod plain;
 
+use std::time::Duration;
+
 use siskinstile_core::{
     object::{self, Role},
     request,
@@ -13,6 +15,11 @@
 pub use engine::Engine;
 pub use plain::Plain;
 
+/// Limit on setting up a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Limit on silence where a sign of life is due each second.
+const SILENCE: Duration = Duration::from_millis(1_800);
+
 /// A step of an attempt, with the relay of its request.
 #[derive(Clone, Copy)]
 pub struct Job<'a> {
@@ -54,6 +61,11 @@
     }
 }
 
+/// Turns off the proxies of the process's environment: endpoints are called by their address.
+fn direct<B>(request: attohttpc::RequestBuilder<B>) -> attohttpc::RequestBuilder<B> {
+    request.proxy_settings(attohttpc::ProxySettings::builder().build()).connect_timeout(CONNECT)
+}
+
 /// Returns whether any byte of a failed call may have left.
 fn may_have_left(error: &attohttpc::Error) -> bool {
     match error.kind() {
--- a/crates/siskinstiled/src/endpoint/plain.rs
+++ b/crates/siskinstiled/src/endpoint/plain.rs
@@ -1,6 +1,6 @@
 //! A plain service over HTTP.
 
-use std::{io::Read as _, sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use siskinstile_core::{
@@ -8,20 +8,21 @@
     request::{Copy, Id, Outcome, Step},
 };
 
-use super::{Endpoint, Job, may_have_left};
+use super::{Endpoint, Job, SILENCE, direct, may_have_left};
 use crate::relay::{Part, Payload};
 
-/// Limit on setting up a connection.
-const CONNECT: Duration = Duration::from_secs(1);
-/// Limit on silence of a plain service.
-const SILENCE: Duration = Duration::from_secs(10);
+/// Limit on silence where the request cannot be tried again, or has been.
+///
+/// A plain service shows no sign of life while it works, so that the first attempt of an idempotent
+/// request gives up early and only a later one waits for a service that is slow.
+const LONG_SILENCE: Duration = Duration::from_secs(10);
 /// Bytes relayed at a time.
 const CHUNK_BYTES: usize = 16 << 10;
 /// Largest answer that a claim keeps, in bytes.
 const KEPT_BYTES: usize = 64 << 10;
 /// Answer headers of one hop, which do not pass on.
-const HOP_HEADERS: [&str; 6] =
-    ["connection", "transfer-encoding", "content-length", "keep-alive", "upgrade", "trailer"];
+const HOP_HEADERS: [&str; 5] =
+    ["connection", "transfer-encoding", "keep-alive", "upgrade", "trailer"];
 
 /// The adapter for plain services.
 #[derive(Debug)]
@@ -53,15 +54,18 @@
 }
 
 fn send(job: &Job<'_>) -> attohttpc::Result<attohttpc::Response> {
-    let Payload::Plain { method, path, headers, body } = &job.relay.payload else {
-        return Err(std::io::Error::from(std::io::ErrorKind::ConnectionRefused).into());
+    let Payload::Plain { method, path, headers, body, idempotent } = &job.relay.payload else {
+        return Err(io::Error::from(io::ErrorKind::ConnectionRefused).into());
+    };
+    let silence = match job.attempt {
+        1 if *idempotent => SILENCE,
+        _ => LONG_SILENCE,
     };
     let url = format!("http://{}{path}", job.endpoint.address);
     let method = method.parse().unwrap_or_default();
-    let mut request = attohttpc::RequestBuilder::new(method, url)
+    let mut request = direct(attohttpc::RequestBuilder::new(method, url))
         .follow_redirects(false)
-        .connect_timeout(CONNECT)
-        .read_timeout(SILENCE)
+        .read_timeout(silence)
         .header("x-request-id", job.request.to_string());
     for (name, value) in headers {
         let name: attohttpc::header::HeaderName = match name.parse() {
@@ -74,54 +78,88 @@
 }
 
 /// Relays the answer; an error after its head is a break that the caller sees.
-fn relay(
-    job: &Job<'_>,
-    response: attohttpc::Response,
-    first: &dyn Fn(),
-) -> std::io::Result<Outcome> {
+fn relay(job: &Job<'_>, response: attohttpc::Response, first: &dyn Fn()) -> io::Result<Outcome> {
+    let gone = Ok(Outcome::Broken { sent: true, next_index: 0 });
     let (status, headers, mut reader) = response.split();
-    let content_type = header(&headers, "content-type");
+    let mut copy = Copy {
+        status: status.as_u16(),
+        content_type: header(&headers, "content-type"),
+        body: String::new(),
+    };
+    let mut body = Body::new(job, status.as_u16(), &headers);
     let mut kept = Vec::new();
     let mut buffer = vec![0; CHUNK_BYTES];
-    let mut started = false;
-    loop {
-        let n = reader.read(&mut buffer)?;
-        if !started {
-            started = true;
-            let head = Part::Head { status: status.as_u16(), headers: passing(&headers) };
-            if job.relay.part(job.attempt, head).is_err() {
-                return Ok(Outcome::Broken { sent: true, next_index: 0 });
-            }
-            first();
-        }
-        if n == 0 {
-            break;
-        }
+    let mut n = body.read(&mut reader, &mut buffer)?;
+    let head = Part::Head { status: copy.status, headers: passing(&headers, body.is_empty) };
+    if job.relay.part(job.attempt, head).is_err() {
+        return gone;
+    }
+    first();
+    while n > 0 {
         if job.keep && kept.len() <= KEPT_BYTES {
             kept.extend_from_slice(&buffer[..n]);
         }
         let bytes = Bytes::copy_from_slice(&buffer[..n]);
         if job.relay.part(job.attempt, Part::Bytes(bytes)).is_err() {
-            return Ok(Outcome::Broken { sent: true, next_index: 0 });
+            return gone;
         }
+        n = body.read(&mut reader, &mut buffer)?;
     }
-    let answer = match job.keep && kept.len() <= KEPT_BYTES {
-        true => String::from_utf8(kept)
-            .ok()
-            .map(|body| Arc::new(Copy { status: status.as_u16(), content_type, body })),
-        false => None,
-    };
+    let text = Some(kept).filter(|it| job.keep && it.len() <= KEPT_BYTES);
+    let text = text.and_then(|it| String::from_utf8(it).ok());
+    let answer = text.map(|text| {
+        copy.body = text;
+        Arc::new(copy)
+    });
     Ok(Outcome::Ended { tokens: 0, answer })
 }
 
+/// What is known of the length of an answer's body.
+struct Body {
+    /// Whether an answer to this method or with this status has no body at all.
+    is_empty: bool,
+    /// Bytes that are still due, where the head told the length.
+    left: Option<u64>,
+}
+
+impl Body {
+    fn new(job: &Job<'_>, status: u16, headers: &attohttpc::header::HeaderMap) -> Body {
+        let is_head =
+            matches!(&job.relay.payload, Payload::Plain { method, .. } if method == "HEAD");
+        let is_empty = is_head || matches!(status, 100..200 | 204 | 304);
+        Body { is_empty, left: header(headers, "content-length").parse().ok() }
+    }
+
+    /// Reads some bytes, none at the end; a body that ends before its length is an error.
+    fn read(&mut self, reader: &mut impl io::Read, buffer: &mut [u8]) -> io::Result<usize> {
+        if self.is_empty {
+            return Ok(0);
+        }
+        let n = reader.read(buffer)?;
+        match &mut self.left {
+            Some(left) if n == 0 && *left > 0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            Some(left) => {
+                *left = left.saturating_sub(n as u64);
+                Ok(n)
+            }
+            None => Ok(n),
+        }
+    }
+}
+
 fn header(headers: &attohttpc::header::HeaderMap, name: &str) -> String {
     headers.get(name).and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned()
 }
 
-fn passing(headers: &attohttpc::header::HeaderMap) -> Vec<(String, String)> {
+/// Returns the headers that pass on; one that tells the length does so only without a body.
+fn passing(headers: &attohttpc::header::HeaderMap, is_empty: bool) -> Vec<(String, String)> {
+    let passes = |name: &str| match name {
+        "content-length" => is_empty,
+        _ => !HOP_HEADERS.contains(&name),
+    };
     headers
         .iter()
-        .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
+        .filter(|(name, _)| passes(name.as_str()))
         .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
         .collect()
 }
--- a/crates/siskinstiled/src/relay.rs
+++ b/crates/siskinstiled/src/relay.rs
@@ -57,6 +57,8 @@
         headers: Vec<(String, String)>,
         /// Body.
         body: Bytes,
+        /// Whether it may run more than once.
+        idempotent: bool,
     },
 }
 
@@ -108,6 +110,11 @@
         self.splice().next_index()
     }
 
+    /// Returns whether nobody waits for the answer any more.
+    pub fn is_gone(&self) -> bool {
+        self.parts.is_closed()
+    }
+
     fn send(&self, part: Part) -> Result<(), Gone> {
         self.parts.blocking_send(part).map_err(|_| Gone)
     }
--- /dev/null
+++ b/crates/siskinstiled/tests/testsuite/bad_input.rs
@@ -0,0 +1,139 @@
+//! Bad input: a clear error at bounded cost, and the door goes on.
+
+use std::io::Write;
+
+use rstest::rstest;
+use siskinstiled::settings::Door;
+
+use crate::site::{
+    BODY_LIMIT, Builder, KEY, Site, bearer, completion, connect, raw, read_all, request, wait,
+};
+
+/// Limit on arrival in these tests, in milliseconds.
+const SHORT_MS: u64 = 300;
+
+fn short() -> Site {
+    let builder = Builder::default();
+    let door = Door { head_limit_ms: SHORT_MS, body_limit_ms: SHORT_MS, ..builder.door };
+    Builder { door, ..builder }.spawn()
+}
+
+fn assert_serves(site: &Site) {
+    let answer = raw(site.daemon.door(), request("GET", "/look", &bearer(KEY), ""));
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
+#[rstest]
+#[case::one_header(format!("x-long: {}\r\n", "a".repeat(70 << 10)))]
+#[case::many_headers("x-short: a\r\n".repeat(7_000))]
+fn head_too_large(#[case] headers: String) {
+    let site = Builder::default().spawn();
+    let answer = raw(site.daemon.door(), request("GET", "/look", &headers, ""));
+    assert_eq!(answer.status, 431);
+    assert_eq!(answer.error()["kind"], "head_too_large");
+    assert_eq!(answer.error()["ran"], "no");
+    assert_serves(&site);
+}
+
+#[test]
+fn head_path_too_large() {
+    let site = Builder::default().spawn();
+    let path = format!("/{}", "a".repeat(70 << 10));
+    let answer = raw(site.daemon.door(), request("GET", &path, "", ""));
+    assert_eq!((answer.status, &answer.error()["kind"]), (431, &"head_too_large".into()));
+}
+
+#[rstest]
+#[case::no_http("hello there\r\n\r\n")]
+#[case::bad_header("GET /look HTTP/1.1\r\nno colon\r\n\r\n")]
+fn head_malformed(#[case] text: &str) {
+    let site = Builder::default().spawn();
+    let answer = raw(site.daemon.door(), text);
+    assert_eq!((answer.status, &answer.error()["kind"]), (400, &"bad_request".into()));
+    assert_serves(&site);
+}
+
+#[test]
+fn head_malformed_after_an_answer() {
+    let site = Builder::default().spawn();
+    let first = request("GET", "/look", &bearer(KEY), "").replace("connection: close\r\n", "");
+    let mut stream = connect(site.daemon.door());
+    stream.write_all(first.as_bytes()).unwrap();
+    crate::site::read_until(&stream, "0\r\n\r\n");
+    stream.write_all(b"what\r\n\r\n").unwrap();
+    let answer = crate::site::Answer::parse(&read_all(&stream));
+    assert_eq!((answer.status, &answer.error()["kind"]), (400, &"bad_request".into()));
+}
+
+#[rstest]
+#[case::with_length(request("POST", "/v1/completions", &bearer(KEY), &"a".repeat(BODY_LIMIT + 1)))]
+#[case::chunked(chunked(BODY_LIMIT + 1))]
+fn body_too_large(#[case] text: String) {
+    let site = Builder::default().spawn();
+    let answer = raw(site.daemon.door(), text);
+    assert_eq!(answer.status, 413);
+    let error = answer.error();
+    assert_eq!((&error["kind"], &error["ran"]), (&"body_too_large".into(), &"no".into()));
+    assert!(error["message"].as_str().unwrap().contains(&BODY_LIMIT.to_string()));
+    assert_serves(&site);
+}
+
+fn chunked(length: usize) -> String {
+    let chunk = format!("400\r\n{}\r\n", "a".repeat(0x400));
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: door\r\nconnection: close\r\n{}\
+         transfer-encoding: chunked\r\n\r\n{}0\r\n\r\n",
+        bearer(KEY),
+        chunk.repeat(length.div_ceil(0x400)),
+    )
+}
+
+#[rstest]
+#[case::nothing("")]
+#[case::half("GET /look HTTP/1.1\r\nhost: do")]
+fn head_half_sent(#[case] text: &str) {
+    let site = short();
+    let mut stream = connect(site.daemon.door());
+    stream.write_all(text.as_bytes()).unwrap();
+    // Returns only when the door closes.
+    read_all(&stream);
+    assert_serves(&site);
+}
+
+#[rstest]
+#[case::length("content-length: 100\r\n\r\n{\"model\"")]
+#[case::chunked("transfer-encoding: chunked\r\n\r\n10\r\n{\"mo")]
+fn body_half_sent(#[case] rest: &str) {
+    let site = short();
+    let head = format!("POST /v1/completions HTTP/1.1\r\nhost: door\r\n{}{rest}", bearer(KEY));
+    let answer = raw(site.daemon.door(), head);
+    assert_eq!((answer.status, &answer.error()["kind"]), (408, &"request_timeout".into()));
+    assert_serves(&site);
+}
+
+#[rstest]
+#[case::cut("{\"model\": \"m\",\n \"prompt\"", "line 2 column")]
+#[case::wrong_type("{\"model\": 7}", "line 1 column 11")]
+#[case::no_model("{\"prompt\": \"a\"}", "missing field `model`")]
+#[case::no_prompt("{\"model\": \"m\"}", "prompt is missing")]
+#[case::no_tokens("{\"model\": \"m\", \"prompt\": \"a\", \"max_tokens\": 0}", "max_tokens")]
+fn json_bad(#[case] body: &str, #[case] expected: &str) {
+    let site = Builder::default().spawn();
+    let answer = raw(site.daemon.door(), request("POST", "/v1/completions", &bearer(KEY), body));
+    let error = answer.error();
+    assert_eq!((answer.status, &error["kind"]), (400, &"bad_request".into()));
+    assert!(error["message"].as_str().unwrap().contains(expected), "{error}");
+}
+
+#[test]
+fn connections_too_many() {
+    let builder = Builder::default();
+    let door = Door { max_connections: 2, ..builder.door };
+    let site = Builder { door, ..builder }.spawn();
+    let held = [connect(site.daemon.door()), connect(site.daemon.door())];
+    let refused = raw(site.daemon.door(), completion("a", 1, false));
+    assert_eq!((refused.status, refused.header("retry-after")), (503, Some("1")));
+    assert_eq!(refused.error()["ran"], "no");
+    drop(held);
+    wait(|| raw(site.daemon.door(), request("GET", "/look", &bearer(KEY), "")).status == 200);
+}
--- a/crates/siskinstiled/tests/testsuite/main.rs
+++ b/crates/siskinstiled/tests/testsuite/main.rs
@@ -1,3 +1,10 @@
 //! Tests of the daemon over loopback, against stand-ins for what is around it.
 
+mod bad_input;
+mod caller_gone;
 mod check_settings;
+mod errors;
+mod keys;
+mod plain;
+mod site;
+mod stream;
