Notice a silent engine during prefill and transfer

Cause: a prefill or an import gave no sign of life, so that a connection gone silent cost 30 s; a cancel that overtook its import left a hold for 5 s.

After a call whose caller has left, the cancel is sent again. Calls outward ignore proxies of the environment.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -165,6 +165,10 @@
         };
         answer.unwrap_or_else(|answer| answer)
     }
+
+    fn shows_life(&self, call: &Call) -> bool {
+        matches!(call.route(), ("POST", path) if path == ["prefill"] || path == ["import"])
+    }
 }
 
 impl Shared {
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -30,6 +30,11 @@
 /// Answers the calls to a stand-in.
 pub(crate) trait Handler: Send + Sync + 'static {
     fn handle(&self, call: &Call) -> Answer;
+
+    /// Returns whether the answer to a call comes at the end of a stream, if its caller takes one.
+    fn shows_life(&self, _call: &Call) -> bool {
+        false
+    }
 }
 
 impl Call {
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -5,8 +5,12 @@
     io::Cursor,
     net::{SocketAddr, TcpListener, TcpStream},
     os::fd::OwnedFd,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        mpsc::{self, RecvTimeoutError},
+    },
     thread::{self, JoinHandle},
+    time::Duration,
 };
 
 use anyhow::{Context, anyhow};
@@ -21,6 +25,9 @@
 /// Requests whose text is kept.
 const SEEN_LIMIT: usize = 1_000;
 
+/// Time between two comment lines before an answer.
+const LIFE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A running server; it stops when dropped.
 pub(crate) struct Server {
     http: Arc<tiny_http::Server>,
@@ -101,11 +108,17 @@
     }
 }
 
-impl<H: Handler, C: Fn(SocketAddr)> Shared<H, C> {
+impl<H: Handler, C: Fn(SocketAddr) + Sync> Shared<H, C> {
     fn serve(&self, mut request: Request) {
         let peer = request.remote_addr().copied();
         let Some(call) = read(&mut request) else { return };
         self.seen.push(call.transcript());
+        if call.header("Accept") == Some("text/event-stream") && self.handler.shows_life(&call) {
+            let closes = self.serve_alive(request, &call);
+            return if let Some(peer) = peer.filter(|_| closes) {
+                (self.close)(peer)
+            };
+        }
         let answer = match self.knobs.take_refusal(&call.target) {
             Some(status) => error(status, "refused"),
             None => self.handler.handle(&call),
@@ -128,6 +141,35 @@
     }
 }
 
+impl<H: Handler, C: Fn(SocketAddr) + Sync> Shared<H, C> {
+    /// Answers at the end of a stream of comments; returns whether the connection is to be closed.
+    fn serve_alive(&self, request: Request, call: &Call) -> bool {
+        if let Some(status) = self.knobs.take_refusal(&call.target) {
+            respond(request, status, "{\"error\":\"refused\"}");
+            return false;
+        }
+        let Ok(mut events) = EventStream::start(request.into_writer()) else { return true };
+        let (sender, receiver) = mpsc::channel();
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                let answer = self.handler.handle(call);
+                let lost = self.knobs.take_lost(&call.target) || !self.knobs.hold_answer();
+                let _ = sender.send((answer, lost));
+            });
+            loop {
+                match receiver.recv_timeout(LIFE_INTERVAL) {
+                    Ok((Answer::Json(status, mut value), false)) => {
+                        value["status"] = status.into();
+                        return events.data(&value).and_then(|()| events.finish()).is_err();
+                    }
+                    Err(RecvTimeoutError::Timeout) => drop(events.comment()),
+                    _ => return true,
+                }
+            }
+        })
+    }
+}
+
 /// Reads a request whole; none where its caller went away.
 fn read(request: &mut Request) -> Option<Call> {
     let mut body = Vec::new();
--- a/crates/siskinstiled/src/endpoint/engine.rs
+++ b/crates/siskinstiled/src/endpoint/engine.rs
@@ -1,8 +1,8 @@
 //! A model engine over HTTP.
 
 use std::{
-    io::{BufRead as _, BufReader},
-    time::Duration,
+    io::{self, BufRead as _, BufReader},
+    time::{Duration, Instant},
 };
 
 use serde_json::{Value, json};
@@ -11,15 +11,13 @@
     request::{Id, Outcome, Step},
 };
 
-use super::{Endpoint, Job, may_have_left};
+use super::{Endpoint, Job, SILENCE, direct, may_have_left};
 use crate::relay::Payload;
 
-/// Limit on setting up a connection.
-const CONNECT: Duration = Duration::from_secs(1);
 /// Limit on a prefill or a transfer.
 const COMPUTE: Duration = Duration::from_secs(30);
-/// Limit on silence in a stream, in which an engine shows a sign of life each second.
-const SILENCE: Duration = Duration::from_secs(2);
+/// Content type of a stream.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// The adapter for model engines.
 #[derive(Debug)]
@@ -27,12 +25,19 @@
 
 impl Endpoint for Engine {
     fn run(&self, job: Job<'_>, step: &Step, first: &dyn Fn()) -> Outcome {
+        if job.relay.is_gone() {
+            return Outcome::Broken { sent: false, next_index: job.relay.next_index() };
+        }
         let result = match step {
             Step::Prefill => prefill(&job),
             Step::Import { kv, from } => import(&job, kv, from),
             Step::Decode { from_index } => decode(&job, *from_index, first),
             Step::Forward => Ok(Outcome::Refused { status: 400 }),
         };
+        if job.relay.is_gone() {
+            // A cancel that overtook the call found nothing to end.
+            let _ = self.cancel(job.request, job.attempt, job.endpoint);
+        }
         result.unwrap_or_else(|error| Outcome::Broken {
             sent: may_have_left(&error),
             next_index: job.relay.next_index(),
@@ -47,18 +52,41 @@
     ) -> Result<(), attohttpc::Error> {
         let body = json!({ "request": request.to_string(), "attempt": attempt });
         let url = format!("http://{}/cancel", endpoint.address);
-        attohttpc::post(url).connect_timeout(CONNECT).timeout(SILENCE).json(&body)?.send()?;
+        direct(attohttpc::post(url)).read_timeout(SILENCE).json(&body)?.send()?;
         Ok(())
     }
 }
 
 fn post(job: &Job<'_>, path: &str, body: &Value) -> attohttpc::Result<attohttpc::Response> {
     let url = format!("http://{}/{path}", job.endpoint.address);
-    let request = attohttpc::post(url).connect_timeout(CONNECT);
-    match path {
-        "decode" => request.read_timeout(SILENCE).json(body)?.send(),
-        _ => request.read_timeout(COMPUTE).json(body)?.send(),
+    direct(attohttpc::post(url))
+        .read_timeout(SILENCE)
+        .header("accept", EVENT_STREAM)
+        .json(body)?
+        .send()
+}
+
+/// Returns status and body of an answer that may come at the end of a stream.
+///
+/// The comment lines of the stream show that the engine is alive while it computes.
+fn answer(response: attohttpc::Response) -> attohttpc::Result<(u16, Value)> {
+    let status = response.status().as_u16();
+    let content_type = response.headers().get("content-type").and_then(|it| it.to_str().ok());
+    if !content_type.is_some_and(|it| it.starts_with(EVENT_STREAM)) {
+        return Ok((status, response.json().unwrap_or(Value::Null)));
     }
+    let start = Instant::now();
+    for line in BufReader::new(response).lines() {
+        if let Some(data) = line?.strip_prefix("data:") {
+            let body: Value = serde_json::from_str(data.trim()).unwrap_or(Value::Null);
+            let status = body["status"].as_u64().and_then(|it| u16::try_from(it).ok());
+            return Ok((status.unwrap_or(200), body));
+        }
+        if start.elapsed() > COMPUTE {
+            return Err(io::Error::from(io::ErrorKind::TimedOut).into());
+        }
+    }
+    Err(io::Error::from(io::ErrorKind::UnexpectedEof).into())
 }
 
 fn prefill(job: &Job<'_>) -> attohttpc::Result<Outcome> {
@@ -72,9 +100,7 @@
         "prompt": prompt,
         "priority": priority,
     });
-    let response = post(job, "prefill", &body)?;
-    let status = response.status().as_u16();
-    let answer: Value = response.json()?;
+    let (status, answer) = answer(post(job, "prefill", &body)?)?;
     match answer["kv"].as_str() {
         Some(kv) if status == 200 => {
             let cached = answer["cached"].as_u64().unwrap_or(0);
@@ -98,7 +124,7 @@
         "max_tokens": max_tokens,
         "priority": priority,
     });
-    match post(job, "import", &body)?.status().as_u16() {
+    match answer(post(job, "import", &body)?)?.0 {
         200 => Ok(Outcome::Imported),
         status => Ok(Outcome::Refused { status }),
     }
--- a/crates/siskinstiled/tests/testsuite/main.rs
+++ b/crates/siskinstiled/tests/testsuite/main.rs
@@ -6,5 +6,6 @@
 mod errors;
 mod keys;
 mod plain;
+mod silence;
 mod site;
 mod stream;
