Test two real processes from start to exit

Cause: exit codes, signals and the start of the binary were not tested.

Change: a test starts stand-ins in its own process and two processes of the daemon, and serves a stream, a lookup, a charge sent to both, explain, burn, a drain with an open stream and SIGTERM. Others send a second SIGTERM and take an address that is in use.

Conclusion: exit codes are 0 after a drain, 1 for a failed start, 3 after a second signal.

--- a/crates/siskinstiled/tests/testsuite/main.rs
+++ b/crates/siskinstiled/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod errors;
 mod keys;
 mod plain;
+mod process;
 mod silence;
 mod site;
 mod stream;
--- /dev/null
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -0,0 +1,156 @@
+//! The real daemon as separate processes, from the objects to the exit.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read, Write},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    thread,
+};
+
+use siskinstile_fakes::engine;
+
+use crate::site::{
+    Builder, KEY, PATIENCE, StandIns, bearer, completion, connect, raw, read_all, read_until,
+    register, request, settings, wait,
+};
+
+/// A process of the daemon; it is killed when dropped.
+struct Process {
+    child: Child,
+    door: SocketAddr,
+    admin: SocketAddr,
+    file: PathBuf,
+    log: Option<thread::JoinHandle<String>>,
+}
+
+impl Process {
+    fn spawn(name: &str, stand_ins: &StandIns) -> Process {
+        let door = Builder::default().door;
+        let mut settings = settings(name, stand_ins.platform.address(), door);
+        settings.fleet.size = 2;
+        let file = std::env::temp_dir().join(format!("{name}-{:016x}.toml", rand::random::<u64>()));
+        fs::write(&file, toml::to_string(&settings).unwrap()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_siskinstiled"))
+            .arg("--config")
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let mut stderr = child.stderr.take().unwrap();
+        let log = thread::spawn(move || {
+            let mut text = String::new();
+            let _ = stderr.read_to_string(&mut text);
+            text
+        });
+        let [_, door, _, admin] = words[..] else { panic!("{line}") };
+        let (door, admin) = (door.parse().unwrap(), admin.parse().unwrap());
+        let process = Process { child, door, admin, file, log: Some(log) };
+        register(name, door, admin, &stand_ins.platform);
+        wait(|| raw(admin, request("GET", "/ready", "", "")).status == 200);
+        process
+    }
+
+    fn signal(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// Waits for the exit; returns it with the log.
+    fn exit(mut self) -> (ExitStatus, String) {
+        let start = std::time::Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return (status, self.log.take().unwrap().join().unwrap());
+            }
+            assert!(start.elapsed() < PATIENCE, "still running");
+            thread::sleep(std::time::Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+fn slow() -> Builder {
+    let mut builder = Builder::default();
+    builder.decode = engine::Config { token_ms: 50.0, ..builder.decode };
+    builder
+}
+
+/// Two processes serve, explain, report and stop, and cut off nothing.
+#[test]
+fn process_end_to_end() {
+    let stand_ins = slow().stand_ins();
+    let [one, two] = ["one", "two"].map(|name| Process::spawn(name, &stand_ins));
+    let streamed = raw(one.door, completion("hello", 4, true));
+    assert!(streamed.body.contains("[DONE]"), "{streamed:?}");
+    assert_eq!(raw(two.door, request("GET", "/look", &bearer(KEY), "")).status, 200);
+    let headers = format!("{}idempotency-key: visit-1\r\n", bearer(KEY));
+    let charge = request("POST", "/charge", &headers, "{}");
+    let runs = stand_ins.plain.runs().len();
+    assert_eq!(raw(one.door, &charge).status, 200);
+    wait(|| raw(two.door, &charge).header("idempotent-replayed") == Some("true"));
+    assert_eq!(stand_ins.plain.runs().len(), runs + 1);
+
+    let id = streamed.header("x-request-id").unwrap();
+    let explained = raw(one.admin, request("GET", &format!("/explain/{id}"), "", ""));
+    assert!(explained.body.contains("answered, 4 tokens"), "{explained:?}");
+    let burn = raw(one.admin, request("GET", "/burn", "", ""));
+    assert!(burn.body.contains("\"t\""), "{burn:?}");
+
+    let mut open = connect(one.door);
+    open.write_all(completion("again", 20, true).as_bytes()).unwrap();
+    let mut text = read_until(&open, "data:");
+    assert_eq!(raw(one.admin, request("POST", "/drain", "", "")).status, 202);
+    wait(|| raw(one.admin, request("GET", "/ready", "", "")).status == 503);
+    text.push_str(&read_all(&open));
+    assert!(text.contains("[DONE]"), "{text}");
+    let (status, log) = one.exit();
+    assert_eq!(status.code(), Some(0));
+    assert!(log.contains("E101") && !log.contains("open-sesame"), "{log}");
+    assert_eq!(raw(two.door, request("GET", "/look", &bearer(KEY), "")).status, 200);
+    two.signal();
+    assert_eq!(two.exit().0.code(), Some(0));
+}
+
+#[test]
+fn process_second_signal() {
+    let mut builder = slow();
+    builder.decode.token_ms = 1_000.0;
+    let stand_ins = builder.stand_ins();
+    let process = Process::spawn("one", &stand_ins);
+    let mut open = connect(process.door);
+    open.write_all(completion("hello", 60, true).as_bytes()).unwrap();
+    read_until(&open, "data:");
+    process.signal();
+    wait(|| raw(process.admin, request("GET", "/ready", "", "")).status == 503);
+    process.signal();
+    let (status, log) = process.exit();
+    assert_eq!(status.code(), Some(3), "{log}");
+}
+
+#[test]
+fn process_address_taken() {
+    let stand_ins = Builder::default().stand_ins();
+    let process = Process::spawn("one", &stand_ins);
+    let text = fs::read_to_string(&process.file).unwrap();
+    let file = process.file.with_extension("taken");
+    fs::write(&file, text.replacen("127.0.0.1:0", &process.door.to_string(), 1)).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_siskinstiled"));
+    let output = command.arg("--config").arg(&file).output().unwrap();
+    fs::remove_file(&file).unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(error.contains(&format!("cannot listen on {}", process.door)), "{error}");
+}
