--- /dev/null
+++ b/crates/harness/src/bench/direct.rs
@@ -0,0 +1,50 @@
+//! A direct call of the engines: prefill, import and decode without an instance between.
+
+use std::{
+    io::{BufRead as _, BufReader},
+    time::Instant,
+};
+
+use anyhow::Context as _;
+use serde_json::{Value, json};
+
+use super::site::{SINGLE, Site};
+use crate::client::Stream;
+
+/// Runs one completion.
+///
+/// # Errors
+///
+/// An engine refused or a call broke.
+pub(super) fn stream(site: &Site, prompt: &str, max_tokens: u64) -> anyhow::Result<Stream> {
+    let request = format!("{:016x}", rand::random::<u64>());
+    let sent = Instant::now();
+    let prefill = site.prefill.address();
+    let body = json!({"request": request, "attempt": 1, "model": SINGLE, "prompt": prompt,
+        "priority": 0});
+    let computed: Value = post(&format!("http://{prefill}/prefill"), &body)?.json()?;
+    let kv = computed["kv"].as_str().context("no prefill result")?;
+    let decode = site.decode.address();
+    let body = json!({"request": request, "attempt": 1, "model": SINGLE, "kv": kv,
+        "from": prefill.to_string(), "tokens": computed["tokens"], "max_tokens": max_tokens,
+        "priority": 0});
+    post(&format!("http://{decode}/import"), &body)?.error_for_status()?;
+    let body = json!({"request": request, "attempt": 1, "from_index": 0});
+    let response = post(&format!("http://{decode}/decode"), &body)?;
+    let mut stream = Stream { status: response.status().as_u16(), ..Stream::default() };
+    for line in BufReader::new(response).lines() {
+        let line = line?;
+        let Some(data) = line.strip_prefix("data:") else { continue };
+        let event: Value = serde_json::from_str(data.trim())?;
+        if let Some(token) = event["token"].as_str() {
+            stream.tokens.push(token.to_owned());
+            stream.times.push(sent.elapsed());
+        }
+        stream.done |= !event["end"].is_null();
+    }
+    Ok(stream)
+}
+
+fn post(url: &str, body: &Value) -> attohttpc::Result<attohttpc::Response> {
+    attohttpc::post(url).json(body)?.send()
+}
--- /dev/null
+++ b/crates/harness/src/bench/site.rs
@@ -0,0 +1,82 @@
+//! The stand-ins and the objects of the benchmark.
+
+use anyhow::ensure;
+use serde_json::{Value, json};
+use siskinstile_core::key;
+use siskinstile_fakes::{Engine, Platform, engine};
+
+/// The caller's key.
+pub(super) const KEY: &str = "bench.not-a-secret";
+/// Model for one stream at a time.
+pub(super) const SINGLE: &str = "single";
+/// Model for many streams at once.
+pub(super) const MANY: &str = "many";
+
+/// Time of one output token while one stream runs, in milliseconds.
+const SINGLE_TOKEN_MS: f64 = 10.0;
+const MEMORY: u64 = 1 << 30;
+const SALT: [u8; 16] = [3; 16];
+
+/// A platform and the engines of two pools.
+pub(super) struct Site {
+    pub(super) platform: Platform,
+    pub(super) prefill: Engine,
+    pub(super) decode: Engine,
+    _many: [Engine; 2],
+}
+
+impl Site {
+    /// Starts the stand-ins and puts the objects on the platform.
+    pub(super) fn spawn(many_token_ms: f64, places: u32) -> anyhow::Result<Site> {
+        let platform = Platform::spawn()?;
+        let spawn = |role, token_ms| {
+            Engine::spawn(engine::Config {
+                role,
+                places,
+                memory: MEMORY,
+                token_ms,
+                batch_slowdown: 0.0,
+                ..engine::Config::default()
+            })
+        };
+        let prefill = spawn(engine::Role::Prefill, 0.0)?;
+        let decode = spawn(engine::Role::Decode, SINGLE_TOKEN_MS)?;
+        let many =
+            [spawn(engine::Role::Prefill, 0.0)?, spawn(engine::Role::Decode, many_token_ms)?];
+        let mut objects = shared();
+        objects.extend(of_model(SINGLE, [&prefill, &decode], places));
+        objects.extend(of_model(MANY, [&many[0], &many[1]], places));
+        for (kind, value) in objects {
+            let name = value["name"].as_str().unwrap_or_default();
+            let url = format!("http://{}/objects/{kind}/{name}?if_version=0", platform.address());
+            let status = attohttpc::put(url).json(&value)?.send()?.status();
+            ensure!(status.is_success(), "the platform refused {kind} {name}: {status}");
+        }
+        Ok(Site { platform, prefill, decode, _many: many })
+    }
+}
+
+fn shared() -> Vec<(&'static str, Value)> {
+    let (name, secret) = KEY.split_once('.').unwrap_or((KEY, ""));
+    let salt: String = SALT.iter().map(|it| format!("{it:02x}")).collect();
+    let hash = key::hash(&SALT, secret);
+    let models = [SINGLE, MANY];
+    vec![
+        ("service", json!({"name": "bench", "workload": "model", "models": models})),
+        ("team", json!({"name": "bench", "rate": 10_000, "burst": 100_000_000})),
+        ("key", json!({"name": name, "team": "bench", "salt": salt, "hash": hash})),
+    ]
+}
+
+fn of_model(model: &str, engines: [&Engine; 2], places: u32) -> [(&'static str, Value); 2] {
+    let endpoint = |role: &str, engine: &Engine| {
+        json!({"name": format!("{model}-{role}"), "address": engine.address().to_string(),
+            "datacentre": "a", "role": role, "places": places, "memory": MEMORY})
+    };
+    let endpoints = [endpoint("prefill", engines[0]), endpoint("decode", engines[1])];
+    let pool = json!({"name": model, "service": "bench", "endpoints": endpoints,
+        "queue_limit": 1_000, "link_slots": places});
+    let route = json!({"name": model, "service": "bench", "pool": model, "model": model,
+        "urgency": "patient", "idempotent": true, "first_token_ms": 60_000});
+    [("pool", pool), ("route", route)]
+}
