--- a/crates/siskinstiled/src/daemon.rs
+++ b/crates/siskinstiled/src/daemon.rs
@@ -86,8 +86,8 @@
         let (door, admin) = (door_listener.local_addr()?, admin_listener.local_addr()?);
         let tls = settings.door.tls.as_ref();
         let tls = tls.map(|it| peer::tls::open_door(runtime.handle(), it)).transpose()?;
-        let max_connections = settings.door.max_connections;
-        runtime.spawn(door::serve(door_listener, shared.clone(), max_connections, tls));
+        let door_settings = settings.door.clone();
+        runtime.spawn(door::serve(door_listener, shared.clone(), door_settings, tls));
         runtime.spawn(admin::serve(admin_listener, shared.clone()));
         let peer = peers.map(|it| it.address());
         Ok(Daemon {
--- a/crates/siskinstiled/tests/testsuite/main.rs
+++ b/crates/siskinstiled/tests/testsuite/main.rs
@@ -1,3 +1,13 @@
-//! Tests of the daemon's adapters over loopback.
+//! Tests of the daemon over loopback, against stand-ins for what is around it.
 
+mod bad_input;
+mod caller_gone;
+mod check_settings;
+mod errors;
+mod keys;
 mod peer;
+mod plain;
+mod process;
+mod silence;
+mod site;
+mod stream;
