Publish by lease and chunks, distribute among instances

Cause: one chunk held the whole set, every instance watched and polled the platform each second, two publishers could race past a pause, and instances did not hand the configuration to one another.

Change: a publish lease with a fencing number and a term on the local clock; objects followed from a consistent cut; chunks by kind and hash of the name; an index and a small manifest put in force by one conditional update; lost answers read back; removal of unused chunks after 16 generations and 10 min; two watchers in a data centre, differences and chunks between instances; delegates between data centres; heartbeats by neighbours; readiness after the platform and peers have been asked; offline_grace; withdrawal ends what waits.

Figures: the list of instances was read once a second by each instance (360 calls/s at 360); now each 1 s + 0.1 s for each listed one, at most 10 calls/s for the fleet by construction.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod burn;
 pub mod check;
+pub mod chunk;
 pub mod claim;
 pub mod config;
 pub mod effect;
@@ -15,9 +16,11 @@
 pub mod key;
 pub mod limit;
 pub mod log;
+pub mod manifest;
 pub mod member;
 pub mod object;
 pub mod place;
+pub mod publish;
 pub mod request;
 pub mod splice;
 pub mod state;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -1,11 +1,24 @@
 //! The instances of the fleet, as the platform lists them and as heartbeats show them.
 
+use std::time::Duration;
+
 use indexmap::IndexMap;
 use siskinstile_macros::value;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{Instant, object::Name};
 
+/// Silence after which an instance is suspect, where all of a data centre hear one another.
+pub const SUSPECT: Duration = Duration::from_secs(3);
+/// The same where heartbeats pass over others: each step on the way adds up to a period.
+const SUSPECT_BY_OTHERS: Duration = Duration::from_secs(6);
+/// Largest data centre in which each instance sends heartbeats to every other one.
+const MESH: usize = 12;
+/// Time for which an instance that the platform does not list is known by its heartbeats.
+const UNLISTED: Duration = Duration::from_secs(30);
+/// Gap between two ticks that shows that this process was paused.
+const PAUSED: Duration = Duration::from_secs(1);
+
 /// One instance as the platform lists it.
 #[value(serde)]
 pub struct Record {
@@ -40,6 +53,11 @@
 pub struct Table {
     records: IndexMap<Name, Record>,
     heard: IndexMap<Name, Heard>,
+    /// Instances known by their heartbeats, with the moment of the last.
+    met: IndexMap<Name, (Instant, Record)>,
+    now: Instant,
+    /// Silence before this moment was this process's own.
+    awake: Instant,
 }
 
 /// What the last heartbeat of an instance told.
@@ -56,9 +74,26 @@
 }
 
 impl Table {
-    /// Replaces the table by the platform's list.
+    /// Takes the platform's list, which may be late.
     pub fn replace(&mut self, records: Vec<Record>) {
         self.records = records.into_iter().map(|record| (record.name.clone(), record)).collect();
+        let now = self.now;
+        self.met.retain(|_, (at, _)| now.since(*at) < UNLISTED);
+        for (name, (_, record)) in &self.met {
+            self.records.entry(name.clone()).or_insert_with(|| record.clone()).address =
+                record.address.clone();
+        }
+        let records = &self.records;
+        self.heard
+            .retain(|name, heard| records.contains_key(name) || now.since(heard.at) < UNLISTED);
+    }
+
+    /// Lets time pass; a gap that shows a pause of this process makes nobody suspect.
+    pub fn advance(&mut self, now: Instant) {
+        if now.since(self.now) > PAUSED {
+            self.awake = now;
+        }
+        self.now = now;
     }
 
     /// Returns the record of an instance.
@@ -73,9 +108,31 @@
 
     /// Notes a heartbeat, unless it is of an incarnation older than one heard before.
     pub fn hear(&mut self, name: &Name, heard: Heard) {
-        let known = self.heard.get(name).map_or(0, |it| it.incarnation);
-        if heard.incarnation >= known {
-            self.heard.insert(name.clone(), heard);
+        match self.heard.get(name) {
+            Some(known) if heard.incarnation < known.incarnation => {}
+            Some(known) if heard.incarnation == known.incarnation && heard.at < known.at => {}
+            _ => drop(self.heard.insert(name.clone(), heard)),
+        }
+    }
+
+    /// Notes where an instance says that it is; its own word is newer than the platform's list.
+    pub fn meet(&mut self, now: Instant, record: Record) {
+        let known = self.met.get(&record.name).map_or(0, |it| it.1.incarnation);
+        if record.incarnation < known {
+            return;
+        }
+        match self.records.get_mut(&record.name) {
+            Some(listed) => listed.address = record.address.clone(),
+            None => drop(self.records.insert(record.name.clone(), record.clone())),
+        }
+        self.met.insert(record.name.clone(), (now, record));
+    }
+
+    /// Notes that others heard an instance at `at`.
+    pub fn heard_by_others(&mut self, hash: u32, at: Instant) {
+        let named = |it: &(&Name, &mut Heard)| short_hash(it.0) == hash;
+        if let Some((_, heard)) = self.heard.iter_mut().find(named) {
+            heard.at = heard.at.max(at.min(self.now));
         }
     }
 
@@ -84,16 +141,61 @@
         self.heard.get(name)
     }
 
-    /// Returns the live instances of a data centre in the order of their rank for `key`.
+    /// Iterates over the instances whose heartbeats were heard.
+    pub fn heard_all(&self) -> impl Iterator<Item = (&Name, &Heard)> {
+        self.heard.iter()
+    }
+
+    /// Returns whether an instance is not suspect: heard of lately, or listed and never heard.
+    pub fn alive(&self, name: &str, now: Instant) -> bool {
+        let limit = if self.heard.len() < MESH { SUSPECT } else { SUSPECT_BY_OTHERS };
+        let silent = |heard: &Heard| now.since(heard.at.max(self.awake)) > limit;
+        !self.heard.get(name).is_some_and(silent)
+    }
+
+    /// Returns whether an instance takes work, as far as is known.
+    pub fn takes_work(&self, record: &Record) -> bool {
+        let leaving = self.heard.get(&record.name).is_some_and(|it| it.leaving);
+        record.state == Standing::Live && !leaving && self.alive(&record.name, self.now)
+    }
+
+    /// Returns the instances of a data centre that take work, in the order of their rank for `key`.
     pub fn ranked(&self, datacentre: &str, key: &str) -> Vec<&Record> {
-        let mut live: Vec<&Record> = self
-            .records
-            .values()
-            .filter(|it| it.state == Standing::Live && &*it.datacentre == datacentre)
-            .collect();
+        let here = self.records.values().filter(|it| &*it.datacentre == datacentre);
+        let mut live: Vec<&Record> = here.filter(|it| self.takes_work(it)).collect();
         live.sort_by_key(|it| std::cmp::Reverse((rank(&it.name, key), it.name.clone())));
         live
     }
+
+    /// Returns the instances that get the heartbeats of `own`: all of a small data centre, else
+    /// those at distances of powers of two on a ring.
+    pub fn neighbours(&self, datacentre: &str, own: &str) -> Vec<Name> {
+        let here = self.records.values().filter(|it| &*it.datacentre == datacentre);
+        let mut names: Vec<&Name> = here.map(|it| &it.name).collect();
+        names.sort_unstable_by_key(|it| (short_hash(it), (*it).clone()));
+        let Some(place) = names.iter().position(|it| &***it == own) else {
+            return names.into_iter().cloned().collect();
+        };
+        let distances: Vec<usize> = match names.len() <= MESH {
+            true => (1..names.len()).collect(),
+            false => (0..).map(|it| 1 << it).take_while(|it| *it < names.len()).collect(),
+        };
+        distances.iter().map(|it| names[(place + it) % names.len()].clone()).collect()
+    }
+
+    /// Returns the ages of the heartbeats to tell others; none where all hear one another.
+    pub fn ages(&self) -> Vec<(u32, Duration)> {
+        let fresh = self.heard.iter().filter(|it| self.now.since(it.1.at) < SUSPECT_BY_OTHERS);
+        match self.heard.len() < MESH {
+            true => Vec::new(),
+            false => fresh.map(|(name, it)| (short_hash(name), self.now.since(it.at))).collect(),
+        }
+    }
+}
+
+/// Returns a short hash of a name for messages.
+fn short_hash(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
 }
 
 /// Returns the rendezvous weight of an instance for `key`.
--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -296,6 +296,40 @@
         }
     }
 
+    /// Removes an object.
+    pub fn remove(&mut self, kind: Kind, name: &str) {
+        match kind {
+            Kind::Service => drop(self.services.swap_remove(name)),
+            Kind::Team => drop(self.teams.swap_remove(name)),
+            Kind::Key => drop(self.keys.swap_remove(name)),
+            Kind::Route => drop(self.routes.swap_remove(name)),
+            Kind::Pool => drop(self.pools.swap_remove(name)),
+        }
+    }
+
+    /// Iterates over the names of the objects of a kind.
+    pub fn names(&self, kind: Kind) -> Box<dyn Iterator<Item = &Name> + '_> {
+        match kind {
+            Kind::Service => Box::new(self.services.keys()),
+            Kind::Team => Box::new(self.teams.keys()),
+            Kind::Key => Box::new(self.keys.keys()),
+            Kind::Route => Box::new(self.routes.keys()),
+            Kind::Pool => Box::new(self.pools.keys()),
+        }
+    }
+
+    /// Returns an object as JSON text.
+    pub fn text(&self, kind: Kind, name: &str) -> Option<String> {
+        let text = match kind {
+            Kind::Service => serde_json::to_string(self.services.get(name)?),
+            Kind::Team => serde_json::to_string(self.teams.get(name)?),
+            Kind::Key => serde_json::to_string(self.keys.get(name)?),
+            Kind::Route => serde_json::to_string(self.routes.get(name)?),
+            Kind::Pool => serde_json::to_string(self.pools.get(name)?),
+        };
+        Some(text.expect("objects have string keys only"))
+    }
+
     /// Returns the JSON value of each object with its kind and name.
     pub fn values(&self) -> Vec<(Kind, Name, serde_json::Value)> {
         let mut out = Vec::new();
--- /dev/null
+++ b/crates/core/src/publish/run.rs
@@ -0,0 +1,239 @@
+//! One publication, from the read of the manifest to its conditional update.
+
+use indexmap::IndexSet;
+use serde_json::Value;
+use siskinstile_macros::value;
+
+use super::{KEPT_AGE, KEPT_GENERATIONS, Publisher, REMOVALS_PER_TICK, Retired, Step};
+use crate::{
+    Instant,
+    chunk::{self, Bucket},
+    log,
+    manifest::{self, Manifest},
+    object::{Name, Set},
+    store::{Answer, Call},
+    sync::Output,
+};
+
+/// A publication under way.
+#[value]
+pub(super) struct Run {
+    /// When its last step began.
+    pub(super) since: Instant,
+    /// Version of the manifest that it replaces.
+    version: u64,
+    old: Manifest,
+    index: manifest::Index,
+    /// The set as it was checked.
+    set: Set,
+    /// Buckets that may have changed.
+    touched: IndexSet<Bucket>,
+    /// Chunks that are being written.
+    writing: IndexSet<Bucket>,
+    new: Manifest,
+    /// Names that the new index no longer has.
+    dropped: Vec<Name>,
+}
+
+impl Run {
+    fn hashes(&self, old: &chunk::Index) -> chunk::Index {
+        if self.touched.len() > chunk::REFRESH_LIMIT {
+            return chunk::Index::of(&self.set);
+        }
+        let mut hashes = old.clone();
+        hashes.refresh(&self.set, self.touched.iter().copied());
+        hashes
+    }
+
+    /// Gives a bucket a new name in the index; returns what is to be written under it.
+    fn replace(&mut self, bucket: Bucket, hash: Option<&Name>) -> Option<(Bucket, Name, String)> {
+        let word = Name::from(bucket.word());
+        self.dropped.extend(self.index.chunks.swap_remove(&word));
+        let name = manifest::name(hash?, self.new.generation);
+        self.index.chunks.insert(word, name.clone());
+        self.writing.insert(bucket);
+        Some((bucket, name, chunk::encode(&self.set, bucket)))
+    }
+}
+
+impl Publisher {
+    /// Begins a publication.
+    pub(super) fn begin(
+        &mut self,
+        now: Instant,
+        set: Set,
+        touched: IndexSet<Bucket>,
+    ) -> Vec<Output> {
+        self.run_number += 1;
+        self.run = Some(Run {
+            since: now,
+            version: 0,
+            old: Manifest::default(),
+            index: manifest::Index::default(),
+            set,
+            touched,
+            writing: IndexSet::new(),
+            new: Manifest::default(),
+            dropped: Vec::new(),
+        });
+        vec![self.call(Step::Manifest, read_manifest())]
+    }
+
+    /// Takes the answer on a step of the publication.
+    pub(super) fn advance(&mut self, now: Instant, step: Step, answer: Answer) -> Vec<Output> {
+        let Some(run) = &mut self.run else { return Vec::new() };
+        run.since = now;
+        match (step, answer) {
+            (Step::Manifest, Answer::Object(object)) => {
+                run.version = object.version;
+                run.old = manifest::parse(object.value).unwrap_or_default();
+                let name = run.old.index.clone();
+                vec![self.call(Step::Index, read(manifest::CHUNK, name))]
+            }
+            (Step::Manifest, Answer::Missing) => self.write_chunks(now),
+            (Step::Index, Answer::Object(object)) => {
+                run.index = manifest::parse(object.value).unwrap_or_default();
+                self.write_chunks(now)
+            }
+            (Step::PutChunk(bucket), Answer::Written { .. } | Answer::Conflict) => {
+                run.writing.swap_remove(&bucket);
+                match run.writing.is_empty() {
+                    true => vec![self.write_index()],
+                    false => Vec::new(),
+                }
+            }
+            (Step::PutIndex, Answer::Written { .. } | Answer::Conflict) => {
+                vec![self.write_manifest()]
+            }
+            (Step::PutManifest, Answer::Written { .. }) => self.published(now),
+            (Step::PutManifest, Answer::Lost) => vec![self.call(Step::Settle, read_manifest())],
+            (Step::Settle, Answer::Object(object))
+                if manifest::parse::<Manifest>(object.value.clone()).as_ref() == Some(&run.new) =>
+            {
+                self.published(now)
+            }
+            // Another publisher was faster or the platform is slow: everything is read anew.
+            _ => self.again(now),
+        }
+    }
+
+    fn again(&mut self, now: Instant) -> Vec<Output> {
+        if let (Some(run), Some(mirror)) = (self.run.take(), &mut self.mirror) {
+            mirror.touched.extend(run.touched);
+        }
+        self.mark(now);
+        self.paused_until = now + super::PAUSE;
+        Vec::new()
+    }
+
+    /// Writes the chunks that the platform does not have.
+    fn write_chunks(&mut self, now: Instant) -> Vec<Output> {
+        self.note_retired(now);
+        let (Some(fence), Some(run)) = (self.lease.fence(now), &mut self.run) else {
+            return Vec::new();
+        };
+        // A newer holder has published: this lease is of the past.
+        if run.old.fence > fence {
+            return self.again(now);
+        }
+        let old = run.index.hashes().unwrap_or_default();
+        let hashes = run.hashes(&old);
+        let digest = hashes.digest();
+        if digest == run.old.digest {
+            self.run = None;
+            return Vec::new();
+        }
+        let generation = run.old.generation + 1;
+        run.new = Manifest { generation, fence, digest, index: "".into() };
+        let mut texts = Vec::new();
+        for bucket in old.changed(&hashes) {
+            texts.extend(run.replace(bucket, hashes.0.get(&bucket)));
+        }
+        if let Some((bucket, _, text)) = texts.iter().find(|it| it.2.len() > chunk::MAX_BYTES) {
+            let detail = format!("chunk {} of {} bytes", bucket.word(), text.len());
+            self.run = None;
+            return vec![Output::Log(log::Record::new(log::CONFIG_REFUSED, detail))];
+        }
+        if texts.is_empty() {
+            return vec![self.write_index()];
+        }
+        let put = |(bucket, name, text): (Bucket, Name, String)| {
+            let value = serde_json::from_str(&text).expect("a chunk is JSON");
+            self.call(Step::PutChunk(bucket), create(name, value))
+        };
+        texts.into_iter().map(put).collect()
+    }
+
+    fn write_index(&mut self) -> Output {
+        let removed: IndexSet<Name> = std::mem::take(&mut self.removed).into_iter().collect();
+        let run = self.run.as_mut().expect("a run is under way");
+        let generation = run.new.generation;
+        run.dropped.extend(Some(run.old.index.clone()).filter(|it| !it.is_empty()));
+        run.index.retired.retain(|(_, name)| !removed.contains(name));
+        let dropped = run.dropped.iter().map(|name| (generation, name.clone()));
+        run.index.retired.extend(dropped);
+        let value = serde_json::to_value(&run.index).expect("an index is plain data");
+        let name = manifest::name(&chunk::hash(&value.to_string()), generation);
+        run.new.index = name.clone();
+        self.call(Step::PutIndex, create(name, value))
+    }
+
+    fn write_manifest(&self) -> Output {
+        let run = self.run.as_ref().expect("a run is under way");
+        let value = serde_json::to_value(&run.new).expect("a manifest is plain data");
+        let call = Call::Put {
+            kind: manifest::KIND.into(),
+            name: manifest::CURRENT.into(),
+            value,
+            if_version: Some(run.version),
+        };
+        self.call(Step::PutManifest, call)
+    }
+
+    fn published(&mut self, now: Instant) -> Vec<Output> {
+        self.note_retired(now);
+        let Some(run) = self.run.take() else { return Vec::new() };
+        let detail = format!("generation {}", run.new.generation);
+        vec![Output::Log(log::Record::new(log::CONFIG_PUBLISHED, detail))]
+    }
+
+    /// Notes since when this instance knows that chunks are no longer used.
+    fn note_retired(&mut self, now: Instant) {
+        let Some(run) = &self.run else { return };
+        for (generation, name) in &run.index.retired {
+            let known = self.retired.iter().any(|it| it.name == *name);
+            if !known && !self.removed.contains(name) {
+                let (name, generation) = (name.clone(), *generation);
+                self.retired.push(Retired { name, generation, seen: now });
+            }
+        }
+    }
+
+    /// Removes chunks that no reader can still want.
+    pub(super) fn remove_retired(&mut self, now: Instant) -> Vec<Output> {
+        let newest = self.retired.iter().map(|it| it.generation).max().unwrap_or(0);
+        let old = |it: &mut Retired| {
+            it.generation + KEPT_GENERATIONS <= newest && now.since(it.seen) >= KEPT_AGE
+        };
+        let due: Vec<Retired> = self.retired.extract_if(.., old).take(REMOVALS_PER_TICK).collect();
+        let mut out = Vec::new();
+        for Retired { name, .. } in due {
+            self.removed.push(name.clone());
+            let call = Call::Delete { kind: manifest::CHUNK.into(), name, if_version: None };
+            out.push(self.call(Step::Remove, call));
+        }
+        out
+    }
+}
+
+fn read_manifest() -> Call {
+    read(manifest::KIND, manifest::CURRENT.into())
+}
+
+fn read(kind: &str, name: Name) -> Call {
+    Call::Get { kind: kind.into(), name }
+}
+
+fn create(name: Name, value: Value) -> Call {
+    Call::Put { kind: manifest::CHUNK.into(), name, value, if_version: Some(0) }
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -11,7 +11,9 @@
 mod dispatch;
 mod drain;
 mod holds;
+mod keys;
 mod limits;
+mod members;
 mod messages;
 
 use std::{sync::Arc, time::Duration};
@@ -27,7 +29,7 @@
     log::{self, Record},
     member,
     object::Name,
-    place, request, sync, trace,
+    place, publish, request, sync, trace,
 };
 
 /// Time between two [`Event::Tick`]s.
@@ -62,7 +64,9 @@
     trace: trace::Ring,
     draining: Option<Instant>,
     stopped: bool,
-    members_read: Option<Instant>,
+    publisher: publish::Publisher,
+    times: members::Times,
+    moments: control::Moments,
     effects: Vec<Effect>,
 }
 
@@ -70,6 +74,7 @@
     /// Creates the state of an instance that has just started, with its first effects.
     pub fn new(settings: Settings) -> (State, Vec<Effect>) {
         let limits = limit::Limiter::new(settings.fleet_size);
+        let publisher = publish::Publisher::new(settings.name.clone(), settings.incarnation);
         let mut state = State {
             settings,
             config: Arc::new(Config::default()),
@@ -82,7 +87,9 @@
             trace: trace::Ring::default(),
             draining: None,
             stopped: false,
-            members_read: None,
+            publisher,
+            times: members::Times::default(),
+            moments: control::Moments::default(),
             effects: Vec::new(),
         };
         state.start();
@@ -101,7 +108,7 @@
             Event::Stored { tag, answer } => self.stored(now, tag, answer),
             Event::Load { .. } => {}
             Event::Drain => self.drain(now),
-            Event::Query { id, query } => self.query(id, query),
+            Event::Query { id, query } => self.query(now, id, query),
         }
         self.place(now);
         std::mem::take(&mut self.effects)
@@ -139,16 +146,16 @@
         self.emit(Effect::Fail { request, failure });
     }
 
-    fn query(&mut self, id: u64, query: Query) {
+    fn query(&mut self, now: Instant, id: u64, query: Query) {
         let value = match query {
-            Query::Status => self.status(),
+            Query::Status => self.status(now),
             Query::Explain(request) => self.trace.explain(request),
             Query::Burn => self.burn.value(),
         };
         self.emit(Effect::Reply { id, value });
     }
 
-    fn status(&self) -> Value {
+    fn status(&self, now: Instant) -> Value {
         json!({
             "instance": self.settings.name,
             "incarnation": self.settings.incarnation,
@@ -157,6 +164,7 @@
             "requests": self.requests.len(),
             "draining": self.draining.is_some(),
             "members": self.members.iter().count(),
+            "configuration": self.control_status(now),
             "burn": self.burn.value(),
         })
     }
--- a/crates/core/src/state/control.rs
+++ b/crates/core/src/state/control.rs
@@ -1,130 +1,151 @@
-//! Configuration and members.
+//! Configuration: publication, adoption, readiness and the report on both.
 
 use std::time::Duration;
 
-use siskinstile_wire::{
-    Body,
-    message::{config as wire_config, member as wire_member},
-};
+use serde_json::{Value, json};
+use siskinstile_wire::{Body, message::config as wire};
 
 use crate::{
     Effect, Instant, log,
-    member::Heard,
-    object::Name,
-    store::{Answer, Call, Tag},
+    store::{Answer, Tag},
     sync,
 };
 
 use super::{State, messages::Sender};
 
-/// Time between two reads of the platform's list of instances.
-const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
-/// What the instance with the first rank for this word does is publish.
+/// Instances of a data centre that watch the manifest.
+const WATCHERS: usize = 2;
+/// Word by whose rank they are chosen.
+const WATCHER: &str = "watcher";
+/// Instances of the fleet that try for the publish lease.
+const CANDIDATES: usize = 2;
+/// Word by whose rank they are chosen.
 const PUBLISHER: &str = "publisher";
+/// Time after which a new instance serves what its peers have, without word of the platform.
+const START_WAIT: Duration = Duration::from_secs(5);
+
+/// When things of the configuration happened.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub(super) struct Moments {
+    started: Option<Instant>,
+    adopted: Instant,
+    ready: bool,
+}
 
 impl State {
     pub(super) fn start(&mut self) {
         self.log(log::STARTED, self.settings.name.to_string());
-        let outputs = self.sync.start();
-        self.apply(outputs);
+        let outputs = self.sync.tick(Instant::default(), false);
+        self.apply(Instant::default(), outputs);
     }
 
     pub(super) fn control_tick(&mut self, now: Instant) {
-        let due = self.members_read.is_none_or(|at| now.since(at) >= MEMBERS_INTERVAL);
-        if due {
-            self.members_read = Some(now);
-            self.emit(Effect::Store { tag: Tag::Instances, call: Call::Instances });
-            self.beat();
-        }
+        self.moments.started.get_or_insert(now);
+        self.member_tick(now);
+        let watcher = self.is_among_first(WATCHER, WATCHERS);
+        let outputs = self.sync.tick(now, watcher);
+        self.apply(now, outputs);
+        let outputs = match self.draining {
+            Some(_) => self.publisher.release(now),
+            None => self.publisher.tick(now, self.is_candidate()),
+        };
+        self.apply(now, outputs);
+        self.become_ready(now);
     }
 
     pub(super) fn stored(&mut self, now: Instant, tag: Tag, answer: Answer) {
+        if answer != Answer::Lost {
+            self.sync.reach(now);
+        }
         match (tag, answer) {
             (Tag::Claim(id), answer) => self.claim_written(now, id, answer),
             (Tag::ReadClaim(id), answer) => self.claim_read(now, id, answer),
-            (Tag::Settle(_) | Tag::Status, _) => {}
-            (Tag::Instances, Answer::Instances(records)) => {
-                let led = self.leads();
-                self.members.replace(records);
-                if !led && self.leads() {
-                    let outputs = self.sync.publish();
-                    self.apply(outputs);
-                }
-            }
+            (Tag::Settle(_), _) => {}
+            (Tag::Instances, Answer::Instances(records)) => self.members.replace(records),
             (Tag::Instances, _) => {}
+            (Tag::Publish(number, step), answer) => {
+                let outputs = self.publisher.answered(now, number, step, answer);
+                self.apply(now, outputs);
+            }
             (tag, answer) => {
-                let leads = self.leads();
-                let outputs = self.sync.stored(&tag, answer, leads);
-                self.apply(outputs);
+                let outputs = self.sync.stored(now, tag, answer);
+                self.apply(now, outputs);
             }
         }
     }
 
-    /// Returns whether this instance publishes; two for a while do no harm, since the manifest
-    /// changes by conditional update only.
-    fn leads(&self) -> bool {
-        let mut live: Vec<_> = self.members.iter().collect();
-        live.sort_by_key(|it| crate::member::rank(&it.name, PUBLISHER));
-        live.last().is_some_and(|it| it.name == self.settings.name)
+    /// Returns whether this instance should try for the publish lease.
+    fn is_candidate(&self) -> bool {
+        let mut live: Vec<_> =
+            self.members.iter().filter(|it| self.members.takes_work(it)).collect();
+        live.sort_by_key(|it| std::cmp::Reverse(crate::member::rank(&it.name, PUBLISHER)));
+        live.iter().take(CANDIDATES).any(|it| it.name == self.settings.name)
     }
 
-    fn apply(&mut self, outputs: Vec<sync::Output>) {
+    pub(super) fn apply(&mut self, now: Instant, outputs: Vec<sync::Output>) {
         for output in outputs {
             match output {
                 sync::Output::Call(tag, call) => self.emit(Effect::Store { tag, call }),
+                sync::Output::Send(to, kind) => {
+                    self.send(&to, Body::Config(wire::Message { kind: Some(kind) }));
+                }
                 sync::Output::Log(record) => self.emit(Effect::Log(record)),
                 sync::Output::Adopt(config) => {
                     self.log(log::CONFIG_ADOPTED, format!("generation {}", config.generation));
                     self.config = config;
+                    self.moments.adopted = now;
                     self.emit(Effect::Adopt(self.config.clone()));
-                    self.emit(Effect::Ready(self.draining.is_none()));
+                    self.end_withdrawn(now);
+                    self.become_ready(now);
+                    self.beat(now);
+                    self.beat_far(now);
                 }
             }
         }
     }
 
-    /// Tells the other instances of the data centre that this one lives.
-    fn beat(&mut self) {
-        let beat = wire_member::Heartbeat {
-            generation: self.config.generation,
-            leaving: self.draining.is_some(),
-        };
-        let own = self.settings.name.clone();
-        let peers: Vec<Name> = self
-            .members
-            .ranked(&self.settings.datacentre, "")
-            .into_iter()
-            .map(|it| it.name.clone())
-            .filter(|name| *name != own)
-            .collect();
-        for peer in peers {
-            let kind = Some(wire_member::Kind::Heartbeat(beat.clone()));
-            self.send(&peer, Body::Member(wire_member::Message { kind }));
+    /// Takes requests once this instance is not behind the platform and its peers, or has waited
+    /// for the platform long enough.
+    fn become_ready(&mut self, now: Instant) {
+        let waited = self.moments.started.is_some_and(|at| now.since(at) >= START_WAIT);
+        let generation = self.config.generation;
+        let behind = self.members.heard_all().any(|it| it.1.generation > generation);
+        let current = self.sync.is_current() && !behind;
+        let ready = self.draining.is_none() && generation > 0 && (current || waited);
+        if ready && !self.moments.ready {
+            self.moments.ready = true;
+            self.emit(Effect::Ready(true));
         }
     }
 
-    pub(super) fn member_message(
-        &mut self,
-        now: Instant,
-        from: &Sender,
-        message: wire_member::Message,
-    ) {
-        let Some(wire_member::Kind::Heartbeat(beat)) = message.kind else { return };
-        let heard = Heard {
-            at: now,
-            incarnation: from.incarnation,
-            generation: beat.generation,
-            leaving: beat.leaving,
-        };
-        self.members.hear(&from.name, heard);
+    pub(super) fn config_message(&mut self, now: Instant, from: &Sender, message: wire::Message) {
+        let Some(kind) = message.kind else { return };
+        let outputs = self.sync.message(now, &from.name, kind);
+        self.apply(now, outputs);
     }
 
-    /// The configuration is not handed over among instances yet.
-    pub(super) fn config_message(
-        &mut self,
-        _now: Instant,
-        _from: &Sender,
-        _message: wire_config::Message,
-    ) {
+    /// Returns the report on configuration and members.
+    pub(super) fn control_status(&self, now: Instant) -> Value {
+        let generation = self.config.generation;
+        let lagging: Vec<Value> = self
+            .members
+            .heard_all()
+            .filter(|it| it.1.generation < generation)
+            .map(|(name, it)| json!({ "instance": name, "generation": it.generation }))
+            .collect();
+        let suspect: Vec<&str> = self
+            .members
+            .iter()
+            .filter(|it| !self.members.alive(&it.name, now))
+            .map(|it| &*it.name)
+            .collect();
+        json!({
+            "generation": generation,
+            "in_force_ms": now.since(self.moments.adopted).as_millis() as u64,
+            "platform_reached_ms": self.sync.reached().map(|at| now.since(at).as_millis() as u64),
+            "publisher": self.publisher.leads(now),
+            "lagging": lagging,
+            "suspect": suspect,
+        })
     }
 }
--- a/crates/core/src/state/messages.rs
+++ b/crates/core/src/state/messages.rs
@@ -19,6 +19,10 @@
     pub(super) fn message(&mut self, now: Instant, envelope: Envelope) {
         let from =
             Sender { name: envelope.from.as_str().into(), incarnation: envelope.incarnation };
+        // A paused or doubled process whose place a newer one has taken is not listened to.
+        if self.members.heard(&from.name).is_some_and(|it| from.incarnation < it.incarnation) {
+            return;
+        }
         match envelope.body {
             Some(Body::Member(message)) => self.member_message(now, &from, message),
             Some(Body::Config(message)) => self.config_message(now, &from, message),
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -8,20 +8,16 @@
 /// Tells which part of the core made a call; the answer carries it back.
 #[value(eq)]
 pub enum Tag {
-    /// The watch on configuration.
-    Watch,
+    /// The watch on the manifest, by its number among those of the instance.
+    Watch(u64),
     /// The manifest in force.
     Manifest,
+    /// The index of the manifest with this generation.
+    Index(u64),
     /// A chunk of the manifest with this generation.
-    Chunk(u64),
-    /// The list of one kind of object, for publication.
-    Objects(crate::object::Kind),
-    /// The chunk being published.
-    PutChunk,
-    /// The manifest being published.
-    PutManifest,
-    /// The status of an object.
-    Status,
+    Chunk(u64, crate::chunk::Bucket),
+    /// A step of the publisher, by its number among those of the instance.
+    Publish(u64, crate::publish::Step),
     /// The platform's list of instances.
     Instances,
     /// The claim of a non-idempotent request.
--- /dev/null
+++ b/crates/core/src/sync/peer.rs
@@ -0,0 +1,165 @@
+//! The configuration among instances: by difference where possible, else by chunks.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use siskinstile_wire::message::config as wire;
+
+use super::{
+    Output, Sync,
+    fetch::{Fetch, Source},
+    unreadable,
+};
+use crate::{
+    Instant,
+    chunk::{self, Bucket, Change, Index},
+    object::{Kind, Name},
+};
+
+/// Time without a part after which a fetch is begun anew.
+pub(super) const STALLED: Duration = Duration::from_secs(2);
+/// Chunks asked for at once.
+const BATCH: usize = 16;
+
+impl Sync {
+    /// Takes the generation that another instance has in force.
+    pub fn heard(&mut self, now: Instant, from: &Name, generation: u64) -> Vec<Output> {
+        if generation <= self.config.generation {
+            return Vec::new();
+        }
+        match &self.fetch {
+            Some(fetch) if fetch.generation >= generation && now.since(fetch.since) < STALLED => {
+                Vec::new()
+            }
+            _ => vec![fetch(from, self.config.generation)],
+        }
+    }
+
+    /// Takes a message of another instance.
+    pub fn message(&mut self, now: Instant, from: &Name, kind: wire::Kind) -> Vec<Output> {
+        match kind {
+            wire::Kind::Fetch(it) => self.hand_over(from, it.generation),
+            wire::Kind::Delta(delta) => self.apply(from, delta),
+            wire::Kind::Index(index) => self.begin(now, from, &index),
+            wire::Kind::Want(want) => self.hand_chunks(from, &want),
+            wire::Kind::Chunk(it) => self.take_chunk(now, from, it),
+        }
+    }
+
+    fn hand_over(&self, to: &Name, generation: u64) -> Vec<Output> {
+        if generation >= self.config.generation {
+            return Vec::new();
+        }
+        let reply = match self.history.since(generation) {
+            Some((newest, digest, changes)) => wire::Kind::Delta(wire::Delta {
+                from: generation,
+                to: newest,
+                digest: digest.to_string(),
+                changes: changes.into_iter().map(encode).collect(),
+            }),
+            None => wire::Kind::Index(self.wire_index()),
+        };
+        vec![Output::Send(to.clone(), reply)]
+    }
+
+    fn wire_index(&self) -> wire::Index {
+        let entry = |(bucket, hash): (&Bucket, &Name)| wire::Entry {
+            bucket: bucket.word(),
+            hash: hash.to_string(),
+        };
+        let chunks = self.index.0.iter().map(entry).collect();
+        wire::Index { generation: self.config.generation, chunks }
+    }
+
+    fn apply(&mut self, from: &Name, delta: wire::Delta) -> Vec<Output> {
+        if delta.from != self.config.generation || delta.to <= delta.from {
+            return Vec::new();
+        }
+        let changes: Option<Vec<Change>> = delta.changes.into_iter().map(decode).collect();
+        let Some(changes) = changes else { return vec![fetch(from, 0)] };
+        let mut set = self.config.set.clone();
+        let touched = match chunk::apply(&mut set, &changes) {
+            Ok(touched) => touched,
+            Err(error) => return vec![unreadable(&error), fetch(from, 0)],
+        };
+        let mut index = self.index.clone();
+        index.refresh(&set, touched);
+        match *index.digest() == *delta.digest {
+            true => self.adopt(delta.to, set, index),
+            // The difference does not lead to what was published: the chunks do.
+            false => vec![fetch(from, 0)],
+        }
+    }
+
+    fn begin(&mut self, now: Instant, from: &Name, index: &wire::Index) -> Vec<Output> {
+        let busy = self
+            .fetch
+            .as_ref()
+            .is_some_and(|it| it.generation >= index.generation && now.since(it.since) < STALLED);
+        if index.generation <= self.config.generation || busy {
+            return Vec::new();
+        }
+        let entry =
+            |it: &wire::Entry| Some((Bucket::parse(&it.bucket)?, Name::from(it.hash.as_str())));
+        let hashes: Option<IndexMap<Bucket, Name>> = index.chunks.iter().map(entry).collect();
+        let Some(hashes) = hashes else { return Vec::new() };
+        let source = Source::Peer(from.clone());
+        let earlier = self.fetch.take();
+        let fetch = Fetch::new(now, index.generation, Index(hashes), source, &self.index, earlier);
+        self.fetch = Some(fetch);
+        self.want(from)
+    }
+
+    /// Asks for the next chunks; with none missing the generation is put in force.
+    fn want(&mut self, from: &Name) -> Vec<Output> {
+        let Some(fetch) = &self.fetch else { return Vec::new() };
+        let buckets: Vec<String> = fetch.missing().take(BATCH).map(Bucket::word).collect();
+        if buckets.is_empty() {
+            return self.finish();
+        }
+        let want = wire::Want { generation: fetch.generation, buckets };
+        vec![Output::Send(from.clone(), wire::Kind::Want(want))]
+    }
+
+    /// Hands over chunks of what is in force, or the newer index if it has moved on.
+    fn hand_chunks(&self, to: &Name, want: &wire::Want) -> Vec<Output> {
+        if want.generation != self.config.generation {
+            return vec![Output::Send(to.clone(), wire::Kind::Index(self.wire_index()))];
+        }
+        let buckets = want.buckets.iter().take(BATCH).filter_map(|it| Bucket::parse(it));
+        let chunk = |bucket: Bucket| {
+            let text = chunk::encode(&self.config.set, bucket);
+            let chunk = wire::Chunk { bucket: bucket.word(), text };
+            Output::Send(to.clone(), wire::Kind::Chunk(chunk))
+        };
+        buckets.map(chunk).collect()
+    }
+
+    fn take_chunk(&mut self, now: Instant, from: &Name, chunk: wire::Chunk) -> Vec<Output> {
+        let Some(bucket) = Bucket::parse(&chunk.bucket) else { return Vec::new() };
+        let ours = |it: &&mut Fetch| matches!(&it.source, Source::Peer(peer) if peer == from);
+        let Some(fetch) = self.fetch.as_mut().filter(ours) else { return Vec::new() };
+        fetch.since = now;
+        let before = fetch.missing().count();
+        let mut out = self.chunk(bucket, chunk.text);
+        let left = self.fetch.as_ref().map_or(0, |it| it.missing().count());
+        if left > 0 && left < before && (before - 1).is_multiple_of(BATCH) {
+            out.extend(self.want(from));
+        }
+        out
+    }
+}
+
+fn fetch(from: &Name, generation: u64) -> Output {
+    Output::Send(from.clone(), wire::Kind::Fetch(wire::Fetch { generation }))
+}
+
+fn encode(change: Change) -> wire::Change {
+    let Change { kind, name, text } = change;
+    wire::Change { kind: kind.as_str().to_owned(), name: name.to_string(), text }
+}
+
+fn decode(change: wire::Change) -> Option<Change> {
+    let kind = Kind::parse(&change.kind)?;
+    Some(Change { kind, name: change.name.into(), text: change.text })
+}
