Fuzz publication and distribution against an oracle

Cause: nothing showed that a generation never reverts, is never half valid and reaches everyone after partitions, pauses, losses and publish races.

Change: proptest draws edits, cuts in one direction, kills, restarts, pauses, lost and late answers over World with six instances in three data centres; the oracle knows only the operators' edits. Five planted faults; a directed race of a publisher paused past its lease at 20 points of a publication.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod event;
 pub mod fair;
+pub mod fault;
 pub mod key;
 pub mod limit;
 pub mod log;
--- a/crates/core/src/publish.rs
+++ b/crates/core/src/publish.rs
@@ -15,7 +15,9 @@
 use siskinstile_macros::value;
 
 use crate::{
-    Instant, log,
+    Instant,
+    fault::Fault,
+    log,
     object::{Kind, Name},
     store::{Answer, Call, Tag},
     sync::Output,
@@ -96,6 +98,7 @@
     /// Whether the objects are a consistent cut.
     consistent: bool,
     paused_until: Instant,
+    fault: Option<Fault>,
 }
 
 /// The first and the last of several changes.
@@ -132,9 +135,16 @@
             revision: 0,
             consistent: false,
             paused_until: Instant::default(),
+            fault: None,
         }
     }
 
+    /// Plants a fault; for tests.
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+        self.lease.unfenced = fault == Fault::Unfenced;
+    }
+
     /// Returns whether this instance may publish now.
     pub fn leads(&self, now: Instant) -> bool {
         self.lease.fence(now).is_some()
@@ -334,7 +344,7 @@
         if self.statuses_read {
             self.board.check(mirror, &faults);
         }
-        if faults.is_empty() {
+        if faults.is_empty() || self.fault == Some(Fault::Unchecked) {
             let (set, touched) = (mirror.set.clone(), std::mem::take(&mut mirror.touched));
             return self.begin(now, set, touched);
         }
--- a/crates/core/src/publish/lease.rs
+++ b/crates/core/src/publish/lease.rs
@@ -39,6 +39,8 @@
     written: Option<Instant>,
     until: Option<Instant>,
     fence: u64,
+    /// Whether the term is ignored; a fault that tests plant.
+    pub(super) unfenced: bool,
 }
 
 /// The lease as last read.
@@ -62,12 +64,13 @@
             written: None,
             until: None,
             fence: 0,
+            unfenced: false,
         }
     }
 
     /// Returns the fencing number while the lease is held; to be asked at the moment of use.
     pub fn fence(&self, now: Instant) -> Option<u64> {
-        self.until.filter(|until| now < *until).map(|_| self.fence)
+        self.until.filter(|until| now < *until || self.unfenced).map(|_| self.fence)
     }
 
     /// Returns the call that is due, if any.
@@ -126,7 +129,7 @@
             && value["write"] == self.writes;
         match self.written.take() {
             Some(sent) if own => self.until = Some(sent + (TERM - MARGIN)),
-            Some(_) if value["holder"] != *self.own => self.until = None,
+            Some(_) if value["holder"] != *self.own && !self.unfenced => self.until = None,
             _ => {}
         }
         let version = object.version;
--- a/crates/core/src/publish/run.rs
+++ b/crates/core/src/publish/run.rs
@@ -8,6 +8,7 @@
 use crate::{
     Instant,
     chunk::{self, Bucket},
+    fault::Fault,
     log,
     manifest::{self, Manifest},
     object::{Name, Set},
@@ -133,7 +134,7 @@
             return Vec::new();
         };
         // A newer holder has published: this lease is of the past.
-        if run.old.fence > fence {
+        if run.old.fence > fence && self.fault != Some(Fault::Unfenced) {
             return self.again(now);
         }
         let old = run.index.hashes().unwrap_or_default();
@@ -185,7 +186,7 @@
             kind: manifest::KIND.into(),
             name: manifest::CURRENT.into(),
             value,
-            if_version: Some(run.version),
+            if_version: Some(run.version).filter(|_| self.fault != Some(Fault::Unfenced)),
         };
         self.call(Step::PutManifest, call)
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -25,6 +25,7 @@
 use crate::{
     Config, Effect, Event, Instant, Query, burn,
     error::Failure,
+    fault::Fault,
     limit,
     log::{self, Record},
     member,
@@ -122,6 +123,12 @@
         self.drain_tick(now);
     }
 
+    /// Plants a fault; for tests.
+    pub fn plant(&mut self, fault: Fault) {
+        self.sync.plant(fault);
+        self.publisher.plant(fault);
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> &Arc<Config> {
         &self.config
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -17,6 +17,7 @@
     Instant,
     chunk::{self, Bucket, Index},
     config::Config,
+    fault::Fault,
     log,
     object::{Name, Set},
     store::{Call, Tag},
@@ -47,9 +48,22 @@
     history: History,
     fetch: Option<Fetch>,
     watch: Watch,
+    fault: Option<Fault>,
 }
 
 impl Sync {
+    /// Plants a fault; for tests.
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+    }
+
+    fn is_newer(&self, generation: u64) -> bool {
+        match self.fault {
+            Some(Fault::Revert) => generation != self.config.generation,
+            _ => generation > self.config.generation,
+        }
+    }
+
     /// Returns when the platform last answered; none if it never has.
     pub fn reached(&self) -> Option<Instant> {
         self.watch.reached
@@ -72,7 +86,7 @@
 
     /// Puts a set in force unless it is not newer.
     fn adopt(&mut self, generation: u64, set: Set, index: Index) -> Vec<Output> {
-        if !is_newer(generation, self.config.generation) {
+        if !self.is_newer(generation) {
             return Vec::new();
         }
         let digest = index.digest();
@@ -88,7 +102,7 @@
     /// Takes a chunk of the generation that is being fetched.
     fn chunk(&mut self, bucket: Bucket, text: String) -> Vec<Output> {
         let Some(fetch) = &mut self.fetch else { return Vec::new() };
-        match fetch.take(bucket, text) {
+        match fetch.take(bucket, text) || self.fault == Some(Fault::Partial) {
             true => self.finish(),
             false => Vec::new(),
         }
@@ -105,10 +119,6 @@
     }
 }
 
-fn is_newer(generation: u64, in_force: u64) -> bool {
-    generation > in_force
-}
-
 fn unreadable(error: &dyn std::fmt::Display) -> Output {
     Output::Log(log::Record::new(log::CONFIG_UNREADABLE, error.to_string()))
 }
--- a/crates/core/src/sync/peer.rs
+++ b/crates/core/src/sync/peer.rs
@@ -13,6 +13,7 @@
 use crate::{
     Instant,
     chunk::{self, Bucket, Change, Index},
+    fault::Fault,
     object::{Kind, Name},
 };
 
@@ -24,7 +25,7 @@
 impl Sync {
     /// Takes the generation that another instance has in force.
     pub fn heard(&mut self, now: Instant, from: &Name, generation: u64) -> Vec<Output> {
-        if generation <= self.config.generation {
+        if !self.is_newer(generation) || self.fault == Some(Fault::Deaf) {
             return Vec::new();
         }
         match &self.fetch {
@@ -47,7 +48,7 @@
     }
 
     fn hand_over(&self, to: &Name, generation: u64) -> Vec<Output> {
-        if generation >= self.config.generation {
+        if generation >= self.config.generation && self.fault != Some(Fault::Revert) {
             return Vec::new();
         }
         let reply = match self.history.since(generation) {
@@ -96,7 +97,7 @@
             .fetch
             .as_ref()
             .is_some_and(|it| it.generation >= index.generation && now.since(it.since) < STALLED);
-        if index.generation <= self.config.generation || busy {
+        if !self.is_newer(index.generation) || busy {
             return Vec::new();
         }
         let entry =
--- a/crates/core/src/sync/watch.rs
+++ b/crates/core/src/sync/watch.rs
@@ -13,6 +13,7 @@
 use crate::{
     Instant,
     chunk::Bucket,
+    fault::Fault,
     manifest::{self, Manifest},
     object::Name,
     store::{Answer, Call, Object, Tag},
@@ -50,7 +51,7 @@
     /// Does what is due; `watcher` tells whether this instance watches.
     pub fn tick(&mut self, now: Instant, watcher: bool) -> Vec<Output> {
         let watch = &mut self.watch;
-        if now < watch.paused_until {
+        if now < watch.paused_until || self.fault == Some(Fault::Deaf) {
             return Vec::new();
         }
         let mut out = Vec::new();
@@ -135,7 +136,7 @@
         };
         let generation = manifest.generation;
         self.watch.known = Some(self.watch.known.unwrap_or(0).max(generation));
-        let newer = super::is_newer(generation, self.config.generation);
+        let newer = self.is_newer(generation);
         let busy = self.fetch.as_ref().is_some_and(|it| {
             let platform = matches!(it.source, Source::Platform(_));
             let limit = if platform { STALLED } else { super::peer::STALLED };
@@ -155,7 +156,7 @@
             return vec![unreadable(&"the index")];
         };
         let held = self.fetch.as_ref().map_or(0, |it| it.generation);
-        if !super::is_newer(generation, self.config.generation) || held > generation {
+        if !self.is_newer(generation) || held > generation {
             return Vec::new();
         }
         let name = |(word, name): (Name, Name)| Some((Bucket::parse(&word)?, name));
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod demo;
 pub mod fleet;
 pub mod policy;
+pub mod rollout;
 pub mod world;
--- a/crates/harness/src/world.rs
+++ b/crates/harness/src/world.rs
@@ -161,6 +161,8 @@
     pub steps: u64,
     /// Messages sent between instances, and their bytes as encoded.
     pub traffic: (u64, u64),
+    /// A fault that every instance starts with; for tests.
+    pub fault: Option<siskinstile_core::fault::Fault>,
     /// What instances did towards callers, oldest first; the driver drains it.
     pub outputs: Vec<Output>,
     now: Instant,
@@ -180,6 +182,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             steps: 0,
             traffic: (0, 0),
+            fault: None,
             outputs: Vec::new(),
             now: Instant::default(),
             sequence: 0,
@@ -206,7 +209,8 @@
             state: member::Standing::Live,
         });
         let incarnation = settings.incarnation;
-        let (state, effects) = State::new(settings.clone());
+        let (mut state, effects) = State::new(settings.clone());
+        self.fault.into_iter().for_each(|it| state.plant(it));
         let node =
             Node { settings, state: Some(state), born: self.now, drift_ppm, paused_until: None };
         self.nodes.insert(name.clone(), node);
