--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,20 +6,24 @@
 
 pub mod burn;
 pub mod check;
+pub mod chunk;
 pub mod claim;
 pub mod config;
 pub mod effect;
 pub mod error;
 pub mod event;
 pub mod fair;
+pub mod fault;
 pub mod hold;
 pub mod key;
 pub mod limit;
 pub mod log;
+pub mod manifest;
 pub mod member;
 pub mod object;
 pub mod order;
 pub mod place;
+pub mod publish;
 pub mod request;
 pub mod retry;
 pub mod splice;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -12,7 +12,9 @@
 mod drain;
 mod fault;
 mod holds;
+mod keys;
 mod limits;
+mod members;
 mod messages;
 mod retries;
 mod sweeping;
@@ -23,17 +25,16 @@
 use serde_json::{Value, json};
 use siskinstile_macros::value;
 
-pub use fault::Fault;
-
 use crate::{
     Config, Effect, Event, Instant, Query, burn,
     effect::Reply,
     error::{Failure, Ran},
+    fault::Fault,
     hold, limit,
     log::{self, Record},
     member,
     object::Name,
-    place, request, retry, sweep, sync, trace,
+    place, publish, request, retry, sweep, sync, trace,
 };
 
 /// Time between two [`Event::Tick`]s.
@@ -68,12 +69,14 @@
     trace: trace::Ring,
     draining: Option<Instant>,
     stopped: bool,
-    members_read: Option<Instant>,
     ledger: hold::Ledger,
     budgets: IndexMap<Name, retry::Budget>,
     settling: IndexMap<request::Id, claims::Settling>,
     sweep: sweep::Sweep,
     planted: Option<Fault>,
+    publisher: publish::Publisher,
+    times: members::Times,
+    moments: control::Moments,
     effects: Vec<Effect>,
 }
 
@@ -81,6 +84,7 @@
     /// Creates the state of an instance that has just started, with its first effects.
     pub fn new(settings: Settings) -> (State, Vec<Effect>) {
         let limits = limit::Limiter::new(settings.fleet_size);
+        let publisher = publish::Publisher::new(settings.name.clone(), settings.incarnation);
         let mut state = State {
             settings,
             config: Arc::new(Config::default()),
@@ -93,12 +97,14 @@
             trace: trace::Ring::default(),
             draining: None,
             stopped: false,
-            members_read: None,
             ledger: hold::Ledger::default(),
             budgets: IndexMap::new(),
             settling: IndexMap::new(),
             sweep: sweep::Sweep::default(),
             planted: None,
+            publisher,
+            times: members::Times::default(),
+            moments: control::Moments::default(),
             effects: Vec::new(),
         };
         state.start();
@@ -168,14 +174,14 @@
 
     fn query(&mut self, now: Instant, id: u64, query: Query) {
         let reply = match query {
-            Query::Status => Reply::Value(self.status()),
+            Query::Status => Reply::Value(self.status(now)),
             Query::Explain(request) => Reply::Value(self.trace.explain(request)),
             Query::Burn => Reply::Burn(Box::new(self.burn.snapshot(now, &self.config.set))),
         };
         self.emit(Effect::Reply { id, reply });
     }
 
-    fn status(&self) -> Value {
+    fn status(&self, now: Instant) -> Value {
         json!({
             "instance": self.settings.name,
             "incarnation": self.settings.incarnation,
@@ -184,6 +190,7 @@
             "requests": self.requests.len(),
             "draining": self.draining.is_some(),
             "members": self.members.iter().count(),
+            "configuration": self.control_status(now),
         })
     }
 }
--- a/crates/harness/src/capacity/measure.rs
+++ b/crates/harness/src/capacity/measure.rs
@@ -122,8 +122,19 @@
     Envelope { from: from.into(), incarnation: 1_800_000_000_000, body: Some(body) }
 }
 
+fn other(number: u32) -> message::member::Other {
+    message::member::Other { hash: u32::MAX - number, age_ms: 1_500 }
+}
+
 fn heartbeat_body() -> Body {
-    let beat = message::member::Heartbeat { generation: 6_400, leaving: false };
+    let beat = message::member::Heartbeat {
+        generation: 6_400,
+        leaving: false,
+        address: "10.200.1.17:7000".into(),
+        datacentre: "dc-3".into(),
+        platform_age_ms: Some(3_000),
+        others: (0..TARGET.neighbours as u32 - 1).map(other).collect(),
+    };
     Body::Member(message::member::Message { kind: Some(message::member::Kind::Heartbeat(beat)) })
 }
 
--- a/crates/harness/src/fuzz.rs
+++ b/crates/harness/src/fuzz.rs
@@ -10,7 +10,7 @@
 mod runner;
 mod shrink;
 
-use siskinstile_core::state::Fault;
+use siskinstile_core::fault::Fault;
 
 pub use case::Case;
 pub use oracle::{Promise, Violation};
--- a/crates/harness/src/fuzz/runner.rs
+++ b/crates/harness/src/fuzz/runner.rs
@@ -4,10 +4,11 @@
 
 use siskinstile_core::{
     Event, Instant,
+    fault::Fault,
     key::Secret,
     object::{Kind as Object, Name, Set},
     request::{Arrival, Id, Target},
-    state::{Fault, Settings},
+    state::Settings,
     store::Call,
 };
 
--- a/crates/harness/src/fuzz/shrink.rs
+++ b/crates/harness/src/fuzz/shrink.rs
@@ -1,6 +1,6 @@
 //! Makes a failing case shorter.
 
-use siskinstile_core::state::Fault;
+use siskinstile_core::fault::Fault;
 
 use super::{Case, Violation, run};
 
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod fleet;
 pub mod fuzz;
 pub mod policy;
+pub mod rollout;
 pub mod world;
--- a/crates/harness/src/world.rs
+++ b/crates/harness/src/world.rs
@@ -162,7 +162,7 @@
     /// Messages sent between instances, and their bytes as encoded.
     pub traffic: (u64, u64),
     /// The fault that every instance has, to test an oracle.
-    pub planted: Option<state::Fault>,
+    pub planted: Option<siskinstile_core::fault::Fault>,
     /// What instances did towards callers, oldest first; the driver drains it.
     pub outputs: Vec<Output>,
     now: Instant,
--- a/crates/harness/tests/testsuite/fuzz.rs
+++ b/crates/harness/tests/testsuite/fuzz.rs
@@ -1,5 +1,5 @@
 use rstest::rstest;
-use siskinstile_core::state::Fault;
+use siskinstile_core::fault::Fault;
 use siskinstile_harness::fuzz::{self, Promise};
 
 #[rstest]
