Test every command against a real instance

Cause: explain, burn, drain, completions and the JSON of get and status were not tested, and explain printed its list of decisions as one line of JSON.

Change: tests run the commands against an instance and a stand-in platform; the test of two processes uses the command line's library; a list is printed with a line for each item; proxies of the environment are ignored.

--- a/crates/siskinctl/src/client.rs
+++ b/crates/siskinctl/src/client.rs
@@ -132,6 +132,7 @@
 }
 
 fn limit<B>(call: RequestBuilder<B>) -> RequestBuilder<B> {
+    let call = call.proxy_settings(attohttpc::ProxySettings::builder().build());
     call.connect_timeout(CONNECT_TIMEOUT).read_timeout(CALL_TIMEOUT).timeout(CALL_TIMEOUT)
 }
 
--- a/crates/siskinctl/src/output.rs
+++ b/crates/siskinctl/src/output.rs
@@ -12,10 +12,7 @@
     match (format, value) {
         (Format::Json, _) => json(out, value),
         (Format::Text, Value::Object(fields)) => {
-            for (field, value) in fields {
-                writeln!(out, "{field}: {}", scalar(value))?;
-            }
-            Ok(())
+            fields.iter().try_for_each(|(field, value)| self::field(out, field, value))
         }
         (Format::Text, Value::Array(items)) => {
             for item in items {
@@ -27,6 +24,18 @@
     }
 }
 
+/// Writes a field on one line, or a list with a line for each item.
+fn field(out: &mut dyn Write, field: &str, value: &Value) -> anyhow::Result<()> {
+    match value {
+        Value::Array(items) => {
+            writeln!(out, "{field}:")?;
+            items.iter().try_for_each(|it| writeln!(out, "  {}", scalar(it)))?;
+        }
+        _ => writeln!(out, "{field}: {}", scalar(value))?,
+    }
+    Ok(())
+}
+
 /// Writes indented JSON.
 pub(crate) fn json(out: &mut dyn Write, value: &Value) -> anyhow::Result<()> {
     let text = serde_json::to_string_pretty(value).context("cannot encode the output")?;
--- a/crates/siskinctl/tests/testsuite/main.rs
+++ b/crates/siskinctl/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod daemon;
 mod examples;
 mod key;
 mod platform;
--- a/crates/siskinstiled/tests/testsuite/process.rs
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -9,6 +9,7 @@
     thread,
 };
 
+use clap::Parser as _;
 use siskinstile_fakes::engine;
 
 use crate::site::{
@@ -82,6 +83,14 @@
     }
 }
 
+/// Runs the command line and returns its output.
+fn siskinctl(line: &[&str]) -> String {
+    let args = siskinctl::args::Args::try_parse_from(["siskinctl"].iter().chain(line)).unwrap();
+    let mut out = Vec::new();
+    assert_eq!(siskinctl::run(&args, &mut out).unwrap(), siskinctl::Code::Success);
+    String::from_utf8(out).unwrap()
+}
+
 fn slow() -> Builder {
     let mut builder = Builder::default();
     builder.decode = engine::Config { token_ms: 50.0, ..builder.decode };
@@ -104,15 +113,16 @@
     assert_eq!(stand_ins.plain.runs().len(), runs + 1);
 
     let id = streamed.header("x-request-id").unwrap();
-    let explained = raw(one.admin, request("GET", &format!("/explain/{id}"), "", ""));
-    assert!(explained.body.contains("answered, 4 tokens"), "{explained:?}");
-    let burn = raw(one.admin, request("GET", "/burn", "", ""));
-    assert!(burn.body.contains("\"t\""), "{burn:?}");
+    let admin = one.admin.to_string();
+    let explained = siskinctl(&["explain", id, "--admin", &admin]);
+    assert!(explained.contains("answered, 4 tokens"), "{explained}");
+    let burn = siskinctl(&["--output", "json", "burn", "--admin", &admin]);
+    assert!(burn.contains("\"t\""), "{burn}");
 
     let mut open = connect(one.door);
     open.write_all(completion("again", 20, true).as_bytes()).unwrap();
     let mut text = read_until(&open, "data:");
-    assert_eq!(raw(one.admin, request("POST", "/drain", "", "")).status, 202);
+    siskinctl(&["drain", "--admin", &admin]);
     wait(|| raw(one.admin, request("GET", "/ready", "", "")).status == 503);
     text.push_str(&read_all(&open));
     assert!(text.contains("[DONE]"), "{text}");
