Test that errors from accept do not end the door

Cause: nothing made accept fail.

Change: a test starts the daemon with 100 file descriptors and opens 200 connections.

Conclusion: the door goes on after E600.

--- a/crates/siskinstiled/tests/testsuite/process.rs
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -28,12 +28,17 @@
 
 impl Process {
     fn spawn(name: &str, stand_ins: &StandIns) -> Process {
+        Process::spawn_by(Command::new(env!("CARGO_BIN_EXE_siskinstiled")), name, stand_ins)
+    }
+
+    /// Starts a process by a command to which the arguments of the daemon are added.
+    fn spawn_by(mut command: Command, name: &str, stand_ins: &StandIns) -> Process {
         let door = Builder::default().door;
         let mut settings = settings(name, stand_ins.platform.address(), door);
         settings.fleet.size = 2;
         let file = std::env::temp_dir().join(format!("{name}-{:016x}.toml", rand::random::<u64>()));
         fs::write(&file, toml::to_string(&settings).unwrap()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_siskinstiled"))
+        let mut child = command
             .arg("--config")
             .arg(&file)
             .stdout(Stdio::piped())
@@ -164,3 +169,26 @@
     let error = String::from_utf8_lossy(&output.stderr);
     assert!(error.contains(&format!("cannot listen on {}", process.door)), "{error}");
 }
+
+/// Errors from accept, here for want of file descriptors, do not end the door.
+#[test]
+fn process_accept_errors() {
+    const DESCRIPTORS: usize = 100;
+    let stand_ins = Builder::default().stand_ins();
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {DESCRIPTORS}; exec \"$0\" \"$@\"");
+    command.args(["-c", &script, env!("CARGO_BIN_EXE_siskinstiled")]);
+    let process = Process::spawn_by(command, "one", &stand_ins);
+    let held: Vec<_> = (0..2 * DESCRIPTORS).map(|_| connect(process.door)).collect();
+    thread::sleep(std::time::Duration::from_millis(200));
+    drop(held);
+    wait(|| {
+        let mut stream = connect(process.door);
+        let sent = stream.write_all(request("GET", "/look", &bearer(KEY), "").as_bytes());
+        sent.is_ok() && read_all(&stream).starts_with("HTTP/1.1 200")
+    });
+    process.signal();
+    let (status, log) = process.exit();
+    assert_eq!(status.code(), Some(0));
+    assert!(log.contains("E600"), "{log}");
+}
