--- a/crates/siskinctl/tests/testsuite/examples.rs
+++ b/crates/siskinctl/tests/testsuite/examples.rs
@@ -25,3 +25,19 @@
         assert_eq!(siskinstile_core::key::hash(&salt, secret), *key.hash);
     }
 }
+
+/// The operators' page names every field that the examples use.
+#[rstest]
+fn fields_documented(#[values("board", "association")] name: &str) {
+    let page = std::fs::read_to_string(example("../docs/operators/objects.md")).unwrap();
+    let (set, _) = files::load(Path::new(&example(name))).unwrap();
+    for (kind, object, value) in set.values() {
+        let endpoints = value["endpoints"].as_array().cloned().unwrap_or_default();
+        for fields in endpoints.iter().chain([&value]).filter_map(|it| it.as_object()) {
+            for field in fields.keys() {
+                let row = format!("| `{field}` |");
+                assert!(page.contains(&row), "{} {object}: {field}", kind.as_str());
+            }
+        }
+    }
+}
