Hold each model's body to the limit of its own route

Cause: a completion's body was held to the largest limit of all model routes, since the model is known only from the body.

Change: once the body is parsed, the limit of its route decides, and an unknown model is refused at the door. The operators' listener logs errors from accept. A test closes an idle connection.

Conclusion: 413 follows the route.

--- a/crates/siskinstiled/src/admin.rs
+++ b/crates/siskinstiled/src/admin.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use serde_json::{Value, json};
-use siskinstile_core::{Event, Query, request};
+use siskinstile_core::{Event, Query, log as events, request};
 use tokio::{net::TcpListener, sync::oneshot, time};
 
 use crate::control::Shared;
@@ -42,7 +42,8 @@
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
-            Err(_) => {
+            Err(error) => {
+                events::Record::new(events::ACCEPT_FAILED, error.to_string()).write();
                 time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
--- a/crates/siskinstiled/src/door/body.rs
+++ b/crates/siskinstiled/src/door/body.rs
@@ -36,6 +36,7 @@
     Ok(whole.freeze())
 }
 
-fn too_large(limit: u64) -> Failure {
+/// Returns the failure for a body larger than a route allows.
+pub(super) fn too_large(limit: u64) -> Failure {
     Failure::not_run(Kind::BodyTooLarge).with_detail(format!("at most {limit} bytes"))
 }
--- a/crates/siskinstiled/src/door/completion.rs
+++ b/crates/siskinstiled/src/door/completion.rs
@@ -70,6 +70,8 @@
     let limit = shared.config.load().model_body_limit();
     let bytes = body::read(request.into_body(), limit, arrival).await?;
     let ask: Ask = serde_json::from_slice(&bytes).map_err(bad_json)?;
+    let target = Target::Model(ask.model.as_str().into());
+    check_route(shared, &target, bytes.len())?;
     let prompt = prompt(&ask, chat)?;
     let prompt_tokens = tokens(&prompt);
     let max_tokens = ask.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
@@ -79,7 +81,7 @@
     let arrival = Arrival {
         id,
         key,
-        target: Target::Model(ask.model.as_str().into()),
+        target,
         idempotency,
         digest: digest(&bytes),
         prompt_tokens,
@@ -95,6 +97,16 @@
     }
 }
 
+/// Refuses a model without a route, and a body that another model's route would take.
+fn check_route(shared: &Shared, target: &Target, length: usize) -> Result<(), Failure> {
+    let config = shared.config.load();
+    let route = config.route(target).map_err(Failure::not_run)?;
+    match length as u64 > route.body_limit {
+        true => Err(body::too_large(route.body_limit)),
+        false => Ok(()),
+    }
+}
+
 fn bad(detail: impl Into<String>) -> Failure {
     Failure::not_run(Kind::BadRequest).with_detail(detail)
 }
--- a/crates/siskinstiled/tests/testsuite/bad_input.rs
+++ b/crates/siskinstiled/tests/testsuite/bad_input.rs
@@ -3,10 +3,12 @@
 use std::io::Write;
 
 use rstest::rstest;
+use serde_json::json;
 use siskinstiled::settings::Door;
 
 use crate::site::{
-    BODY_LIMIT, Builder, KEY, Site, bearer, completion, connect, raw, read_all, request, wait,
+    BODY_LIMIT, Builder, KEY, NARROW_LIMIT, Site, bearer, completion, connect, raw, read_all,
+    request, wait,
 };
 
 /// Limit on arrival in these tests, in milliseconds.
@@ -78,6 +80,16 @@
     assert_serves(&site);
 }
 
+#[rstest]
+#[case::within(NARROW_LIMIT / 2, 200)]
+#[case::beyond(NARROW_LIMIT, 413)]
+fn body_limit_of_own_route(#[case] prompt: usize, #[case] status: u16) {
+    let site = Builder::default().spawn();
+    let body = json!({"model": "n", "prompt": "a".repeat(prompt), "max_tokens": 1});
+    let text = request("POST", "/v1/completions", &bearer(KEY), &body.to_string());
+    assert_eq!(raw(site.daemon.door(), text).status, status);
+}
+
 fn chunked(length: usize) -> String {
     let chunk = format!("400\r\n{}\r\n", "a".repeat(0x400));
     format!(
@@ -100,6 +112,16 @@
     assert_serves(&site);
 }
 
+#[test]
+fn idle_after_an_answer() {
+    let site = short();
+    let first = request("GET", "/look", &bearer(KEY), "").replace("connection: close\r\n", "");
+    let mut stream = connect(site.daemon.door());
+    stream.write_all(first.as_bytes()).unwrap();
+    // Returns only when the door closes.
+    assert!(read_all(&stream).starts_with("HTTP/1.1 200"));
+}
+
 #[rstest]
 #[case::length("content-length: 100\r\n\r\n{\"model\"")]
 #[case::chunked("transfer-encoding: chunked\r\n\r\n10\r\n{\"mo")]
--- a/crates/siskinstiled/tests/testsuite/keys.rs
+++ b/crates/siskinstiled/tests/testsuite/keys.rs
@@ -84,5 +84,9 @@
     let site = Builder::default().spawn();
     let answer = raw(site.daemon.door(), request("GET", "/v1/models", &bearer(KEY), ""));
     let body: Value = serde_json::from_str(&answer.body).unwrap();
-    assert_eq!(body, json!({"object": "list", "data": [{"id": "m", "object": "model"}]}));
+    assert_eq!(
+        body,
+        json!({"object": "list",
+        "data": [{"id": "m", "object": "model"}, {"id": "n", "object": "model"}]})
+    );
 }
--- a/crates/siskinstiled/tests/testsuite/site.rs
+++ b/crates/siskinstiled/tests/testsuite/site.rs
@@ -21,6 +21,9 @@
 /// Largest body of the model route, in bytes.
 pub(crate) const BODY_LIMIT: usize = 4_096;
 
+/// Largest body of the route of model `n`, in bytes.
+pub(crate) const NARROW_LIMIT: usize = 512;
+
 const SALT: [u8; 16] = [7; 16];
 
 /// What a test may change before the start.
@@ -139,7 +142,7 @@
 
 fn objects(engines: &Value, plains: &Value, raw: &Value) -> Vec<(&'static str, Value)> {
     let mut objects = vec![
-        ("service", json!({"name": "model", "workload": "model", "models": ["m"]})),
+        ("service", json!({"name": "model", "workload": "model", "models": ["m", "n"]})),
         ("service", json!({"name": "plain", "workload": "plain"})),
         ("team", json!({"name": "t", "rate": 10_000, "burst": 10_000_000})),
         ("team", json!({"name": "small", "rate": 1, "burst": 10})),
@@ -154,7 +157,11 @@
     model["model"] = "m".into();
     model["service"] = "model".into();
     model["body_limit"] = BODY_LIMIT.into();
-    objects.push(("route", model));
+    let mut narrow = model.clone();
+    narrow["name"] = "narrow".into();
+    narrow["model"] = "n".into();
+    narrow["body_limit"] = NARROW_LIMIT.into();
+    objects.extend([("route", model), ("route", narrow)]);
     let plain = [
         ("look", "GET", "/look", "plain", true),
         ("put", "PUT", "/look", "plain", true),
