Hand over rights to spend, giver first

Cause: an even split over instances refuses a small team whose requests are larger than one instance's part, and wastes what other instances do not use.

Change: rate and burst are divided among the homes of a team, seats in a table that the platform holds (conditional create). A home spends and lends from its part; what is lent counts against its part of the burst until it is closed or void at both ends. A borrower spends a loan for 4 s from the moment at which it asked, on its own clock. A request that lacks rights waits for at most 200 ms in `Phase::Admitting` while other homes are asked. Numbers of messages and incarnations tell late and doubled ones. The even split stays as `limit::Even`, a baseline.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -1,77 +1,66 @@
-//! Teams' rates and bursts.
+//! Teams' rates and bursts, kept fleet-wide by rights that are handed over.
 //!
-//! Each instance spends an equal part of every team's rate and burst. The parts of all instances
-//! together never pass the whole.
+//! Every team's rate and burst are divided among its homes, the seats of a [`seat::Table`]. A home
+//! spends and lends only what its part has earned, and what is lent counts against its part of the
+//! burst until the loan is closed or void at both ends. A borrower may spend a loan for
+//! [`LOAN_TERM`] from the moment at which it asked, on its own clock. The giver gives up first in
+//! both directions, so a message that is lost loses rate until the term is over and never doubles
+//! it. The bound that holds for every window of time is: tokens granted <= burst + rate x time.
+
+mod bucket;
+mod even;
+mod ledger;
+mod limiter;
+mod purse;
+pub mod seat;
+mod usage;
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use siskinstile_macros::value;
 
-use crate::{
-    Instant,
-    object::{Name, Team},
-};
+pub use bucket::{Bucket, Part};
+pub use even::Even;
+pub use ledger::{Borrower, Ledger};
+pub use limiter::{Entry, Limiter, Outgoing, Wait};
+pub use purse::{Lump, Purse};
+pub use usage::Usage;
 
-/// Tokens are counted in millionths, so that a rate in tokens a second adds whole units in each
-/// microsecond.
-const UNITS: u64 = 1_000_000;
+/// Most that a clock may run fast or slow, in millionths; a rate is used only up to this margin.
+pub const DRIFT_PPM: u64 = 1_000;
+/// Time for which a borrower may spend a loan, from the moment at which it asked.
+pub const LOAN_TERM: Duration = Duration::from_secs(4);
+/// Time after which a home counts a loan as void: the term on clocks that drift apart, and a margin.
+pub const LOAN_TERM_AT_HOME: Duration = Duration::from_millis(4_100);
+/// Longest time that a request waits for rights.
+pub const ADMIT_LIMIT: Duration = Duration::from_millis(200);
+/// Longest time that a request waits for the seats to be known, at the start of an instance.
+pub const SEATS_LIMIT: Duration = Duration::from_secs(2);
 
 /// Whether a request may spend.
 #[value(eq)]
 pub enum Verdict {
     /// The tokens are taken.
     Granted,
+    /// Rights have been asked for; the verdict comes later.
+    Pending,
     /// They are not; this is when they could be.
     Refused {
-        /// Time until the bucket holds enough.
+        /// Time until enough could be there.
         retry_after: Duration,
     },
 }
 
-/// One team's part.
-#[value]
-struct Bucket {
-    units: u64,
-    at: Instant,
-}
-
-/// The buckets of all teams.
-#[value]
-pub struct Limiter {
-    parts: u64,
-    buckets: IndexMap<Name, Bucket>,
-}
-
-impl Limiter {
-    /// Creates the buckets of one of `parts` instances.
-    pub fn new(parts: u64) -> Limiter {
-        Limiter { parts: parts.max(1), buckets: IndexMap::new() }
-    }
-
-    /// Takes tokens of a team.
-    pub fn take(&mut self, now: Instant, team: &Team, tokens: u64) -> Verdict {
-        let most = team.burst * UNITS / self.parts;
-        let rate = (team.rate / self.parts).max(1);
-        let wanted = tokens * UNITS;
-        let bucket =
-            self.buckets.entry(team.name.clone()).or_insert(Bucket { units: most, at: now });
-        let earned = now.since(bucket.at).as_micros() as u64 * rate;
-        bucket.units = (bucket.units + earned).min(most);
-        bucket.at = now;
-        if bucket.units >= wanted {
-            bucket.units -= wanted;
-            return Verdict::Granted;
-        }
-        let missing = wanted - bucket.units;
-        Verdict::Refused { retry_after: Duration::from_micros(missing.div_ceil(rate)) }
-    }
-
-    /// Gives back tokens that were taken and not used.
-    pub fn give_back(&mut self, team: &Team, tokens: u64) {
-        let most = team.burst * UNITS / self.parts;
-        if let Some(bucket) = self.buckets.get_mut(&team.name) {
-            bucket.units = (bucket.units + tokens * UNITS).min(most);
-        }
-    }
+/// Why a request was refused.
+#[value(id, serde)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// It costs more than the team's whole burst.
+    Burst,
+    /// Every home was asked and had too little.
+    Empty,
+    /// Some homes did not answer in time.
+    Unreached,
+    /// It is not yet known which instances are homes.
+    NoSeats,
 }
--- /dev/null
+++ b/crates/core/src/limit/limiter/borrow.rs
@@ -0,0 +1,206 @@
+//! The search for rights that lie at other homes.
+
+use std::time::Duration;
+
+use siskinstile_wire::message::limit::{Ask, Kind, Lend};
+
+use crate::{Instant, object::Name};
+
+use super::{
+    super::{ADMIT_LIMIT, Cause, LOAN_TERM, SEATS_LIMIT, Verdict, purse::Lump},
+    Asked, Limiter, Outgoing, Waiting,
+};
+
+/// Time after which a round of a search no longer waits for an answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+/// Time for which a home that did not answer is asked last.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Shortest and longest time for which a failed search stands for those that would follow.
+const DRY_LEAST: Duration = Duration::from_millis(20);
+const DRY_MOST: Duration = Duration::from_millis(500);
+/// Shortest time between two loans ahead of need.
+const TOP_UP_INTERVAL: Duration = Duration::from_millis(500);
+
+impl Limiter {
+    pub(super) fn wait(&mut self, now: Instant, name: &Name, waiting: Waiting) {
+        let account = &mut self.accounts[name];
+        if account.waiting.is_empty() {
+            (account.tried, account.width, account.unreached) = (0, 1, false);
+        }
+        account.waiting.push_back(waiting);
+        self.busy.insert(name.clone());
+        self.search(now, name);
+    }
+
+    /// Takes the answer of a home; one to another incarnation, or a second one, changes nothing.
+    pub fn lend(&mut self, now: Instant, from: &Name, lend: &Lend) {
+        self.notice_pause(now);
+        if lend.incarnation != self.incarnation {
+            return;
+        }
+        self.silent.swap_remove(from);
+        let Some((index, _, account)) = self.accounts.get_full_mut(lend.team.as_str()) else {
+            return;
+        };
+        let found =
+            account.asked.iter().position(|it| it.sequence == lend.sequence && it.home == *from);
+        let Some(found) = found else { return };
+        let asked = account.asked.swap_remove(found);
+        let until = asked.at + LOAN_TERM;
+        if lend.tokens > 0 && until > now {
+            account.purse.add(Lump {
+                home: from.clone(),
+                sequence: lend.sequence,
+                tokens: lend.tokens,
+                left: lend.tokens,
+                until,
+                used: now,
+            });
+        }
+        let name = self.accounts.get_index(index).map(|it| it.0.clone());
+        name.iter().for_each(|name| self.search(now, name));
+    }
+
+    /// Serves what waits, and asks more homes if all that were asked have answered.
+    pub(super) fn search(&mut self, now: Instant, name: &Name) {
+        self.serve(now, name);
+        let account = &self.accounts[name];
+        let missing: u64 = account.waiting.iter().map(|it| it.tokens).sum();
+        if missing == 0 || account.asked.iter().any(|it| !it.overdue) {
+            return;
+        }
+        let missing = missing.saturating_sub(self.available(now, name)).max(1);
+        if self.table.seats.is_empty() {
+            return;
+        }
+        let targets = self.round(now, name);
+        if targets.is_empty() {
+            return self.refuse_all(now, name);
+        }
+        let ahead = self.accounts[name].usage.demand(now) / 2;
+        targets.into_iter().for_each(|home| self.send_ask(now, name, home, missing, ahead));
+    }
+
+    /// Returns the homes of the next round; those that lately did not answer are passed over.
+    fn round(&mut self, now: Instant, name: &Name) -> Vec<Name> {
+        let account = &mut self.accounts[name];
+        let mut targets = Vec::new();
+        while targets.len() < account.width && account.tried < account.homes.len() {
+            let home = &account.homes[account.tried].seat.name;
+            account.tried += 1;
+            match self.silent.get(home) {
+                Some(at) if now.since(*at) < SILENCE => account.unreached = true,
+                _ => targets.push(home.clone()),
+            }
+        }
+        account.width *= 2;
+        targets
+    }
+
+    fn serve(&mut self, now: Instant, name: &Name) {
+        while let Some(first) = self.accounts[name].waiting.front().cloned() {
+            let team = self.accounts[name].team.clone();
+            if !self.spend(now, &team, first.tokens) {
+                return;
+            }
+            self.accounts[name].waiting.pop_front();
+            self.accounts[name].dry = None;
+            self.verdicts.push((first.wait, Verdict::Granted));
+        }
+    }
+
+    /// Refuses what waits and hands back what could not be used.
+    fn refuse_all(&mut self, now: Instant, name: &Name) {
+        let account = &mut self.accounts[name];
+        let cause = match account.unreached {
+            _ if self.table.seats.is_empty() => Cause::NoSeats,
+            true => Cause::Unreached,
+            false => Cause::Empty,
+        };
+        let waiting = std::mem::take(&mut account.waiting);
+        let least = waiting.iter().map(|it| it.tokens).min().unwrap_or(0);
+        for Waiting { wait, tokens, .. } in waiting {
+            let verdict = self.refused(now, name, tokens, cause);
+            if let Verdict::Refused { retry_after } = verdict {
+                let pause = (retry_after / 2).clamp(DRY_LEAST, DRY_MOST);
+                self.accounts[name].dry = Some((now + pause, least));
+            }
+            self.verdicts.push((wait, verdict));
+        }
+        self.hand_back(name, |_| true);
+    }
+
+    /// Borrows ahead of need if what is here would last less than half of the usual interval.
+    pub(super) fn top_up(&mut self, now: Instant, name: &Name) {
+        let available = self.available(now, name);
+        let account = &mut self.accounts[name];
+        let recent = account.topped_up.is_some_and(|at| now.since(at) < TOP_UP_INTERVAL);
+        let dry = account.dry.is_some_and(|(until, _)| now < until);
+        let demand = account.usage.demand(now);
+        if recent || dry || !account.asked.is_empty() || available >= demand / 2 {
+            return;
+        }
+        account.topped_up = Some(now);
+        let silent = &self.silent;
+        let heard = |home: &Name| silent.get(home).is_none_or(|at| now.since(*at) >= SILENCE);
+        let count = account.homes.len().max(1);
+        let turn = now.as_millis() as usize % count;
+        let homes = account.homes.iter().map(|it| &it.seat.name);
+        let home = homes.cycle().skip(turn).take(count).find(|it| heard(it)).cloned();
+        if let Some(home) = home {
+            self.busy.insert(name.clone());
+            self.send_ask(now, name, home, 0, demand);
+        }
+    }
+
+    fn send_ask(&mut self, now: Instant, name: &Name, home: Name, tokens: u64, ahead: u64) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let account = &mut self.accounts[name];
+        account.asked.push(Asked { home: home.clone(), sequence, at: now, overdue: false });
+        let closed = account.purse.close(&home, |it| it.left == 0 || it.until <= now);
+        let refund = std::mem::take(&mut account.refund);
+        let ask = Ask { team: name.to_string(), tokens, ahead, sequence, closed, refund };
+        self.out.push(Outgoing { to: home, kind: Kind::Ask(ask) });
+    }
+
+    /// Gives up the loans that `ends` selects, and those that are used up with them.
+    pub(super) fn hand_back(&mut self, name: &Name, ends: impl Fn(&Lump) -> bool) {
+        let account = &mut self.accounts[name];
+        for home in account.purse.homes(&ends) {
+            let closed = account.purse.close(&home, |it| ends(it) || it.left == 0);
+            self.sequence += 1;
+            let refund = std::mem::take(&mut account.refund);
+            let sequence = self.sequence;
+            let team = name.to_string();
+            let ask = Ask { team, tokens: 0, ahead: 0, sequence, closed, refund };
+            self.out.push(Outgoing { to: home, kind: Kind::Ask(ask) });
+        }
+    }
+
+    /// Ends what has taken too long.
+    pub(super) fn expire(&mut self, now: Instant, name: &Name) {
+        let Some(account) = self.accounts.get_mut(name) else {
+            self.busy.remove(name);
+            return;
+        };
+        for asked in &mut account.asked {
+            if !asked.overdue && now.since(asked.at) >= ANSWER_LIMIT {
+                asked.overdue = true;
+                account.unreached = true;
+                self.silent.insert(asked.home.clone(), now);
+            }
+        }
+        account.asked.retain(|it| now.since(it.at) < LOAN_TERM);
+        let limit = if self.table.seats.is_empty() { SEATS_LIMIT } else { ADMIT_LIMIT };
+        if account.waiting.front().is_some_and(|it| now.since(it.since) >= limit) {
+            self.refuse_all(now, name);
+        } else {
+            self.search(now, name);
+        }
+        let account = &self.accounts[name];
+        if account.waiting.is_empty() && account.asked.is_empty() {
+            self.busy.remove(name);
+        }
+    }
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -42,7 +42,7 @@
     pub incarnation: u64,
     /// Name of its data centre.
     pub datacentre: Name,
-    /// Number of instances among which rates are split.
+    /// Number of instances that take seats at the first start of the fleet.
     pub fleet_size: u64,
     /// Time between leaving the balancer and refusing new requests.
     pub balancer_lag: Duration,
@@ -63,13 +63,19 @@
     draining: Option<Instant>,
     stopped: bool,
     members_read: Option<Instant>,
+    seats_read: Option<Instant>,
+    seats_due: bool,
     effects: Vec<Effect>,
 }
 
 impl State {
     /// Creates the state of an instance that has just started, with its first effects.
     pub fn new(settings: Settings) -> (State, Vec<Effect>) {
-        let limits = limit::Limiter::new(settings.fleet_size);
+        let limits = limit::Limiter::new(
+            settings.name.clone(),
+            settings.incarnation,
+            settings.datacentre.clone(),
+        );
         let mut state = State {
             settings,
             config: Arc::new(Config::default()),
@@ -83,6 +89,8 @@
             draining: None,
             stopped: false,
             members_read: None,
+            seats_read: None,
+            seats_due: false,
             effects: Vec::new(),
         };
         state.start();
@@ -101,8 +109,9 @@
             Event::Stored { tag, answer } => self.stored(now, tag, answer),
             Event::Load { .. } => {}
             Event::Drain => self.drain(now),
-            Event::Query { id, query } => self.query(id, query),
+            Event::Query { id, query } => self.query(now, id, query),
         }
+        self.settle_limits(now);
         self.place(now);
         std::mem::take(&mut self.effects)
     }
@@ -125,6 +134,11 @@
         self.requests.len()
     }
 
+    /// Returns the tokens granted and given back since the last call, and keeps them from now on.
+    pub fn grants(&mut self) -> Vec<limit::Entry> {
+        self.limits.journal()
+    }
+
     fn emit(&mut self, effect: Effect) {
         self.effects.push(effect);
     }
@@ -139,16 +153,16 @@
         self.emit(Effect::Fail { request, failure });
     }
 
-    fn query(&mut self, id: u64, query: Query) {
+    fn query(&mut self, now: Instant, id: u64, query: Query) {
         let value = match query {
-            Query::Status => self.status(),
+            Query::Status => self.status(now),
             Query::Explain(request) => self.trace.explain(request),
             Query::Burn => self.burn.value(),
         };
         self.emit(Effect::Reply { id, value });
     }
 
-    fn status(&self) -> Value {
+    fn status(&mut self, now: Instant) -> Value {
         json!({
             "instance": self.settings.name,
             "incarnation": self.settings.incarnation,
@@ -158,6 +172,7 @@
             "draining": self.draining.is_some(),
             "members": self.members.iter().count(),
             "burn": self.burn.value(),
+            "teams": self.limits.status(now),
         })
     }
 }
--- a/crates/core/src/state/admission.rs
+++ b/crates/core/src/state/admission.rs
@@ -1,12 +1,12 @@
 //! From arrival to the queue: route, key, rate, claim.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     Instant, burn,
     error::{Failure, Kind},
     key, limit,
-    object::{Name, Route, Workload},
+    object::{Route, Workload},
     request::{Arrival, Id, Phase, Request},
 };
 
@@ -16,8 +16,8 @@
     /// Takes a new request, or answers it with the reason why not.
     pub(super) fn arrive(&mut self, now: Instant, arrival: Arrival) {
         let id = arrival.id;
-        match self.admit(now, arrival) {
-            Ok(request) => self.accept(now, request),
+        match self.check(now, arrival) {
+            Ok(request) => self.charge(now, request),
             Err(failure) => {
                 self.trace.note(now, id, format!("refused: {}", failure.kind.as_str()));
                 self.fail(id, failure);
@@ -25,7 +25,7 @@
         }
     }
 
-    fn admit(&mut self, now: Instant, arrival: Arrival) -> Result<Request, Failure> {
+    fn check(&self, now: Instant, arrival: Arrival) -> Result<Request, Failure> {
         if self.has_left(now) {
             return Err(Failure::not_run(Kind::Draining));
         }
@@ -39,8 +39,6 @@
             return Err(Failure::not_run(Kind::Unauthorized));
         }
         let team = key.map(|key| key.team.clone());
-        let charged = self.cost(&route, &arrival);
-        self.charge(now, &route, team.as_ref(), charged)?;
         Ok(Request {
             key_name: key.map(|key| key.name.clone()),
             team,
@@ -53,7 +51,7 @@
             placement: None,
             kv: None,
             next_index: 0,
-            charged,
+            charged: 0,
             claim: None,
             avoid: Vec::new(),
             arrival,
@@ -67,24 +65,60 @@
         }
     }
 
-    fn charge(
-        &mut self,
-        now: Instant,
-        route: &Route,
-        team: Option<&Name>,
-        tokens: u64,
-    ) -> Result<(), Failure> {
+    /// Charges the team; the request waits if the right to spend has to come from elsewhere.
+    fn charge(&mut self, now: Instant, mut request: Request) {
         let config = self.config.clone();
-        let Some(team) = team.and_then(|name| config.set.teams.get(name)) else { return Ok(()) };
-        match self.limits.take(now, team, tokens) {
-            limit::Verdict::Granted => Ok(()),
+        let Some(team) = request.team.as_ref().and_then(|name| config.set.teams.get(name)) else {
+            return self.accept(now, request);
+        };
+        let id = request.arrival.id;
+        let tokens = self.cost(&request.route, &request.arrival);
+        match self.limits.take(now, team, id.0, tokens) {
+            limit::Verdict::Granted => {
+                request.charged = tokens;
+                self.accept(now, request);
+            }
+            limit::Verdict::Pending => {
+                self.trace.note(now, id, format!("waits for {tokens} tokens from other homes"));
+                self.requests.insert(id, request);
+            }
+            limit::Verdict::Refused { retry_after } => {
+                self.requests.insert(id, request);
+                self.refuse(now, id, retry_after);
+            }
+        }
+    }
+
+    /// Goes on with a request whose right to spend has been decided.
+    pub(super) fn charged(&mut self, now: Instant, id: Id, verdict: limit::Verdict) {
+        let Some(mut request) = self.requests.swap_remove(&id) else { return };
+        match verdict {
+            limit::Verdict::Granted => {
+                request.charged = self.cost(&request.route, &request.arrival);
+                self.accept(now, request);
+            }
             limit::Verdict::Refused { retry_after } => {
-                self.burn.bad(now, &route.service, &team.name, burn::Cause::Refusal);
-                Err(Failure::not_run(Kind::RateLimited).with_retry_after(retry_after))
+                self.requests.insert(id, request);
+                self.refuse(now, id, retry_after);
             }
+            limit::Verdict::Pending => {}
         }
     }
 
+    /// Refuses a request whose team may not spend, and notes where its rights are.
+    fn refuse(&mut self, now: Instant, id: Id, retry_after: Duration) {
+        let config = self.config.clone();
+        let Some(request) = self.requests.get(&id) else { return };
+        let (service, name) = (request.route.service.clone(), request.team.clone());
+        if let Some(team) = name.and_then(|name| config.set.teams.get(&name)) {
+            self.burn.bad(now, &service, &team.name, burn::Cause::Refusal);
+            let rights = self.limits.explain(now, team);
+            let text = format!("refused: {rights}; again in {} ms", retry_after.as_millis());
+            self.trace.note(now, id, text);
+        }
+        self.fail(id, Failure::not_run(Kind::RateLimited).with_retry_after(retry_after));
+    }
+
     fn accept(&mut self, now: Instant, request: Request) {
         let id = request.arrival.id;
         let text = format!(
@@ -103,11 +137,19 @@
     }
 
     /// Gives back to the team what a request did not use.
-    pub(super) fn refund(&mut self, id: Id, tokens: u64) {
+    pub(super) fn refund(&mut self, now: Instant, id: Id, tokens: u64) {
         let config = self.config.clone();
-        let team = self.requests.get(&id).and_then(|it| it.team.clone());
-        if let Some(team) = team.and_then(|name| config.set.teams.get(&name)) {
-            self.limits.give_back(team, tokens);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(team) = request.team.as_ref().and_then(|name| config.set.teams.get(name)) else {
+            return;
+        };
+        if request.phase == Phase::Admitting {
+            return self.limits.forget(&team.name, id.0);
+        }
+        let tokens = tokens.min(request.charged);
+        request.charged -= tokens;
+        if tokens > 0 {
+            self.limits.give_back(now, team, tokens);
         }
     }
 
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -158,7 +158,7 @@
         if failure.ran == Ran::No {
             self.settle(id, ClaimOutcome::NotRun);
             if let Some(charged) = self.requests.get(&id).map(|it| it.charged) {
-                self.refund(id, charged);
+                self.refund(now, id, charged);
             }
         }
         self.fail(id, failure);
@@ -172,7 +172,7 @@
             Some(Placement { prefill: Some(_), .. }) => request.charged.saturating_sub(used),
             _ => 0,
         };
-        self.refund(id, unused);
+        self.refund(now, id, unused);
         self.count_end(now, id, tokens);
         self.trace.note(now, id, format!("answered, {tokens} tokens"));
         if let Some(request) = self.requests.swap_remove(&id) {
@@ -217,7 +217,7 @@
         match not_sent {
             true => {
                 self.settle(id, ClaimOutcome::NotRun);
-                self.refund(id, charged);
+                self.refund(now, id, charged);
             }
             false => self.settle(id, ClaimOutcome::Unknown),
         }
--- a/crates/core/src/state/claims.rs
+++ b/crates/core/src/state/claims.rs
@@ -79,7 +79,7 @@
             Verdict::Free => self.write_claim(id, Some(version), None, Tag::Claim(id)),
             Verdict::Replay(answer) => {
                 self.trace.note(now, id, "answered with the recorded answer of its first run");
-                self.refund(id, self.requests[&id].charged);
+                self.refund(now, id, self.requests[&id].charged);
                 self.requests.swap_remove(&id);
                 self.emit(Effect::Replay { request: id, answer });
             }
--- a/crates/core/src/state/control.rs
+++ b/crates/core/src/state/control.rs
@@ -52,6 +52,7 @@
                 }
             }
             (Tag::Instances, _) => {}
+            (Tag::Seats, answer) => self.seats_answered(now, answer),
             (tag, answer) => {
                 let leads = self.leads();
                 let outputs = self.sync.stored(&tag, answer, leads);
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -24,6 +24,8 @@
     Status,
     /// The platform's list of instances.
     Instances,
+    /// The seats among which rates are divided.
+    Seats,
     /// The claim of a non-idempotent request.
     Claim(request::Id),
     /// The read of a claim that may be another's.
--- a/crates/harness/src/world.rs
+++ b/crates/harness/src/world.rs
@@ -17,7 +17,7 @@
 use rand::{Rng as _, RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use siskinstile_core::{
-    Effect, Event, Instant, State, member,
+    Effect, Event, Instant, State, limit, member,
     object::{self, Name},
     request, state,
     store::{Answer, Call, Tag},
@@ -163,6 +163,8 @@
     pub traffic: (u64, u64),
     /// What instances did towards callers, oldest first; the driver drains it.
     pub outputs: Vec<Output>,
+    /// Tokens that instances granted or gave back, oldest first; the driver drains it.
+    pub grants: Vec<(Instant, limit::Entry)>,
     now: Instant,
     sequence: u64,
     queue: BinaryHeap<Reverse<Entry>>,
@@ -181,6 +183,7 @@
             steps: 0,
             traffic: (0, 0),
             outputs: Vec::new(),
+            grants: Vec::new(),
             now: Instant::default(),
             sequence: 0,
             queue: BinaryHeap::new(),
@@ -320,6 +323,8 @@
         let Some(state) = &mut node.state else { return };
         let ticked = event == Event::Tick;
         let effects = state.step(clock, event);
+        let granted = state.grants();
+        self.grants.extend(granted.into_iter().map(|entry| (self.now, entry)));
         self.steps += 1;
         self.carry_out(to, effects);
         if ticked {
--- a/crates/wire/src/message/limit.rs
+++ b/crates/wire/src/message/limit.rs
@@ -4,65 +4,87 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Message {
     /// What it says.
-    #[prost(oneof = "Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4")]
     pub kind: Option<Kind>,
 }
 
 /// What a message says.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Kind {
-    /// The sender wants the right to spend.
+    /// The sender wants the right to spend, or hands back what it has already given up.
     #[prost(message, tag = "1")]
     Ask(Ask),
     /// The sender hands over a right that it has already given up.
     #[prost(message, tag = "2")]
     Lend(Lend),
-    /// The sender hands back a right that it has already given up.
+    /// The sender does not know the seats.
     #[prost(message, tag = "3")]
-    Return(Return),
+    Fetch(Fetch),
+    /// The seats as the sender knows them.
+    #[prost(message, tag = "4")]
+    Seats(Seats),
 }
 
-/// Asks for the right to spend tokens.
+/// Asks for the seats.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Fetch {}
+
+/// Tells the seats, which never change once they are made.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Seats {
+    /// The table as JSON, as it is on the platform.
+    #[prost(string, tag = "1")]
+    pub table: String,
+}
+
+/// Asks for the right to spend tokens, and hands back rights; with no tokens asked for it needs no
+/// answer.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
     /// Name of the team.
     #[prost(string, tag = "1")]
     pub team: String,
-    /// Tokens wanted.
+    /// Tokens that waiting requests lack.
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
-    /// Number of this message among those of the sender.
+    /// Tokens wanted besides, ahead of need.
     #[prost(uint64, tag = "3")]
+    pub ahead: u64,
+    /// Number of this message among those of the sender's incarnation.
+    #[prost(uint64, tag = "4")]
     pub sequence: u64,
+    /// Loans that the sender has given up.
+    #[prost(message, repeated, tag = "5")]
+    pub closed: Vec<Closed>,
+    /// Tokens that were charged at the sender and not used.
+    #[prost(uint64, tag = "6")]
+    pub refund: u64,
 }
 
-/// Hands over the right to spend tokens.
+/// A loan that its borrower has given up.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Lend {
-    /// Name of the team.
-    #[prost(string, tag = "1")]
-    pub team: String,
-    /// Tokens handed over; zero for a refusal.
-    #[prost(uint64, tag = "2")]
-    pub tokens: u64,
-    /// Number of the request that this answers.
-    #[prost(uint64, tag = "3")]
+pub struct Closed {
+    /// Number of the request that it answered.
+    #[prost(uint64, tag = "1")]
     pub sequence: u64,
-    /// Milliseconds after which asking again makes sense, for a refusal.
-    #[prost(uint64, tag = "4")]
-    pub retry_ms: u64,
+    /// Tokens that were not spent.
+    #[prost(uint64, tag = "2")]
+    pub left: u64,
 }
 
-/// Hands back the right to spend tokens.
+/// Hands over the right to spend tokens for a term that starts when it was asked for.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Return {
+pub struct Lend {
     /// Name of the team.
     #[prost(string, tag = "1")]
     pub team: String,
-    /// Tokens handed back.
+    /// Tokens handed over; zero for a refusal.
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
-    /// Number of this message among those of the sender.
+    /// Number of the request that this answers.
     #[prost(uint64, tag = "3")]
     pub sequence: u64,
+    /// Incarnation of the instance that asked.
+    #[prost(fixed64, tag = "4")]
+    pub incarnation: u64,
 }
