--- a/crates/core/src/limit/limiter/borrow.rs
+++ b/crates/core/src/limit/limiter/borrow.rs
@@ -13,6 +13,10 @@
 
 /// Time after which a round of a search no longer waits for an answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+/// What the homes of a round are asked for together, as a multiple of what is missing.
+const ROUND_EXCESS: u64 = 2;
+/// Growth of the number of homes from one round to the next.
+const ROUND_GROWTH: usize = 2;
 /// Time for which a home that did not answer is asked last.
 const SILENCE: Duration = Duration::from_secs(2);
 /// Shortest and longest time for which a failed search stands for those that would follow.
@@ -77,8 +81,13 @@
         if targets.is_empty() {
             return self.refuse_all(now, name);
         }
-        let ahead = self.accounts[name].usage.demand(now) / 2;
-        targets.into_iter().for_each(|home| self.send_ask(now, name, home, missing, ahead));
+        let count = targets.len() as u64;
+        let ahead = match count {
+            1 => self.accounts[name].usage.demand(now) / 2,
+            _ => 0,
+        };
+        let each = missing.min((missing * ROUND_EXCESS).div_ceil(count));
+        targets.into_iter().for_each(|home| self.send_ask(now, name, home, each, ahead));
     }
 
     /// Returns the homes of the next round; those that lately did not answer are passed over.
@@ -93,7 +102,7 @@
                 _ => targets.push(home.clone()),
             }
         }
-        account.width *= 2;
+        account.width *= ROUND_GROWTH;
         targets
     }
 
--- a/crates/harness/src/policy.rs
+++ b/crates/harness/src/policy.rs
@@ -1,5 +1,7 @@
 //! Policy runs on virtual time over the real reducer, each against baselines in the same run.
 
+pub mod limits;
+
 use clap::ValueEnum;
 
 /// What is run.
@@ -9,6 +11,12 @@
     Board,
     /// The pools of the association.
     Association,
+    /// Rates of six instances without faults.
+    LimitsSix,
+    /// Rates of six instances with deaths and a data centre cut off.
+    LimitsFaults,
+    /// Rates at the target size.
+    LimitsLarge,
 }
 
 /// Runs a scenario and prints its figures.
@@ -16,6 +24,11 @@
 /// # Errors
 ///
 /// The scenario has no runner yet.
-pub fn run(scenario: Scenario, _seed: u64) -> anyhow::Result<()> {
-    anyhow::bail!("no runner for {scenario:?} yet")
+pub fn run(scenario: Scenario, seed: u64) -> anyhow::Result<()> {
+    match scenario {
+        Scenario::LimitsSix => limits::quiet(seed),
+        Scenario::LimitsFaults => limits::faults(seed),
+        Scenario::LimitsLarge => limits::large(seed),
+        scenario => anyhow::bail!("no runner for {scenario:?} yet"),
+    }
 }
--- a/crates/harness/src/world.rs
+++ b/crates/harness/src/world.rs
@@ -164,7 +164,7 @@
     /// What instances did towards callers, oldest first; the driver drains it.
     pub outputs: Vec<Output>,
     /// Tokens that instances granted or gave back, oldest first; the driver drains it.
-    pub grants: Vec<(Instant, limit::Entry)>,
+    pub grants: Vec<(Instant, Name, limit::Entry)>,
     now: Instant,
     sequence: u64,
     queue: BinaryHeap<Reverse<Entry>>,
@@ -324,7 +324,7 @@
         let ticked = event == Event::Tick;
         let effects = state.step(clock, event);
         let granted = state.grants();
-        self.grants.extend(granted.into_iter().map(|entry| (self.now, entry)));
+        self.grants.extend(granted.into_iter().map(|entry| (self.now, to.clone(), entry)));
         self.steps += 1;
         self.carry_out(to, effects);
         if ticked {
