Bound what is borrowed ahead by a part of the burst

Cause: in six instances all wrongful refusals are of the team with a burst of 200 tokens.

Change: an instance borrows ahead at most 1/64 of a team's burst. The large run prints wrongful refusals by rank of team.

The loss is elsewhere: in the rounds.

--- a/crates/core/src/limit/limiter/borrow.rs
+++ b/crates/core/src/limit/limiter/borrow.rs
@@ -13,6 +13,8 @@
 
 /// Time after which a round of a search no longer waits for an answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+/// Most that one instance borrows ahead of need, as a divisor of the burst.
+const AHEAD_DIVISOR: u64 = 64;
 /// What the homes of a round are asked for together, as a multiple of what is missing.
 const ROUND_EXCESS: u64 = 2;
 /// Growth of the number of homes from one round to the next.
@@ -83,13 +85,20 @@
         }
         let count = targets.len() as u64;
         let ahead = match count {
-            1 => self.accounts[name].usage.demand(now) / 2,
+            1 => self.ahead(now, name) / 2,
             _ => 0,
         };
         let each = missing.min((missing * ROUND_EXCESS).div_ceil(count));
         targets.into_iter().for_each(|home| self.send_ask(now, name, home, each, ahead));
     }
 
+    /// Returns what it makes sense to borrow ahead of need: the recent demand of a second, if that
+    /// is a small part of the burst; what lies borrowed at one instance is missing at the others.
+    fn ahead(&mut self, now: Instant, name: &Name) -> u64 {
+        let account = &mut self.accounts[name];
+        account.usage.demand(now).min(account.team.burst / AHEAD_DIVISOR)
+    }
+
     /// Returns the homes of the next round; those that lately did not answer are passed over.
     fn round(&mut self, now: Instant, name: &Name) -> Vec<Name> {
         let account = &mut self.accounts[name];
@@ -142,11 +151,11 @@
     /// Borrows ahead of need if what is here would last less than half of the usual interval.
     pub(super) fn top_up(&mut self, now: Instant, name: &Name) {
         let available = self.available(now, name);
+        let ahead = self.ahead(now, name);
         let account = &mut self.accounts[name];
         let recent = account.topped_up.is_some_and(|at| now.since(at) < TOP_UP_INTERVAL);
         let dry = account.dry.is_some_and(|(until, _)| now < until);
-        let demand = account.usage.demand(now);
-        if recent || dry || !account.asked.is_empty() || available >= demand / 2 {
+        if recent || dry || !account.asked.is_empty() || available >= ahead / 2 {
             return;
         }
         account.topped_up = Some(now);
@@ -158,7 +167,7 @@
         let home = homes.cycle().skip(turn).take(count).find(|it| heard(it)).cloned();
         if let Some(home) = home {
             self.busy.insert(name.clone());
-            self.send_ask(now, name, home, 0, demand);
+            self.send_ask(now, name, home, 0, ahead);
         }
     }
 
--- a/crates/harness/src/policy/limits/large.rs
+++ b/crates/harness/src/policy/limits/large.rs
@@ -83,6 +83,11 @@
     );
     ours.counts.print("handed over");
     baselines.iter().for_each(Baseline::print);
+    let rank = |name: &Name| name[5..].parse::<usize>().unwrap_or(0);
+    for (least, most) in [(0, 10), (10, 100), (100, 1_000), (1_000, TEAMS)] {
+        let of = ours.by_team.iter().filter(|it| (least..most).contains(&rank(it.0)));
+        println!("wrongful, teams {least} to {most}: {}", of.map(|it| it.1).sum::<u64>());
+    }
     slopes(&mesh, wait, spent);
     println!("the run took {:?}", started.elapsed());
     Ok(())
