Ask the homes with the largest parts first

Cause: with many data centres the near homes hold 2% of a team each and the first rounds find nothing.

Change: homes are asked by part, then by nearness, in rounds of 1, 4 and 16.

--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -427,7 +427,7 @@
     homes.retain(|it| it.seat.name != *own);
     homes.sort_by_key(|it| {
         let near = it.seat.datacentre == *datacentre;
-        (!near, std::cmp::Reverse(it.ppm), crate::member::rank(&it.seat.name, own))
+        (std::cmp::Reverse(it.ppm), !near, crate::member::rank(&it.seat.name, own))
     });
     (homes.into(), own_ppm)
 }
--- a/crates/core/src/limit/limiter/borrow.rs
+++ b/crates/core/src/limit/limiter/borrow.rs
@@ -18,7 +18,7 @@
 /// What the homes of a round are asked for together, as a multiple of what is missing.
 const ROUND_EXCESS: u64 = 2;
 /// Growth of the number of homes from one round to the next.
-const ROUND_GROWTH: usize = 2;
+const ROUND_GROWTH: usize = 4;
 /// Time for which a home that did not answer is asked last.
 const SILENCE: Duration = Duration::from_secs(2);
 /// Shortest and longest time for which a failed search stands for those that would follow.
