--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -49,7 +49,7 @@
     pub incarnation: u64,
     /// Name of its data centre.
     pub datacentre: Name,
-    /// Number of instances among which rates are split.
+    /// Number of instances that take seats at the first start of the fleet.
     pub fleet_size: u64,
     /// Time between leaving the balancer and refusing new requests.
     pub balancer_lag: Duration,
@@ -77,13 +77,19 @@
     publisher: publish::Publisher,
     times: members::Times,
     moments: control::Moments,
+    seats_read: Option<Instant>,
+    seats_due: bool,
     effects: Vec<Effect>,
 }
 
 impl State {
     /// Creates the state of an instance that has just started, with its first effects.
     pub fn new(settings: Settings) -> (State, Vec<Effect>) {
-        let limits = limit::Limiter::new(settings.fleet_size);
+        let limits = limit::Limiter::new(
+            settings.name.clone(),
+            settings.incarnation,
+            settings.datacentre.clone(),
+        );
         let publisher = publish::Publisher::new(settings.name.clone(), settings.incarnation);
         let mut state = State {
             settings,
@@ -105,6 +111,8 @@
             publisher,
             times: members::Times::default(),
             moments: control::Moments::default(),
+            seats_read: None,
+            seats_due: false,
             effects: Vec::new(),
         };
         state.start();
@@ -125,6 +133,7 @@
             Event::Drain => self.drain(now),
             Event::Query { id, query } => self.query(now, id, query),
         }
+        self.settle_limits(now);
         self.place(now);
         std::mem::take(&mut self.effects)
     }
@@ -150,6 +159,11 @@
         self.requests.len()
     }
 
+    /// Returns the tokens granted and given back since the last call, and keeps them from now on.
+    pub fn grants(&mut self) -> Vec<limit::Entry> {
+        self.limits.journal()
+    }
+
     fn emit(&mut self, effect: Effect) {
         self.effects.push(effect);
     }
@@ -181,7 +195,7 @@
         self.emit(Effect::Reply { id, reply });
     }
 
-    fn status(&self, now: Instant) -> Value {
+    fn status(&mut self, now: Instant) -> Value {
         json!({
             "instance": self.settings.name,
             "incarnation": self.settings.incarnation,
@@ -191,6 +205,7 @@
             "draining": self.draining.is_some(),
             "members": self.members.iter().count(),
             "configuration": self.control_status(now),
+            "teams": self.limits.status(now),
         })
     }
 }
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -134,7 +134,7 @@
             Some(Placement { prefill: Some(_), .. }) => request.charged.saturating_sub(used),
             _ => 0,
         };
-        self.refund(id, unused);
+        self.refund(now, id, unused);
         self.count_end(now, id, tokens);
         self.trace.note(now, id, format!("answered, {tokens} tokens"));
         self.drop_hold(id);
@@ -181,7 +181,7 @@
         self.trace.note(now, id, "the caller left");
         self.withdraw(id);
         if !sent {
-            self.refund(id, charged);
+            self.refund(now, id, charged);
         }
         self.settle_failed(id, if sent { Ran::Unknown } else { Ran::No });
         self.end_attempt(id);
--- a/crates/core/src/state/control.rs
+++ b/crates/core/src/state/control.rs
@@ -69,6 +69,7 @@
                 let outputs = self.publisher.answered(now, number, step, answer);
                 self.apply(now, outputs);
             }
+            (Tag::Seats, answer) => self.seats_answered(now, answer),
             (tag, answer) => {
                 let outputs = self.sync.stored(now, tag, answer);
                 self.apply(now, outputs);
--- a/crates/core/src/state/keys.rs
+++ b/crates/core/src/state/keys.rs
@@ -23,7 +23,7 @@
             self.trace.note(now, id, "its key was withdrawn");
             self.withdraw(id);
             self.settle(id, Outcome::NotRun);
-            self.refund(id, charged);
+            self.refund(now, id, charged);
             self.fail(id, Failure::not_run(Kind::Unauthorized));
         }
     }
--- a/crates/core/src/state/retries.rs
+++ b/crates/core/src/state/retries.rs
@@ -155,7 +155,7 @@
         self.log(log::REQUEST_FAILED, format!("{id} {}", failure.kind.as_str()));
         let unsent = self.requests.get(&id).filter(|it| !it.sent).map(|it| it.charged);
         if let Some(charged) = unsent {
-            self.refund(id, charged);
+            self.refund(now, id, charged);
         }
         self.fail(id, failure);
     }
--- a/crates/harness/src/world.rs
+++ b/crates/harness/src/world.rs
@@ -17,7 +17,7 @@
 use rand::{Rng as _, RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use siskinstile_core::{
-    Effect, Event, Instant, State, member,
+    Effect, Event, Instant, State, limit, member,
     object::{self, Name},
     request, state,
     store::{Answer, Call, Tag},
@@ -165,6 +165,8 @@
     pub planted: Option<siskinstile_core::fault::Fault>,
     /// What instances did towards callers, oldest first; the driver drains it.
     pub outputs: Vec<Output>,
+    /// Tokens that instances granted or gave back, oldest first; the driver drains it.
+    pub grants: Vec<(Instant, Name, limit::Entry)>,
     now: Instant,
     sequence: u64,
     queue: BinaryHeap<Reverse<Entry>>,
@@ -184,6 +186,7 @@
             traffic: (0, 0),
             planted: None,
             outputs: Vec::new(),
+            grants: Vec::new(),
             now: Instant::default(),
             sequence: 0,
             queue: BinaryHeap::new(),
@@ -324,6 +327,8 @@
         let Some(state) = &mut node.state else { return };
         let ticked = event == Event::Tick;
         let effects = state.step(clock, event);
+        let granted = state.grants();
+        self.grants.extend(granted.into_iter().map(|entry| (self.now, to.clone(), entry)));
         self.steps += 1;
         self.carry_out(to, effects);
         if ticked {
