--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -9,6 +9,8 @@
 use indexmap::IndexMap;
 use siskinstile_macros::value;
 
+use crate::place::Policy;
+
 /// A shared immutable name.
 pub type Name = Arc<str>;
 
@@ -206,6 +208,9 @@
     /// Requests that may wait in one data centre.
     #[serde(default = "default_queue_limit")]
     pub queue_limit: u32,
+    /// How endpoints are chosen.
+    #[serde(default)]
+    pub policy: Policy,
 }
 
 fn default_prefill_rate() -> u64 {
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -1,19 +1,36 @@
 //! The choice of endpoints for queued requests.
 //!
-//! The dispatcher knows its own placements exactly. A request leaves the queue only when a prefill
-//! endpoint and a decode place are free for it together.
+//! Each pool has a [`Scheduler`]: a fair queue, the dispatcher's own record of what it has placed
+//! at each endpoint, and a [`Policy`]. A request leaves the queue only with endpoints for all its
+//! steps. Load reports come late and only correct the own record.
 
-use std::{collections::VecDeque, sync::Arc};
+mod baseline;
+mod cache;
+mod endpoint;
+mod health;
+mod learn;
+mod policy;
+mod scheduler;
+mod score;
+
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use siskinstile_macros::value;
 
 use crate::{
-    Config,
-    object::{Endpoint, Name, Pool, Role},
-    request::{self, Placement},
+    Config, Instant,
+    error::Failure,
+    object::{Name, Pool, Urgency},
+    request::{self, Outcome, Placement},
 };
 
+pub use policy::Policy;
+pub use scheduler::Scheduler;
+
+/// Tokens in a piece of engine memory.
+pub const PIECE_TOKENS: u64 = 2_000;
+
 /// A request that waits for endpoints.
 #[value]
 pub struct Job {
@@ -21,8 +38,42 @@
     pub request: request::Id,
     /// Name of its pool.
     pub pool: Name,
+    /// Name of its route.
+    pub route: Name,
+    /// Name of its team; empty on an open route without a key.
+    pub team: Name,
+    /// Weight of its team.
+    pub weight: u32,
+    /// How long it may wait.
+    pub urgency: Urgency,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// Prompt length, in tokens.
+    pub prompt: u64,
+    /// Most tokens that it may generate.
+    pub most: u64,
+    /// Hashes of the prompt's prefixes by piece.
+    pub prefixes: std::sync::Arc<[u64]>,
+    /// Target for the first token.
+    pub first_token: Duration,
+    /// Target for the mean time between tokens.
+    pub between_tokens: Duration,
     /// Endpoints not to be tried first.
     pub avoid: Vec<Name>,
+    /// Whether an attempt of it has been made, so that it may have run and is not refused.
+    pub again: bool,
+}
+
+impl Job {
+    /// Returns the moment by which its first token is wanted.
+    pub fn deadline(&self) -> Instant {
+        self.arrived + self.first_token
+    }
+
+    /// Returns the pieces of engine memory that it may come to need.
+    pub fn pieces(&self) -> u64 {
+        (self.prompt + self.most).div_ceil(PIECE_TOKENS)
+    }
 }
 
 /// The dispatcher's answer on a job.
@@ -34,14 +85,26 @@
         request: request::Id,
         /// The endpoints.
         placement: Placement,
+        /// Why these.
+        reason: String,
+    },
+    /// The job gets no endpoints.
+    Refused {
+        /// The request.
+        request: request::Id,
+        /// What the caller hears.
+        failure: Failure,
+        /// Why.
+        reason: String,
     },
 }
 
-/// The queues of all pools and the places taken at their endpoints.
+/// The schedulers of all pools.
 #[value(default)]
 pub struct Dispatcher {
-    queues: IndexMap<Name, VecDeque<Job>>,
-    used: IndexMap<Name, u32>,
+    pools: IndexMap<Name, Scheduler>,
+    /// Pool of each request that waits or runs.
+    owners: IndexMap<request::Id, Name>,
 }
 
 impl Dispatcher {
@@ -49,79 +112,80 @@
     ///
     /// # Errors
     ///
-    /// Gives the job back if the queue of its pool is full.
-    pub fn submit(&mut self, pool: &Pool, job: Job) -> Result<(), Job> {
-        let queue = self.queues.entry(pool.name.clone()).or_default();
-        if queue.len() >= pool.queue_limit as usize {
-            return Err(job);
-        }
-        queue.push_back(job);
+    /// Returns what the caller hears if the queue is full or the targets cannot be met.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        pool: &Pool,
+        datacentre: &str,
+        job: Job,
+    ) -> Result<(), Failure> {
+        let request = job.request;
+        let scheduler = self.pools.entry(pool.name.clone()).or_default();
+        scheduler.update(pool, datacentre);
+        scheduler.submit(now, job)?;
+        self.owners.insert(request, pool.name.clone());
         Ok(())
     }
 
     /// Removes a job that nobody waits for.
     pub fn remove(&mut self, request: request::Id) {
-        for queue in self.queues.values_mut() {
-            queue.retain(|job| job.request != request);
+        let waiting = self.scheduler(request).is_some_and(|it| it.remove(request));
+        if waiting {
+            self.owners.swap_remove(&request);
         }
     }
 
-    /// Frees the places of an attempt.
-    pub fn release(&mut self, endpoint: &Endpoint) {
-        if let Some(used) = self.used.get_mut(&endpoint.name) {
-            *used = used.saturating_sub(1);
+    /// Frees what an attempt of a request took.
+    pub fn release(&mut self, request: request::Id) {
+        if let Some(scheduler) = self.scheduler(request) {
+            scheduler.release(request);
         }
+        self.owners.swap_remove(&request);
     }
 
-    /// Places the jobs that can be placed now.
-    pub fn poll(&mut self, config: &Config, datacentre: &str) -> Vec<Decision> {
-        let mut out = Vec::new();
-        let pools: Vec<Name> = self.queues.keys().cloned().collect();
-        for name in pools {
-            let Some(pool) = config.pool(&name).cloned() else { continue };
-            while let Some(decision) = self.place_next(&pool, datacentre) {
-                out.push(decision);
-            }
+    /// Takes notice of what became of a step.
+    pub fn observe(&mut self, now: Instant, request: request::Id, outcome: &Outcome) {
+        if let Some(scheduler) = self.scheduler(request) {
+            scheduler.observe(now, request, outcome);
         }
-        out
     }
 
-    fn place_next(&mut self, pool: &Pool, datacentre: &str) -> Option<Decision> {
-        let job = self.queues.get(&pool.name)?.front()?.clone();
-        let plain = pool.endpoints.iter().any(|it| it.role == Role::Plain);
-        let run_role = if plain { Role::Plain } else { Role::Decode };
-        let run = self.pick(pool, run_role, datacentre, &job.avoid)?;
-        let prefill = match plain {
-            true => None,
-            false => Some(self.pick(pool, Role::Prefill, datacentre, &job.avoid)?),
-        };
-        for endpoint in prefill.iter().chain([&run]) {
-            *self.used.entry(endpoint.name.clone()).or_default() += 1;
+    /// Takes an endpoint's report of its load, as it was some time ago.
+    pub fn load(&mut self, endpoint: &str, running: u32, queued: u32) {
+        for scheduler in self.pools.values_mut() {
+            scheduler.load(endpoint, running, queued);
         }
-        self.queues.get_mut(&pool.name)?.pop_front();
-        Some(Decision::Placed { request: job.request, placement: Placement { prefill, run } })
     }
 
-    /// Returns the endpoint with the smallest part of its places taken.
-    fn pick(
-        &self,
-        pool: &Pool,
-        role: Role,
-        datacentre: &str,
-        avoid: &[Name],
-    ) -> Option<Arc<Endpoint>> {
-        pool.endpoints
-            .iter()
-            .filter(|it| it.role == role && !it.leaving && self.taken(it) < it.places)
-            .min_by_key(|it| {
-                let part = u64::from(self.taken(it)) * 1_000 / u64::from(it.places.max(1));
-                (avoid.contains(&it.name), &*it.datacentre != datacentre, part)
-            })
-            .cloned()
-            .map(Arc::new)
+    /// Takes the passing of time into account.
+    pub fn tick(&mut self, now: Instant) {
+        self.pools.values_mut().for_each(|it| it.tick(now));
+    }
+
+    /// Places the jobs that can be placed now and refuses those that are too late.
+    pub fn poll(&mut self, now: Instant, config: &Config, datacentre: &str) -> Vec<Decision> {
+        let mut out = Vec::new();
+        for (name, scheduler) in &mut self.pools {
+            if let Some(pool) = config.pool(name) {
+                scheduler.update(pool, datacentre);
+                scheduler.poll(now, &mut out);
+            }
+        }
+        for decision in &out {
+            if let Decision::Refused { request, .. } = decision {
+                self.owners.swap_remove(request);
+            }
+        }
+        out
+    }
+
+    fn scheduler(&mut self, request: request::Id) -> Option<&mut Scheduler> {
+        self.pools.get_mut(self.owners.get(&request)?)
     }
 
-    fn taken(&self, endpoint: &Endpoint) -> u32 {
-        self.used.get(&endpoint.name).copied().unwrap_or(0)
+    /// Returns the scheduler of a pool.
+    pub fn pool(&self, name: &str) -> Option<&Scheduler> {
+        self.pools.get(name)
     }
 }
--- /dev/null
+++ b/crates/core/src/place/baseline.rs
@@ -0,0 +1,39 @@
+//! The simple ways to choose endpoints, kept to compare with.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Job, Policy, endpoint::Slot};
+use crate::object::Name;
+
+/// Returns an endpoint of one role by a simple policy, if it has one for the job now.
+pub(super) fn pick<'a>(
+    policy: Policy,
+    slots: impl Iterator<Item = &'a Slot>,
+    job: &Job,
+    turn: usize,
+    prefill: bool,
+) -> Option<Name> {
+    let slots: Vec<&Slot> = slots.filter(|it| !it.endpoint.leaving).collect();
+    let chosen = match policy {
+        Policy::LeastUsed => {
+            slots.iter().filter(|it| it.used < it.endpoint.places).min_by_key(|it| {
+                let part = u64::from(it.used) * 1_000 / u64::from(it.endpoint.places.max(1));
+                (job.avoid.contains(&it.endpoint.name), !it.local, part)
+            })
+        }
+        Policy::LeastLoad => {
+            let count = slots.len().max(1);
+            slots
+                .iter()
+                .enumerate()
+                .min_by_key(|(index, it)| (it.reported, (index + turn) % count))
+                .map(|(_, it)| it)
+        }
+        Policy::PrefixAffinity if prefill => {
+            let key = job.prefixes.first().copied().unwrap_or(job.request.0);
+            slots.iter().max_by_key(|it| xxh3_64_with_seed(it.endpoint.name.as_bytes(), key))
+        }
+        _ => slots.get(turn % slots.len().max(1)),
+    };
+    chosen.map(|it| it.endpoint.name.clone())
+}
--- /dev/null
+++ b/crates/core/src/place/score.rs
@@ -0,0 +1,140 @@
+//! The comparison of endpoints for one job.
+
+use std::time::Duration;
+
+use siskinstile_macros::value;
+
+use super::{Job, cache::Index, endpoint::Slot};
+use crate::{
+    Instant,
+    object::{Name, Pool},
+};
+
+/// Longest time that a prompt may wait at a prefill endpoint for the one before it.
+const MOST_BACKLOG: Duration = Duration::from_millis(400);
+/// Time that a prefill result lives at its endpoint, less a margin.
+const RESULT_LIFE: Duration = Duration::from_millis(600);
+/// Extra time of each step at an endpoint of another data centre.
+const REMOTE_COST: Duration = Duration::from_millis(20);
+/// Time from a transfer to the first token, and for messages.
+const FIRST_STEP: Duration = Duration::from_millis(60);
+
+/// A prefill endpoint that a job could use.
+#[value]
+pub(super) struct Prefill {
+    pub(super) name: Name,
+    /// Tokens to be computed.
+    pub(super) tokens: u64,
+    /// When its transfer starts.
+    pub(super) start: Instant,
+    /// When its transfer ends.
+    pub(super) ready: Instant,
+    /// How many were compared.
+    pub(super) candidates: usize,
+}
+
+/// A decode or plain endpoint that a job could use.
+#[value]
+pub(super) struct Run {
+    pub(super) name: Name,
+    pub(super) used: u32,
+    pub(super) candidates: usize,
+}
+
+/// Why a job gets no endpoints now.
+#[value(id)]
+pub(super) enum Blocked {
+    /// No place is free.
+    Full,
+    /// Its first token would come after its target.
+    Late,
+}
+
+/// Returns the prefill endpoint whose result is at hand first.
+pub(super) fn prefill<'a>(
+    now: Instant,
+    pool: &Pool,
+    slots: impl Iterator<Item = &'a Slot>,
+    cache: (&Index, u32),
+    job: &Job,
+    may_spill: bool,
+) -> Result<Prefill, Blocked> {
+    let cached = cache.0.cached(&job.prefixes, cache.1);
+    let transfer = Duration::from_micros(job.prompt * pool.transfer_ms);
+    let mut candidates = 0;
+    let mut best: Option<(Instant, Instant, u64, &Slot)> = None;
+    for slot in slots {
+        if slot.endpoint.leaving || slot.health.rests(now) || (!slot.local && !may_spill) {
+            continue;
+        }
+        candidates += 1;
+        let free_at = slot.free_at(now);
+        if free_at.since(now) > MOST_BACKLOG {
+            continue;
+        }
+        let held = cached[slot.number as usize].min(job.prompt.saturating_sub(1));
+        let tokens = job.prompt - held;
+        let end = free_at + slot.compute(tokens);
+        let Some(start) = link_start(slot, pool.link_slots, end) else {
+            continue;
+        };
+        let remote = if slot.local { Duration::ZERO } else { REMOTE_COST };
+        let ready = start + transfer + remote;
+        if best.is_none_or(|it| ready < it.1) {
+            best = Some((start, ready, tokens, slot));
+        }
+    }
+    match best {
+        Some((start, ready, tokens, slot)) => {
+            let name = slot.endpoint.name.clone();
+            Ok(Prefill { name, tokens, start, ready, candidates })
+        }
+        None => Err(Blocked::Full),
+    }
+}
+
+/// Returns when a slot of the link is free for a result that is ready at `end`, if that is within
+/// its life.
+fn link_start(slot: &Slot, slots: u32, end: Instant) -> Option<Instant> {
+    let mut ends: Vec<Instant> =
+        slot.transfers.iter().map(|it| it.1).filter(|it| *it > end).collect();
+    if ends.len() < slots as usize {
+        return Some(end);
+    }
+    ends.sort_unstable();
+    let start = ends[ends.len() - slots as usize];
+    (start.since(end) < RESULT_LIFE).then_some(start)
+}
+
+/// Returns whether the first token would come after its target.
+pub(super) fn late(job: &Job, ready: Instant) -> bool {
+    !job.again && ready + FIRST_STEP > job.deadline()
+}
+
+/// Returns the endpoint with room of which the smallest part is taken.
+pub(super) fn run<'a>(
+    now: Instant,
+    slots: impl Iterator<Item = &'a Slot>,
+    job: &Job,
+    may_spill: bool,
+) -> Result<Run, Blocked> {
+    let pieces = job.pieces();
+    let mut candidates = 0;
+    let mut best: Option<((bool, bool, u64), &Slot)> = None;
+    for slot in slots {
+        if slot.endpoint.leaving || slot.health.rests(now) || (!slot.local && !may_spill) {
+            continue;
+        }
+        if slot.health.slow(now, job.between_tokens) || !slot.has_room(pieces) {
+            continue;
+        }
+        candidates += 1;
+        let part = u64::from(slot.used) * 1_000 / u64::from(slot.endpoint.places.max(1));
+        let key = (job.avoid.contains(&slot.endpoint.name), !slot.local, part);
+        if best.is_none_or(|it| key < it.0) {
+            best = Some((key, slot));
+        }
+    }
+    let (_, slot) = best.ok_or(Blocked::Full)?;
+    Ok(Run { name: slot.endpoint.name.clone(), used: slot.used, candidates })
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -99,7 +99,9 @@
             Event::Report(report) => self.report(now, report),
             Event::Message(envelope) => self.message(now, envelope),
             Event::Stored { tag, answer } => self.stored(now, tag, answer),
-            Event::Load { .. } => {}
+            Event::Load { endpoint, running, queued } => {
+                self.dispatcher.load(&endpoint, running, queued);
+            }
             Event::Drain => self.drain(now),
             Event::Query { id, query } => self.query(id, query),
         }
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -22,7 +22,7 @@
     /// Starts an attempt at the endpoints that the dispatcher chose.
     pub(super) fn begin(&mut self, now: Instant, id: Id, placement: Placement) {
         let Some(request) = self.requests.get_mut(&id) else {
-            return self.release(&placement);
+            return self.release(id);
         };
         request.attempt += 1;
         request.retries = 0;
@@ -54,6 +54,7 @@
         if request.attempt != attempt {
             return;
         }
+        self.dispatcher.observe(now, id, &outcome);
         match (request.phase.clone(), outcome) {
             (Phase::Prefill, Outcome::Computed { kv, cached }) => {
                 request.kv = Some(kv);
@@ -142,14 +143,14 @@
             let endpoint = endpoint.clone();
             self.effects.push(Effect::Cancel { request: id, attempt, endpoint });
         }
-        self.release(&placement);
+        self.release(id);
     }
 
     /// Ends a request that has not run, or whose attempts have all failed, with an error.
     pub(super) fn give_up(&mut self, now: Instant, id: Id, failure: Failure) {
         let cause = match failure.kind {
             Kind::EndpointFailed => burn::Cause::Endpoint,
-            Kind::QueueFull | Kind::NoEndpoint => burn::Cause::Queue,
+            Kind::QueueFull | Kind::NoEndpoint | Kind::TooLate => burn::Cause::Queue,
             _ => burn::Cause::Refusal,
         };
         self.count_bad(now, id, cause);
@@ -175,9 +176,8 @@
         self.refund(id, unused);
         self.count_end(now, id, tokens);
         self.trace.note(now, id, format!("answered, {tokens} tokens"));
-        if let Some(request) = self.requests.swap_remove(&id) {
-            request.placement.iter().for_each(|placement| self.release(placement));
-        }
+        self.requests.swap_remove(&id);
+        self.release(id);
         self.emit(Effect::Finish { request: id });
     }
 
--- a/crates/harness/src/policy.rs
+++ b/crates/harness/src/policy.rs
@@ -1,5 +1,8 @@
 //! Policy runs on virtual time over the real reducer, each against baselines in the same run.
 
+pub mod engine;
+pub mod placement;
+
 use clap::ValueEnum;
 
 /// What is run.
@@ -9,13 +12,15 @@
     Board,
     /// The pools of the association.
     Association,
+    /// A pool of 190 workers.
+    LargePool,
 }
 
 /// Runs a scenario and prints its figures.
 ///
 /// # Errors
 ///
-/// The scenario has no runner yet.
-pub fn run(scenario: Scenario, _seed: u64) -> anyhow::Result<()> {
-    anyhow::bail!("no runner for {scenario:?} yet")
+/// The figures cannot be printed.
+pub fn run(scenario: Scenario, seed: u64) -> anyhow::Result<()> {
+    placement::run(scenario, seed)
 }
