Measure goodput by answers that end within a window

Change: answers that end within 100 s count; each team's due is what it asked for, or its weighted part of capacity if that is less; the batch that memory allows enters into capacity.

--- a/crates/harness/src/policy/engine.rs
+++ b/crates/harness/src/policy/engine.rs
@@ -19,6 +19,8 @@
 use self::{decode::Decode, prefill::Prefill};
 use crate::world::{EndpointCall, Endpoints};
 
+pub use self::decode::step_seconds;
+
 /// Tokens in a piece of engine memory.
 pub const PIECE_TOKENS: u64 = 2_000;
 /// Time for which a prefill result lives.
--- a/crates/harness/src/policy/engine/decode.rs
+++ b/crates/harness/src/policy/engine/decode.rs
@@ -15,6 +15,11 @@
 /// More time for each request of the batch, in microseconds.
 const STEP_EACH_US: f64 = 1_600.0;
 
+/// Returns the time of a step with so many requests in the batch.
+pub fn step_seconds(batch: f64) -> f64 {
+    (STEP_BASE_US + STEP_EACH_US * batch) / 1e6
+}
+
 /// Something to be reported of a stream.
 pub(super) struct Told {
     pub(super) instance: Name,
@@ -72,7 +77,7 @@
     }
 
     fn step_us(&self) -> f64 {
-        (STEP_BASE_US + STEP_EACH_US * self.streams.len() as f64) * self.slow
+        step_seconds(self.streams.len() as f64) * 1e6 * self.slow
     }
 
     pub(super) fn advance(&mut self, now: Instant) {
--- a/crates/harness/src/policy/placement.rs
+++ b/crates/harness/src/policy/placement.rs
@@ -31,15 +31,15 @@
 use crate::world::World;
 
 /// Time for which requests arrive.
-const ARRIVALS: Duration = Duration::from_secs(60);
+const ARRIVALS: Duration = Duration::from_secs(120);
 /// Requests that arrive before this are not counted.
-const WARM_UP: Duration = Duration::from_secs(10);
+const WARM_UP: Duration = Duration::from_secs(20);
 /// Time after the last arrival until which answers count.
 const WIND_DOWN: Duration = Duration::from_secs(60);
 /// Time at which arrivals begin.
 const START: Instant = Instant::from_millis(5_000);
 /// When a fault begins, after the start of arrivals.
-const FAULT_AT: Duration = Duration::from_secs(20);
+const FAULT_AT: Duration = Duration::from_secs(30);
 /// How long a link stalls.
 const STALL: Duration = Duration::from_secs(20);
 /// Time between two load reports.
@@ -188,7 +188,9 @@
         }
         self.collect();
         let from = START + WARM_UP;
-        Figures::new(&self.fates, &self.world.endpoints.counts, from, ARRIVALS - WARM_UP)
+        let capacity = self.shape.capacity(self.case.seed);
+        let counts = &self.world.endpoints.counts;
+        Figures::new(&self.fates, counts, from, ARRIVALS - WARM_UP, capacity)
     }
 
     fn plan_arrivals(&mut self) {
@@ -209,13 +211,6 @@
             self.world.endpoints.demands.insert(Id(id), draw.demand);
             self.fates.insert(Id(id), Fate::new(at, draw.team, draw.patient, draw.first_token));
         }
-        let shares: Vec<f64> = TEAMS.iter().map(|it| it.share_of_pool()).collect();
-        figures::cover(
-            &mut self.fates,
-            &self.world.endpoints.demands,
-            &shares,
-            rate / self.case.load,
-        );
     }
 
     fn arrive(&mut self, id: Id) {
--- a/crates/harness/src/policy/placement/figures.rs
+++ b/crates/harness/src/policy/placement/figures.rs
@@ -6,12 +6,10 @@
 use siskinstile_core::{Instant, error::Kind, request::Id};
 
 use super::workload::TEAMS;
-use crate::policy::engine::{Counts, Demand};
+use crate::policy::engine::Counts;
 
 /// Target for the mean time between tokens.
 const BETWEEN: Duration = Duration::from_millis(45);
-/// Burst of a team, as time at its rate.
-const BURST: Duration = Duration::from_secs(5);
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,47 +31,28 @@
     pub patient: bool,
     /// Its first-token target.
     pub first_token: Duration,
-    /// Whether it was inside its team's rate and burst.
-    pub covered: bool,
     /// Its ends; exactly one in a sound run.
     pub ends: Vec<End>,
 }
 
 impl Fate {
     pub(super) fn new(at: Instant, team: usize, patient: bool, first_token: Duration) -> Fate {
-        Fate { at, team, patient, first_token, covered: false, ends: Vec::new() }
+        Fate { at, team, patient, first_token, ends: Vec::new() }
     }
 }
 
-/// Marks the requests that are inside their team's rate: its part of the pool's capacity.
-pub(super) fn cover(
-    fates: &mut IndexMap<Id, Fate>,
-    demands: &IndexMap<Id, Demand>,
-    shares: &[f64],
-    capacity: f64,
-) {
-    let cost = |id: &Id| demands.get(id).map_or(0.0, |it| (it.prompt + it.output) as f64);
-    let mean = fates.keys().map(cost).sum::<f64>() / fates.len().max(1) as f64;
-    let rates: Vec<f64> = shares.iter().map(|it| it * capacity * mean).collect();
-    let mut buckets: Vec<f64> = rates.iter().map(|it| it * BURST.as_secs_f64()).collect();
-    let most = buckets.clone();
-    let mut last = vec![Instant::default(); shares.len()];
-    for (id, fate) in fates.iter_mut() {
-        let team = fate.team;
-        let earned = fate.at.since(last[team]).as_secs_f64() * rates[team];
-        buckets[team] = (buckets[team] + earned).min(most[team]);
-        last[team] = fate.at;
-        fate.covered = buckets[team] >= cost(id);
-        if fate.covered {
-            buckets[team] -= cost(id);
-        }
-    }
+/// What a team got.
+#[derive(Debug, Clone, Copy, Default)]
+struct Served {
+    asked: f64,
+    good: f64,
+    answered: f64,
 }
 
 /// The figures of a run.
 #[derive(Debug, Clone, Default)]
 pub struct Figures {
-    /// Requests a second within both targets.
+    /// Answers a second within both targets, by the time at which they ended.
     pub goodput: f64,
     /// Part of the arrivals within both targets.
     pub good: f64,
@@ -85,9 +64,10 @@
     pub first: Duration,
     /// 95th percentile of the mean time between tokens.
     pub between: Duration,
-    /// Least part of a team's covered requests within both targets.
+    /// Least part of a team's due that was answered within both targets; its due is what it asked
+    /// for, or its weighted part of the pool's capacity if that is less.
     pub worst: f64,
-    /// Part of the covered requests that were refused.
+    /// Part of what was due to all teams that was refused.
     pub wrongful: f64,
     /// Requests refused before they ran, and failed after.
     pub failed: (usize, usize),
@@ -101,17 +81,15 @@
         counts: &Counts,
         from: Instant,
         length: Duration,
+        capacity: f64,
     ) -> Figures {
+        let until = from + length;
         let mut out = Figures::default();
         let (mut firsts, mut betweens) = (Vec::new(), Vec::new());
-        let (mut arrived, mut good, mut covered, mut refused) = (0, 0, 0, 0);
-        let mut teams = vec![(0, 0); TEAMS.len()];
+        let (mut arrived, mut good) = (0, 0);
+        let mut teams = vec![Served::default(); TEAMS.len()];
         for (id, fate) in fates.iter() {
             out.unsound += usize::from(fate.ends.len() != 1);
-            if fate.at < from {
-                continue;
-            }
-            arrived += 1;
             let times = counts.times.get(id);
             let first = times.map(|it| it.0.since(fate.at));
             let between = times.and_then(|it| Some(it.1?.since(it.0)));
@@ -121,18 +99,24 @@
                 let tokens = counts_tokens(counts, id);
                 let between = between / tokens;
                 in_time = first <= fate.first_token && between <= BETWEEN;
-                betweens.push(between);
-                if !fate.patient {
+                if fate.at >= from {
+                    betweens.push(between);
+                }
+                if !fate.patient && fate.at >= from {
                     firsts.push(first);
                 }
             }
-            good += usize::from(in_time);
-            if fate.covered {
-                covered += 1;
-                refused += usize::from(!answered);
-                teams[fate.team].0 += 1;
-                teams[fate.team].1 += usize::from(in_time);
+            let ended = times.and_then(|it| it.1).is_some_and(|it| it >= from && it < until);
+            out.goodput += f64::from(u8::from(in_time && ended)) / length.as_secs_f64();
+            if fate.at < from {
+                continue;
             }
+            arrived += 1;
+            good += usize::from(in_time);
+            let team = &mut teams[fate.team];
+            team.asked += 1.0;
+            team.good += f64::from(u8::from(in_time));
+            team.answered += f64::from(u8::from(answered));
             match fate.ends.first() {
                 Some(End::Failed(Kind::EndpointFailed)) => out.failed.1 += 1,
                 Some(End::Failed(_)) => out.failed.0 += 1,
@@ -141,14 +125,20 @@
         }
         let all: u64 = counts.computed.values().map(|it| it.0).sum();
         let lost: u64 = counts.computed.values().filter(|it| !it.1).map(|it| it.0).sum();
-        out.goodput = good as f64 / length.as_secs_f64();
         out.good = part(good, arrived);
         out.wasted = lost as f64 / all.max(1) as f64;
         out.cached = counts.cached as f64 / counts.prompt.max(1) as f64;
         out.first = percentile(&mut firsts);
         out.between = percentile(&mut betweens);
-        out.worst = teams.iter().map(|it| part(it.1, it.0)).fold(1.0, f64::min);
-        out.wrongful = part(refused, covered);
+        let due = |index: usize| {
+            let part = TEAMS[index].share_of_pool() * capacity * length.as_secs_f64();
+            part.min(teams[index].asked).max(1.0)
+        };
+        let parts = teams.iter().enumerate().map(|(index, it)| it.good / due(index));
+        out.worst = parts.fold(1.0, f64::min);
+        let short = teams.iter().enumerate().map(|(index, it)| (due(index) - it.answered).max(0.0));
+        let all: f64 = (0..TEAMS.len()).map(due).sum();
+        out.wrongful = short.sum::<f64>() / all;
         out
     }
 
--- a/crates/harness/src/policy/placement/workload.rs
+++ b/crates/harness/src/policy/placement/workload.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{Prefixes, Scenario};
-use crate::policy::engine::{Demand, PIECE_TOKENS};
+use crate::policy::engine::{Demand, PIECE_TOKENS, step_seconds};
 
 /// Places of a decode engine.
 const PLACES: u64 = 16;
@@ -21,8 +21,6 @@
 const PREFILL_PIECES: u64 = 100;
 /// Prefill rate of an engine, in tokens a second.
 const PREFILL_RATE: f64 = 20_000.0;
-/// Time of a decode step of a full engine, in seconds.
-const FULL_STEP: f64 = 0.0436;
 /// Burst of each team, in tokens, so that no rate binds.
 const BURST: u64 = 1_000_000_000;
 /// Samples from which means are estimated.
@@ -142,10 +140,10 @@
             memory += pieces as f64 * demand.output as f64;
         }
         let samples = SAMPLES as f64;
-        let decode = (self.decodes * PLACES) as f64 / (output / samples * FULL_STEP);
+        let batch = (DECODE_PIECES as f64 * output / memory).min(PLACES as f64);
+        let decode = self.decodes as f64 * batch / (output / samples * step_seconds(batch));
         let prefill = self.prefills as f64 * PREFILL_RATE / (fresh / samples);
-        let held = (self.decodes * DECODE_PIECES) as f64 / (memory / samples * FULL_STEP);
-        decode.min(prefill).min(held)
+        decode.min(prefill)
     }
 
     /// Returns the objects of the pool.
