Send a prefill endpoint no more prompts than it has places

Cause: short prompts behind one another stayed under the time limit of the backlog, and engines refused the ninth, up to the fourth attempt.

Change: prompts sent and not yet computed are bounded by the endpoint's places.

--- a/crates/core/src/place/score.rs
+++ b/crates/core/src/place/score.rs
@@ -69,7 +69,8 @@
         }
         candidates += 1;
         let free_at = slot.free_at(now);
-        if free_at.since(now) > MOST_BACKLOG {
+        let full = slot.work.len() >= slot.endpoint.places as usize;
+        if full || free_at.since(now) > MOST_BACKLOG {
             continue;
         }
         let held = cached[slot.number as usize].min(job.prompt.saturating_sub(1));
