Estimate the wait by the rate of a team's class of urgency

Cause: the wait was taken from the pool's rate and the team's weight, which says nothing of how a team's urgent and patient requests share its part.

Change: placements of the last 5 s are counted by team and urgency.

--- a/crates/core/src/place/learn.rs
+++ b/crates/core/src/place/learn.rs
@@ -5,20 +5,25 @@
 use indexmap::IndexMap;
 use siskinstile_macros::value;
 
-use crate::{Instant, object::Name};
+use crate::{
+    Instant,
+    object::{Name, Urgency},
+};
 
 /// Pairs of route and team of which the output is kept.
 const MOST_PAIRS: usize = 16_384;
 /// Weight of a new sample, as one part in this number.
 const SAMPLE_PARTS: f64 = 16.0;
 /// Time over which placements are counted.
-const RATE_WINDOW: Duration = Duration::from_secs(4);
+const RATE_WINDOW: Duration = Duration::from_secs(5);
+/// Placements below which no rate is known.
+const MOST_FEW: usize = 16;
 
 /// Mean output by route and team, and recent placements.
 #[value(default)]
 pub(super) struct Learn {
     outputs: IndexMap<(Name, Name), f64>,
-    placed: VecDeque<Instant>,
+    placed: VecDeque<(Instant, Name, Urgency)>,
 }
 
 impl Learn {
@@ -38,23 +43,23 @@
         mean.map_or(most / 2, |it| (*it as u64).min(most)).max(1)
     }
 
-    /// Notes a placement.
-    pub(super) fn placed(&mut self, now: Instant) {
-        self.placed.push_back(now);
+    /// Notes a placement of a team's class of urgency.
+    pub(super) fn placed(&mut self, now: Instant, team: &Name, urgency: Urgency) {
+        self.placed.push_back((now, team.clone(), urgency));
         self.expire(now);
     }
 
     /// Forgets placements that are too old.
     pub(super) fn expire(&mut self, now: Instant) {
-        while self.placed.front().is_some_and(|at| now.since(*at) > RATE_WINDOW) {
+        while self.placed.front().is_some_and(|it| now.since(it.0) > RATE_WINDOW) {
             self.placed.pop_front();
         }
     }
 
-    /// Returns placements a second, or none while too few are known.
-    pub(super) fn rate(&self, now: Instant) -> Option<f64> {
-        let first = *self.placed.front()?;
-        let seconds = now.since(first).as_secs_f64().max(0.5);
-        (self.placed.len() >= 4).then(|| self.placed.len() as f64 / seconds)
+    /// Returns how many of a class are placed a second, or none while too few are known.
+    pub(super) fn rate(&self, team: &Name, urgency: Urgency) -> Option<f64> {
+        let of_class = |it: &&(Instant, Name, Urgency)| it.1 == *team && it.2 == urgency;
+        let count = self.placed.iter().filter(of_class).count();
+        (self.placed.len() >= MOST_FEW).then(|| count.max(1) as f64 / RATE_WINDOW.as_secs_f64())
     }
 }
--- a/crates/core/src/place/scheduler.rs
+++ b/crates/core/src/place/scheduler.rs
@@ -1,6 +1,6 @@
 //! One pool's queue, own record and decisions.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 use siskinstile_macros::value;
@@ -21,7 +21,7 @@
 };
 
 /// Least time after which a refused request is told to come back.
-const LEAST_RETRY: std::time::Duration = std::time::Duration::from_millis(500);
+const LEAST_RETRY: Duration = Duration::from_millis(500);
 
 /// Where a placed request stands.
 #[value(id)]
@@ -104,7 +104,7 @@
     /// Queues a job, unless the queue is full or its targets cannot be met.
     pub(super) fn submit(&mut self, now: Instant, job: Job) -> Result<(), Failure> {
         let limit = self.pool.as_ref().map_or(0, |it| it.queue_limit as usize);
-        let wait = self.wait(now, &job);
+        let wait = self.wait(&job);
         if self.queue.len() >= limit && !job.again {
             return Err(Failure::not_run(Kind::QueueFull).with_retry_after(wait.max(LEAST_RETRY)));
         }
@@ -128,22 +128,15 @@
         Ok(())
     }
 
-    /// Returns how long a job would wait behind those of its team, at the pool's present rate.
-    fn wait(&self, now: Instant, job: &Job) -> std::time::Duration {
-        let Some(rate) = self.learn.rate(now).filter(|_| !self.queue.is_empty()) else {
-            return std::time::Duration::ZERO;
-        };
-        let mut weights: IndexMap<&Name, u32> = IndexMap::new();
-        let mut ahead = 0_u32;
-        for item in self.queue.iter() {
-            weights.insert(&item.team, item.weight);
-            let before = job.urgency == Urgency::Patient || item.urgency == Urgency::Urgent;
-            ahead += u32::from(item.team == job.team && before);
+    /// Returns how long a job would wait behind those of its team and urgency, at the rate at which
+    /// these are placed now.
+    fn wait(&self, job: &Job) -> Duration {
+        let same = |it: &&fair::Item| it.team == job.team && it.urgency == job.urgency;
+        let ahead = self.queue.iter().filter(same).count();
+        match self.learn.rate(&job.team, job.urgency) {
+            Some(rate) if ahead > 0 => Duration::from_secs_f64(ahead as f64 / rate),
+            _ => Duration::ZERO,
         }
-        weights.insert(&job.team, job.weight);
-        let all: u32 = weights.values().sum();
-        let share = f64::from(job.weight.max(1)) / f64::from(all.max(1));
-        std::time::Duration::from_secs_f64(f64::from(ahead) / (rate * share))
     }
 
     /// Removes a waiting job; returns whether it was there.
@@ -284,7 +277,7 @@
                 _ => {}
             }
             for request in late {
-                out.extend(self.refuse(now, request));
+                out.extend(self.refuse(request));
             }
         }
     }
@@ -360,7 +353,7 @@
         let job = self.jobs.swap_remove(&request)?;
         let pieces = job.pieces();
         self.turn += 1;
-        self.learn.placed(now);
+        self.learn.placed(now, &job.team, job.urgency);
         let run = self.runs.get_mut(&plan.run)?;
         run.take(now, pieces);
         let run_endpoint = run.endpoint.clone();
@@ -395,10 +388,10 @@
         Some(Decision::Placed { request, placement, reason: plan.reason })
     }
 
-    fn refuse(&mut self, now: Instant, request: Id) -> Option<Decision> {
+    fn refuse(&mut self, request: Id) -> Option<Decision> {
         self.queue.remove(request);
         let job = self.jobs.swap_remove(&request)?;
-        let wait = self.wait(now, &job).max(LEAST_RETRY);
+        let wait = self.wait(&job).max(LEAST_RETRY);
         let failure = Failure::not_run(Kind::TooLate).with_retry_after(wait);
         let reason =
             format!("no endpoint gives a first token in {} ms", job.first_token.as_millis());
