Age a patient job by its own target

Cause: patient jobs older than 10 s went before urgent ones under overload, so that urgent ones, which cost half as much, were refused as too late.

Change: a patient job ages so that it goes first at nine tenths of its target, and is refused at once where the wait passes three quarters of it.

--- a/crates/core/src/place/scheduler.rs
+++ b/crates/core/src/place/scheduler.rs
@@ -108,7 +108,7 @@
         if self.queue.len() >= limit && !job.again {
             return Err(Failure::not_run(Kind::QueueFull).with_retry_after(wait.max(LEAST_RETRY)));
         }
-        if self.policy().promises() && !job.again && now + wait > job.deadline() {
+        if self.policy().promises() && !job.again && now + wait > latest(&job) {
             let detail = format!("the wait would be {} ms", wait.as_millis());
             return Err(Failure::not_run(Kind::TooLate)
                 .with_retry_after(wait.max(LEAST_RETRY))
@@ -120,7 +120,7 @@
             team: job.team.clone(),
             weight: job.weight,
             urgency: job.urgency,
-            arrived: job.arrived,
+            arrived: aged_from(&job),
             cost: job.prompt + expected,
         });
         self.jobs.insert(job.request, job);
@@ -413,6 +413,24 @@
     }
 }
 
+/// Returns the moment past which waiting makes no sense: a patient job keeps a quarter of its
+/// target for an estimate that is wrong.
+fn latest(job: &Job) -> Instant {
+    match job.urgency {
+        Urgency::Urgent => job.deadline(),
+        Urgency::Patient => job.arrived + job.first_token * 3 / 4,
+    }
+}
+
+/// Returns the moment from which the age of a job counts, such that a patient one goes before
+/// urgent ones only when its own target is near.
+fn aged_from(job: &Job) -> Instant {
+    match job.urgency {
+        Urgency::Urgent => job.arrived,
+        Urgency::Patient => job.arrived + (job.first_token * 9 / 10).saturating_sub(fair::AGEING),
+    }
+}
+
 /// Endpoints for a job.
 struct Plan {
     prefill: Option<score::Prefill>,
