Blame a failed transfer on the end with fewer successes

Cause: a stalled link made every decode endpoint rest that was sent a result over it.

Change: both ends keep the part of recent transfers that succeeded, and the worse one rests; a transfer 300 ms over its time counts before it breaks.

--- a/crates/core/src/place/endpoint.rs
+++ b/crates/core/src/place/endpoint.rs
@@ -15,6 +15,8 @@
 const RATE_PARTS: f64 = 8.0;
 /// A learned prefill rate is at least this part of the configured one.
 const LEAST_RATE: f64 = 1.0 / 16.0;
+/// Weight of a new sample of transfers, as one part in this number.
+const TRANSFER_PARTS: f64 = 4.0;
 /// Time over which the highest own count is kept, since load reports are older than it.
 const PEAK_WINDOW: Duration = Duration::from_secs(4);
 
@@ -50,6 +52,8 @@
     pub(super) rate: f64,
     /// When each transfer over its link is expected to end.
     pub(super) transfers: Vec<(request::Id, Instant)>,
+    /// Part of its recent transfers that succeeded.
+    pub(super) transferred: f64,
     peaks: (u32, u32),
     peak_at: Instant,
 }
@@ -74,6 +78,7 @@
             begun: Instant::default(),
             rate: prefill_rate as f64 / 1e6,
             transfers: Vec::new(),
+            transferred: 1.0,
             peaks: (0, 0),
             peak_at: Instant::default(),
         }
@@ -152,6 +157,12 @@
         }
     }
 
+    /// Notes whether a transfer from or to it succeeded.
+    pub(super) fn transferred(&mut self, well: bool) {
+        let sample = f64::from(u8::from(well));
+        self.transferred += (sample - self.transferred) / TRANSFER_PARTS;
+    }
+
     /// Corrects the record by a report, which may be older than what was sent since.
     pub(super) fn report(&mut self, load: u32) {
         self.reported = load;
--- a/crates/core/src/place/scheduler.rs
+++ b/crates/core/src/place/scheduler.rs
@@ -23,11 +23,14 @@
 /// Least time after which a refused request is told to come back.
 const LEAST_RETRY: Duration = Duration::from_millis(500);
 
+/// Time by which a transfer may be longer than usual.
+const TRANSFER_SLACK: Duration = Duration::from_millis(300);
+
 /// Where a placed request stands.
 #[value(id)]
 enum Stage {
     Prefill,
-    Import,
+    Import { begun: Instant, overdue: bool },
     Run { begun: Instant, first: Option<Instant> },
 }
 
@@ -168,7 +171,7 @@
         let run = self.runs.get_mut(&grant.run);
         match (outcome, grant.stage) {
             (Outcome::Computed { cached, .. }, Stage::Prefill) => {
-                grant.stage = Stage::Import;
+                grant.stage = Stage::Import { begun: now, overdue: false };
                 let Some(slot) = prefill else { return };
                 slot.computed(now, request, grant.job.prompt.saturating_sub(*cached));
                 slot.used = slot.used.saturating_sub(1);
@@ -178,6 +181,8 @@
             (Outcome::Imported, _) => {
                 grant.stage = Stage::Run { begun: now, first: None };
                 let Some(slot) = prefill else { return };
+                slot.transferred(true);
+                run.into_iter().for_each(|it| it.transferred(true));
                 slot.transfers.retain(|it| it.0 != request);
                 self.changed = true;
             }
@@ -199,19 +204,50 @@
                 let above = *tokens as i64 - grant.expected as i64;
                 self.queue.correct(&job.team, job.weight, above);
             }
-            (Outcome::Broken { .. }, stage) => {
-                let failing = match stage {
-                    Stage::Prefill => grant.prefill.clone(),
-                    _ => Some(grant.run.clone()),
-                };
-                if let Some(name) = failing {
-                    self.fail(now, &name);
-                }
+            (Outcome::Broken { .. }, Stage::Prefill) => {
+                let name = grant.prefill.clone();
+                name.into_iter().for_each(|it| self.fail(now, &it));
+            }
+            (Outcome::Broken { .. }, Stage::Import { overdue: false, .. }) => {
+                self.transfer_failed(now, request);
+            }
+            (Outcome::Broken { .. }, Stage::Run { .. }) => {
+                let name = grant.run.clone();
+                self.fail(now, &name);
             }
             _ => {}
         }
     }
 
+    /// Lets one end of a failed transfer rest: the one with which fewer have succeeded of late.
+    fn transfer_failed(&mut self, now: Instant, request: Id) {
+        let Some(grant) = self.grants.get(&request) else { return };
+        let (Some(source), run) = (grant.prefill.clone(), grant.run.clone()) else { return };
+        let ends = (self.prefills.get_mut(&source), self.runs.get_mut(&run));
+        let (Some(prefill), Some(decode)) = ends else { return };
+        prefill.transferred(false);
+        decode.transferred(false);
+        let guilty = if prefill.transferred <= decode.transferred { source } else { run };
+        self.fail(now, &guilty);
+    }
+
+    /// Takes notice of transfers that take far longer than they should, before they break.
+    fn find_overdue(&mut self, now: Instant) {
+        let Some(pool) = self.pool.clone() else { return };
+        let mut found = Vec::new();
+        for (id, grant) in &mut self.grants {
+            let Stage::Import { begun, overdue } = &mut grant.stage else { continue };
+            let usual = Duration::from_micros(grant.job.prompt * pool.transfer_ms);
+            if !*overdue && now.since(*begun) > usual + TRANSFER_SLACK {
+                *overdue = true;
+                found.push(*id);
+            }
+        }
+        for id in found {
+            self.transfer_failed(now, id);
+        }
+    }
+
     /// Lets a failing endpoint rest, unless half of its role rest already.
     fn fail(&mut self, now: Instant, name: &Name) {
         for slots in [&mut self.prefills, &mut self.runs] {
@@ -244,6 +280,7 @@
         self.now = now;
         self.changed = true;
         self.learn.expire(now);
+        self.find_overdue(now);
         let slots = self.prefills.values_mut().chain(self.runs.values_mut());
         slots.for_each(|it| it.tick(now));
     }
