Let a prefill endpoint come back only by transfers that succeed

Cause: a prefill endpoint with a stalled link went on computing, which counted as success and ended its rest, so that it was given more prompts than one at a time.

Change: success is counted at the transfer, and what is in transfer counts against the limit after a rest.

--- a/crates/core/src/place/endpoint.rs
+++ b/crates/core/src/place/endpoint.rs
@@ -112,6 +112,15 @@
         self.pieces = self.pieces.saturating_sub(pieces);
     }
 
+    /// Returns whether it has as many prompts as it takes; while it comes back from a rest, those
+    /// in transfer count too.
+    pub(super) fn is_full_of_prompts(&self) -> bool {
+        let places = self.endpoint.places;
+        let limit = self.health.limit(places);
+        let open = if limit < places { self.used as usize } else { self.work.len() };
+        open >= limit as usize
+    }
+
     /// Returns when what it was sent will be computed.
     pub(super) fn free_at(&self, now: Instant) -> Instant {
         if self.work.is_empty() {
--- a/crates/core/src/place/scheduler.rs
+++ b/crates/core/src/place/scheduler.rs
@@ -159,7 +159,8 @@
         if let Some(slot) = grant.prefill.as_ref().and_then(|it| self.prefills.get_mut(it)) {
             slot.dropped(now, request);
             slot.transfers.retain(|it| it.0 != request);
-            slot.used = slot.used.saturating_sub(u32::from(grant.stage == Stage::Prefill));
+            slot.used =
+                slot.used.saturating_sub(u32::from(!matches!(grant.stage, Stage::Run { .. })));
         }
     }
 
@@ -174,14 +175,14 @@
                 grant.stage = Stage::Import { begun: now, overdue: false };
                 let Some(slot) = prefill else { return };
                 slot.computed(now, request, grant.job.prompt.saturating_sub(*cached));
-                slot.used = slot.used.saturating_sub(1);
-                slot.health.succeeded(slot.endpoint.places);
                 self.changed = true;
             }
             (Outcome::Imported, _) => {
                 grant.stage = Stage::Run { begun: now, first: None };
                 let Some(slot) = prefill else { return };
                 slot.transferred(true);
+                slot.used = slot.used.saturating_sub(1);
+                slot.health.succeeded(slot.endpoint.places);
                 run.into_iter().for_each(|it| it.transferred(true));
                 slot.transfers.retain(|it| it.0 != request);
                 self.changed = true;
--- a/crates/core/src/place/score.rs
+++ b/crates/core/src/place/score.rs
@@ -69,7 +69,7 @@
         }
         candidates += 1;
         let free_at = slot.free_at(now);
-        let full = slot.work.len() >= slot.endpoint.places as usize;
+        let full = slot.is_full_of_prompts();
         if full || free_at.since(now) > MOST_BACKLOG {
             continue;
         }
