Weigh what is computed anew, and evict the end of a prompt first

Change: the time to compute what is not cached counts once more in the score; record and stand-in engine evict the last piece of a prompt first, as engines do.

--- a/crates/core/src/place/cache.rs
+++ b/crates/core/src/place/cache.rs
@@ -26,8 +26,9 @@
     /// Notes that an endpoint with memory for `limit` pieces was sent a prompt.
     pub(super) fn sent(&mut self, endpoint: u32, prefixes: &[u64], limit: usize) {
         let held = self.held.entry(endpoint).or_default();
-        held.clock += 1;
-        for prefix in prefixes {
+        // Engines evict the last piece of a prompt first.
+        for prefix in prefixes.iter().rev() {
+            held.clock += 1;
             if held.pieces.insert(*prefix, held.clock).is_none() {
                 self.holders.entry(*prefix).or_default().push(endpoint);
             }
--- a/crates/core/src/place/score.rs
+++ b/crates/core/src/place/score.rs
@@ -14,6 +14,8 @@
 const MOST_BACKLOG: Duration = Duration::from_millis(400);
 /// Time that a prefill result lives at its endpoint, less a margin.
 const RESULT_LIFE: Duration = Duration::from_millis(600);
+/// How often the time to compute what is not cached counts beside the time until the result.
+const COLD_WEIGHT: u32 = 1;
 /// Extra time of each step at an endpoint of another data centre.
 const REMOTE_COST: Duration = Duration::from_millis(20);
 /// Time from a transfer to the first token, and for messages.
@@ -62,7 +64,7 @@
     let cached = cache.0.cached(&job.prefixes, cache.1);
     let transfer = Duration::from_micros(job.prompt * pool.transfer_ms);
     let mut candidates = 0;
-    let mut best: Option<(Instant, Instant, u64, &Slot)> = None;
+    let mut best: Option<(Instant, Choice, &Slot)> = None;
     for slot in slots {
         if slot.endpoint.leaving || slot.health.rests(now) || (!slot.local && !may_spill) {
             continue;
@@ -81,17 +83,21 @@
         };
         let remote = if slot.local { Duration::ZERO } else { REMOTE_COST };
         let ready = start + transfer + remote;
-        if best.is_none_or(|it| ready < it.1) {
-            best = Some((start, ready, tokens, slot));
+        // What is computed anew takes time of later prompts and evicts other prefixes.
+        let score = ready + slot.compute(tokens) * COLD_WEIGHT;
+        if best.as_ref().is_none_or(|it| score < it.0) {
+            best = Some((score, Choice { start, ready, tokens }, slot));
         }
     }
-    match best {
-        Some((start, ready, tokens, slot)) => {
-            let name = slot.endpoint.name.clone();
-            Ok(Prefill { name, tokens, start, ready, candidates })
-        }
-        None => Err(Blocked::Full),
-    }
+    let (_, Choice { start, ready, tokens }, slot) = best.ok_or(Blocked::Full)?;
+    Ok(Prefill { name: slot.endpoint.name.clone(), tokens, start, ready, candidates })
+}
+
+/// What a prefill endpoint would give.
+struct Choice {
+    start: Instant,
+    ready: Instant,
+    tokens: u64,
 }
 
 /// Returns when a slot of the link is free for a result that is ready at `end`, if that is within
--- a/crates/harness/src/policy/engine/cache.rs
+++ b/crates/harness/src/policy/engine/cache.rs
@@ -22,10 +22,10 @@
         prefixes.iter().take_while(|it| self.pieces.contains_key(*it)).count() as u64 * PIECE_TOKENS
     }
 
-    /// Adds the pieces of a prompt and evicts those used longest ago.
+    /// Adds the pieces of a prompt and evicts those used longest ago, the last of a prompt first.
     pub(super) fn insert(&mut self, prefixes: &[u64]) {
-        self.clock += 1;
-        for prefix in prefixes {
+        for prefix in prefixes.iter().rev() {
+            self.clock += 1;
             self.pieces.insert(*prefix, self.clock);
         }
         while self.pieces.len() > self.limit {
