Let a prompt wait 800 ms for a warm prefill endpoint

Cause: an endpoint with 400 ms of prompts was left out, so that a prompt went to a cold one, which then evicted what others needed.

Change: the limit is 800 ms; the first-token target decides within it.

--- a/crates/core/src/place/score.rs
+++ b/crates/core/src/place/score.rs
@@ -11,7 +11,7 @@
 };
 
 /// Longest time that a prompt may wait at a prefill endpoint for the one before it.
-const MOST_BACKLOG: Duration = Duration::from_millis(400);
+const MOST_BACKLOG: Duration = Duration::from_millis(800);
 /// Time that a prefill result lives at its endpoint, less a margin.
 const RESULT_LIFE: Duration = Duration::from_millis(600);
 /// How often the time to compute what is not cached counts beside the time until the result.
