--- a/crates/core/src/place/scheduler.rs
+++ b/crates/core/src/place/scheduler.rs
@@ -104,8 +104,12 @@
         self.pool.as_ref().map_or(Policy::default(), |it| it.policy)
     }
 
-    /// Queues a job, unless the queue is full or its targets cannot be met.
+    /// Queues a job, unless the queue is full or its targets cannot be met; one that waits already
+    /// is left as it is.
     pub(super) fn submit(&mut self, now: Instant, job: Job) -> Result<(), Failure> {
+        if self.jobs.contains_key(&job.request) {
+            return Ok(());
+        }
         let limit = self.pool.as_ref().map_or(0, |it| it.queue_limit as usize);
         let wait = self.wait(&job);
         if self.queue.len() >= limit && !job.again {
--- /dev/null
+++ b/crates/core/tests/testsuite/place.rs
@@ -0,0 +1,364 @@
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use siskinstile_core::{
+    Config, Instant, Set,
+    error::Kind,
+    object::{Endpoint, Name, Pool, Role, Urgency},
+    place::{Decision, Dispatcher, Job, PIECE_TOKENS},
+    request::{Id, Outcome, Placement},
+};
+
+const PLACES: u32 = 4;
+const PIECES: u64 = 12;
+
+fn endpoint(name: &str, role: Role) -> Endpoint {
+    Endpoint {
+        name: name.into(),
+        address: name.into(),
+        datacentre: "dc".into(),
+        role,
+        places: PLACES,
+        memory: PIECES * PIECE_TOKENS,
+        fences: false,
+        leaving: false,
+    }
+}
+
+fn pool() -> Pool {
+    let names = [("p0", Role::Prefill), ("p1", Role::Prefill), ("d0", Role::Decode)];
+    let mut pool: Pool = serde_json::from_value(serde_json::json!({
+        "name": "pool", "service": "service", "endpoints": [], "queue_limit": 16,
+    }))
+    .unwrap();
+    let more = [("d1", Role::Decode), ("d2", Role::Decode)];
+    pool.endpoints = names.into_iter().chain(more).map(|it| endpoint(it.0, it.1)).collect();
+    pool
+}
+
+fn config(pool: &Pool) -> Config {
+    let mut set = Set::default();
+    set.pools.insert(pool.name.clone(), pool.clone());
+    Config::new(1, set)
+}
+
+fn job(id: u64, now: Instant) -> Job {
+    Job {
+        request: Id(id),
+        pool: "pool".into(),
+        route: "route".into(),
+        team: "team".into(),
+        weight: 1,
+        urgency: Urgency::Patient,
+        arrived: now,
+        prompt: 1_000,
+        most: 500,
+        prefixes: Arc::new([]),
+        first_token: Duration::from_secs(20),
+        between_tokens: Duration::from_millis(45),
+        avoid: Vec::new(),
+        again: false,
+    }
+}
+
+/// A dispatcher with its pool and what it has placed.
+struct Bench {
+    dispatcher: Dispatcher,
+    pool: Pool,
+    now: Instant,
+    placed: IndexMap<Id, (Placement, u64)>,
+    waiting: Vec<Id>,
+    refused: IndexMap<Id, Kind>,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        Bench {
+            dispatcher: Dispatcher::default(),
+            pool: pool(),
+            now: Instant::from_millis(1_000),
+            placed: IndexMap::new(),
+            waiting: Vec::new(),
+            refused: IndexMap::new(),
+        }
+    }
+
+    fn submit(&mut self, job: Job) {
+        let id = job.request;
+        match self.dispatcher.submit(self.now, &self.pool, "dc", job) {
+            Ok(()) => self.waiting.push(id),
+            Err(failure) => drop(self.refused.insert(id, failure.kind)),
+        }
+    }
+
+    fn poll(&mut self, pieces: &IndexMap<Id, u64>) {
+        let config = config(&self.pool);
+        for decision in self.dispatcher.poll(self.now, &config, "dc") {
+            match decision {
+                Decision::Placed { request, placement, .. } => {
+                    self.waiting.retain(|it| *it != request);
+                    let held = pieces.get(&request).copied().unwrap_or(1);
+                    assert!(self.placed.insert(request, (placement, held)).is_none());
+                }
+                Decision::Refused { request, failure, .. } => {
+                    self.waiting.retain(|it| *it != request);
+                    self.refused.insert(request, failure.kind);
+                }
+            }
+        }
+    }
+
+    fn place_at(&mut self, id: u64, job: Job) -> Option<Placement> {
+        self.submit(job);
+        self.poll(&IndexMap::new());
+        self.placed.get(&Id(id)).map(|it| it.0.clone())
+    }
+
+    fn outcome(&mut self, id: Id, outcome: &Outcome) {
+        self.dispatcher.observe(self.now, id, outcome);
+    }
+
+    fn computed(&mut self, id: Id) {
+        self.outcome(id, &Outcome::Computed { kv: "kv".into(), cached: 0 });
+    }
+
+    fn broken(&mut self, id: Id) {
+        self.outcome(id, &Outcome::Broken { sent: true, next_index: 0 });
+    }
+
+    /// Checks the record against what was placed here.
+    fn check(&self) {
+        let mut taken: IndexMap<Name, (u64, u64)> = IndexMap::new();
+        for (placement, pieces) in self.placed.values() {
+            let it = taken.entry(placement.run.name.clone()).or_default();
+            *it = (it.0 + 1, it.1 + pieces);
+        }
+        for (name, (places, pieces)) in taken {
+            assert!(places <= u64::from(PLACES), "{name}: {places} places");
+            assert!(pieces <= PIECES, "{name}: {pieces} pieces");
+        }
+        let Some(scheduler) = self.dispatcher.pool("pool") else { return };
+        assert_eq!(scheduler.counts(), (self.waiting.len(), self.placed.len()));
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Act {
+    Submit { prompt: u64, most: u64, urgent: bool },
+    Compute(usize),
+    Import(usize),
+    End(usize),
+    Break(usize),
+    Remove(usize),
+    Leave(usize, bool),
+    Load(usize, u32),
+    Wait(u64),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        4 => (1..30_000_u64, 1..4_000_u64, any::<bool>())
+            .prop_map(|(prompt, most, urgent)| Act::Submit { prompt, most, urgent }),
+        2 => (0..16_usize).prop_map(Act::Compute),
+        2 => (0..16_usize).prop_map(Act::Import),
+        2 => (0..16_usize).prop_map(Act::End),
+        1 => (0..16_usize).prop_map(Act::Break),
+        1 => (0..16_usize).prop_map(Act::Remove),
+        1 => (0..5_usize, any::<bool>()).prop_map(|(index, leaving)| Act::Leave(index, leaving)),
+        1 => (0..5_usize, 0..10_u32).prop_map(|(index, load)| Act::Load(index, load)),
+        2 => (1..2_000_u64).prop_map(Act::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
+
+    /// Never over places or memory, never a leaving endpoint, never a prefill without a decode
+    /// place, and every job is waiting, placed, refused or removed.
+    #[test]
+    fn dispatcher_keeps_promises(acts in prop::collection::vec(act(), 1..120)) {
+        let mut bench = Bench::new();
+        let mut pieces = IndexMap::new();
+        for (index, act) in acts.into_iter().enumerate() {
+            let at = |n: usize| bench.placed.get_index(n).map(|it| *it.0);
+            match act {
+                Act::Submit { prompt, most, urgent } => {
+                    let mut job = job(index as u64, bench.now);
+                    (job.prompt, job.most) = (prompt, most);
+                    if urgent {
+                        job.urgency = Urgency::Urgent;
+                        job.first_token = Duration::from_millis(1_700);
+                    }
+                    pieces.insert(job.request, job.pieces());
+                    bench.submit(job);
+                }
+                Act::Compute(n) => at(n).into_iter().for_each(|id| bench.computed(id)),
+                Act::Import(n) => at(n).into_iter().for_each(|id| bench.outcome(id, &Outcome::Imported)),
+                Act::End(n) => if let Some(id) = at(n) {
+                    bench.outcome(id, &Outcome::Ended { tokens: 5, answer: None });
+                    bench.dispatcher.release(id);
+                    bench.placed.swap_remove(&id);
+                },
+                Act::Break(n) => if let Some(id) = at(n) {
+                    bench.broken(id);
+                    bench.dispatcher.release(id);
+                    bench.placed.swap_remove(&id);
+                },
+                Act::Remove(n) => if let Some(id) = bench.waiting.get(n).copied() {
+                    bench.dispatcher.remove(id);
+                    bench.waiting.retain(|it| *it != id);
+                },
+                Act::Leave(n, leaving) => bench.pool.endpoints[n].leaving = leaving,
+                Act::Load(n, load) => {
+                    let name = bench.pool.endpoints[n].name.clone();
+                    bench.dispatcher.load(&name, load, 0);
+                }
+                Act::Wait(ms) => {
+                    bench.now = bench.now + Duration::from_millis(ms);
+                    bench.dispatcher.tick(bench.now);
+                }
+            }
+            let before = bench.placed.len();
+            bench.poll(&pieces);
+            for (placement, _) in bench.placed.values().skip(before) {
+                let prefill = placement.prefill.as_ref().expect("a model pool prefills");
+                for name in [&prefill.name, &placement.run.name] {
+                    let listed = bench.pool.endpoints.iter().find(|it| it.name == *name);
+                    prop_assert!(listed.is_some_and(|it| !it.leaving));
+                }
+            }
+            bench.check();
+        }
+    }
+}
+
+#[test]
+fn submit_full_queue() {
+    let mut bench = Bench::new();
+    for id in 0..17 {
+        let job = job(id, bench.now);
+        bench.submit(job);
+    }
+    assert_eq!(bench.refused.get(&Id(16)), Some(&Kind::QueueFull));
+}
+
+#[test]
+fn submit_twice() {
+    let mut bench = Bench::new();
+    let first = job(1, bench.now);
+    bench.submit(first.clone());
+    bench.dispatcher.submit(bench.now, &bench.pool, "dc", first).unwrap();
+    let next = job(2, bench.now);
+    assert!(bench.place_at(2, next).is_some());
+    bench.check();
+}
+
+#[test]
+fn poll_refuses_late_urgent_job() {
+    let mut bench = Bench::new();
+    let mut urgent = job(1, bench.now);
+    urgent.urgency = Urgency::Urgent;
+    urgent.first_token = Duration::from_millis(10);
+    assert_eq!(bench.place_at(1, urgent), None);
+    assert_eq!(bench.refused.get(&Id(1)), Some(&Kind::TooLate));
+}
+
+#[test]
+fn poll_places_late_job_that_may_have_run() {
+    let mut bench = Bench::new();
+    let mut urgent = job(1, bench.now);
+    urgent.urgency = Urgency::Urgent;
+    urgent.first_token = Duration::from_millis(10);
+    urgent.again = true;
+    assert!(bench.place_at(1, urgent).is_some());
+}
+
+#[test]
+fn prefill_prefers_warm_endpoint() {
+    let mut bench = Bench::new();
+    let mut warm = job(1, bench.now);
+    (warm.prompt, warm.prefixes) = (6_100, Arc::new([1, 2, 3]));
+    let first = bench.place_at(1, warm.clone()).unwrap();
+    bench.now = bench.now + Duration::from_millis(400);
+    bench.computed(Id(1));
+    warm.request = Id(2);
+    let second = bench.place_at(2, warm).unwrap();
+    assert_eq!(first.prefill.unwrap().name, second.prefill.unwrap().name);
+}
+
+#[test]
+fn prefill_spreads_hot_prefix() {
+    let mut bench = Bench::new();
+    let mut used = indexmap::IndexSet::new();
+    for id in 0..8 {
+        let mut hot = job(id, bench.now);
+        (hot.prompt, hot.prefixes) = (8_000, Arc::new([1]));
+        used.extend(bench.place_at(id, hot).map(|it| it.prefill.unwrap().name.clone()));
+    }
+    assert_eq!(used.len(), 2);
+}
+
+#[test]
+fn dead_endpoint_rests() {
+    let mut bench = Bench::new();
+    let first = bench.place_at(1, job(1, Instant::from_millis(1_000))).unwrap();
+    bench.broken(Id(1));
+    bench.dispatcher.release(Id(1));
+    bench.placed.clear();
+    let second = bench.place_at(2, job(2, Instant::from_millis(1_000))).unwrap();
+    assert_ne!(first.prefill.unwrap().name, second.prefill.unwrap().name);
+}
+
+#[test]
+fn slow_decode_endpoint_gets_none() {
+    let mut bench = Bench::new();
+    let slow = bench.place_at(1, job(1, Instant::from_millis(1_000))).unwrap().run;
+    bench.computed(Id(1));
+    bench.outcome(Id(1), &Outcome::Imported);
+    bench.now = bench.now + Duration::from_millis(200);
+    bench.outcome(Id(1), &Outcome::First);
+    for id in 2..8 {
+        let job = job(id, bench.now);
+        if let Some(placement) = bench.place_at(id, job) {
+            assert_ne!(placement.run.name, slow.name);
+        }
+    }
+}
+
+#[test]
+fn stalled_link_rests_its_prefill_endpoint() {
+    let mut bench = Bench::new();
+    for id in 1..5 {
+        let job = job(id, bench.now);
+        bench.place_at(id, job).unwrap();
+        bench.computed(Id(id));
+    }
+    let name = |bench: &Bench, id| bench.placed[&Id(id)].0.prefill.clone().unwrap().name.clone();
+    let stalled = name(&bench, 1);
+    for id in 1..5 {
+        if name(&bench, id) != stalled {
+            bench.outcome(Id(id), &Outcome::Imported);
+        }
+    }
+    bench.now = bench.now + Duration::from_millis(500);
+    bench.dispatcher.tick(bench.now);
+    let job = job(9, bench.now);
+    bench.place_at(9, job).unwrap();
+    assert_ne!(name(&bench, 9), stalled);
+}
+
+#[test]
+fn foreign_load_takes_places() {
+    let mut bench = Bench::new();
+    bench.submit(job(100, bench.now));
+    for name in ["d0", "d1"] {
+        bench.dispatcher.load(name, PLACES, 0);
+    }
+    for id in 0..6 {
+        let job = job(id, bench.now);
+        bench.place_at(id, job);
+    }
+    let runs = bench.placed.values().map(|it| it.0.run.name.clone());
+    assert!(runs.filter(|it| &**it == "d2").count() == PLACES as usize);
+}
