Tell a changed pool by its pointer

Cause: each submission and each poll compared all endpoints of the pool by value.

Change: the scheduler keeps the configuration's own shared pool and compares pointers.

Conclusion: kept; a part that does not depend on the endpoints remains.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -13,7 +13,7 @@
 mod scheduler;
 mod score;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 use siskinstile_macros::value;
@@ -53,7 +53,7 @@
     /// Most tokens that it may generate.
     pub most: u64,
     /// Hashes of the prompt's prefixes by piece.
-    pub prefixes: std::sync::Arc<[u64]>,
+    pub prefixes: Arc<[u64]>,
     /// Target for the first token.
     pub first_token: Duration,
     /// Target for the mean time between tokens.
@@ -116,7 +116,7 @@
     pub fn submit(
         &mut self,
         now: Instant,
-        pool: &Pool,
+        pool: &Arc<Pool>,
         datacentre: &str,
         job: Job,
     ) -> Result<(), Failure> {
--- a/crates/core/src/place/scheduler.rs
+++ b/crates/core/src/place/scheduler.rs
@@ -68,8 +68,8 @@
 
 impl Scheduler {
     /// Takes the endpoints of a pool as they are configured.
-    pub(super) fn update(&mut self, pool: &Pool, datacentre: &str) {
-        if self.pool.as_deref().is_some_and(|it| it == pool) {
+    pub(super) fn update(&mut self, pool: &Arc<Pool>, datacentre: &str) {
+        if self.pool.as_ref().is_some_and(|it| Arc::ptr_eq(it, pool)) {
             return;
         }
         self.changed = true;
@@ -97,7 +97,7 @@
         }
         self.prefills.retain(|_, slot| listed(slot));
         self.runs.retain(|_, slot| listed(slot));
-        self.pool = Some(Arc::new(pool.clone()));
+        self.pool = Some(pool.clone());
     }
 
     fn policy(&self) -> Policy {
--- a/crates/core/tests/testsuite/place.rs
+++ b/crates/core/tests/testsuite/place.rs
@@ -86,7 +86,7 @@
 
     fn submit(&mut self, job: Job) {
         let id = job.request;
-        match self.dispatcher.submit(self.now, &self.pool, "dc", job) {
+        match self.dispatcher.submit(self.now, &Arc::new(self.pool.clone()), "dc", job) {
             Ok(()) => self.waiting.push(id),
             Err(failure) => drop(self.refused.insert(id, failure.kind)),
         }
@@ -248,7 +248,7 @@
     let mut bench = Bench::new();
     let first = job(1, bench.now);
     bench.submit(first.clone());
-    bench.dispatcher.submit(bench.now, &bench.pool, "dc", first).unwrap();
+    bench.dispatcher.submit(bench.now, &Arc::new(bench.pool.clone()), "dc", first).unwrap();
     let next = job(2, bench.now);
     assert!(bench.place_at(2, next).is_some());
     bench.check();
--- a/crates/harness/src/bin/place-bench.rs
+++ b/crates/harness/src/bin/place-bench.rs
@@ -48,10 +48,10 @@
 
 /// Places requests one by one in a pool that is about four fifths full.
 fn measure(size: u64, count: u64, seed: u64) -> Vec<Duration> {
-    let pool = pool(size);
     let mut set = Set::default();
-    set.pools.insert(pool.name.clone(), pool.clone());
+    set.pools.insert("pool".into(), pool(size));
     let config = Config::new(1, set);
+    let pool = config.pool("pool").expect("it was inserted");
     let mut dispatcher = Dispatcher::default();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut now = Instant::from_millis(1_000);
@@ -62,7 +62,7 @@
         now = now + PAUSE;
         let job = job(id, now, rng.random_range(0..GROUPS));
         let clock = Clock::now();
-        let submitted = dispatcher.submit(now, &pool, "dc", job);
+        let submitted = dispatcher.submit(now, pool, "dc", job);
         let decisions = dispatcher.poll(now, &config, "dc");
         let elapsed = clock.elapsed();
         assert!(submitted.is_ok(), "{submitted:?}");
