Place through one dispatcher for each pool and data centre

Cause: each instance placed by its own record, which knows nothing of what others placed.

Questions carry attempt numbers and are asked again.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -9,6 +9,8 @@
 mod endpoint;
 mod health;
 mod learn;
+mod observe;
+mod plan;
 mod policy;
 mod scheduler;
 mod score;
@@ -76,6 +78,17 @@
     }
 }
 
+/// A request that runs.
+#[value]
+pub struct Held {
+    /// What it asked for.
+    pub job: Job,
+    /// Name of its prefill endpoint.
+    pub prefill: Option<Name>,
+    /// Name of its decode or plain endpoint.
+    pub run: Name,
+}
+
 /// The dispatcher's answer on a job.
 #[value]
 pub enum Decision {
@@ -128,6 +141,26 @@
         Ok(())
     }
 
+    /// Takes over the record of a request that another dispatcher placed.
+    pub fn adopt(&mut self, now: Instant, pool: &Arc<Pool>, datacentre: &str, held: Held) {
+        let request = held.job.request;
+        if self.owners.contains_key(&request) {
+            return;
+        }
+        let scheduler = self.pools.entry(pool.name.clone()).or_default();
+        scheduler.update(pool, datacentre);
+        if scheduler.adopt(now, held) {
+            self.owners.insert(request, pool.name.clone());
+        }
+    }
+
+    /// Sets among how many instances the places of a pool are split while there is no dispatcher.
+    pub fn split(&mut self, pool: &str, parts: u32) {
+        if let Some(scheduler) = self.pools.get_mut(pool) {
+            scheduler.split(parts);
+        }
+    }
+
     /// Removes a job that nobody waits for.
     pub fn remove(&mut self, request: request::Id) {
         let waiting = self.scheduler(request).is_some_and(|it| it.remove(request));
--- a/crates/core/src/place/endpoint.rs
+++ b/crates/core/src/place/endpoint.rs
@@ -35,6 +35,8 @@
     /// Index among all endpoints ever seen.
     pub(super) number: u32,
     pub(super) local: bool,
+    /// Instances among which its places are split.
+    pub(super) parts: u32,
     /// Requests that were given a place, promised ones too.
     pub(super) used: u32,
     /// Pieces of memory taken or promised.
@@ -69,6 +71,7 @@
             endpoint: Arc::new(endpoint),
             number,
             local,
+            parts: 1,
             used: 0,
             pieces: 0,
             foreign: 0,
@@ -94,7 +97,8 @@
 
     /// Returns whether it may be given a request with so much memory now.
     pub(super) fn has_room(&self, pieces: u64) -> bool {
-        self.used + self.foreign < self.health.limit(self.endpoint.places)
+        let places = (self.endpoint.places / self.parts).max(1);
+        self.used + self.foreign < self.health.limit(self.endpoint.places).min(places)
             && self.pieces.saturating_add(pieces) <= self.memory()
     }
 
--- a/crates/core/src/place/scheduler.rs
+++ b/crates/core/src/place/scheduler.rs
@@ -6,29 +6,23 @@
 use siskinstile_macros::value;
 
 use super::{
-    Decision, Job, Policy, baseline,
-    cache::Index,
-    endpoint::Slot,
-    learn::Learn,
-    score::{self, Blocked},
+    Decision, Held, Job, Policy, cache::Index, endpoint::Slot, learn::Learn, plan::Plan,
+    score::Blocked,
 };
 use crate::{
     Instant,
     error::{Failure, Kind},
     fair,
     object::{Name, Pool, Role, Urgency},
-    request::{Id, Outcome, Placement},
+    request::{Id, Placement},
 };
 
 /// Least time after which a refused request is told to come back.
 const LEAST_RETRY: Duration = Duration::from_millis(500);
 
-/// Time by which a transfer may be longer than usual.
-const TRANSFER_SLACK: Duration = Duration::from_millis(300);
-
 /// Where a placed request stands.
 #[value(id)]
-enum Stage {
+pub(super) enum Stage {
     Prefill,
     Import { begun: Instant, overdue: bool },
     Run { begun: Instant, first: Option<Instant> },
@@ -36,34 +30,32 @@
 
 /// What a placed request was promised.
 #[value]
-struct Grant {
-    job: Job,
-    prefill: Option<Name>,
-    run: Name,
-    pieces: u64,
-    /// Prompt tokens to be computed.
-    tokens: u64,
+pub(super) struct Grant {
+    pub(super) job: Job,
+    pub(super) prefill: Option<Name>,
+    pub(super) run: Name,
+    pub(super) pieces: u64,
     /// Tokens of output that were expected.
-    expected: u64,
-    stage: Stage,
+    pub(super) expected: u64,
+    pub(super) stage: Stage,
 }
 
 /// One pool's scheduler.
 #[value(default)]
 pub struct Scheduler {
-    pool: Option<Arc<Pool>>,
-    queue: fair::Queue,
-    jobs: IndexMap<Id, Job>,
-    grants: IndexMap<Id, Grant>,
-    prefills: IndexMap<Name, Slot>,
-    runs: IndexMap<Name, Slot>,
-    numbers: u32,
-    cache: Index,
-    learn: Learn,
-    turn: usize,
+    pub(super) pool: Option<Arc<Pool>>,
+    pub(super) queue: fair::Queue,
+    pub(super) jobs: IndexMap<Id, Job>,
+    pub(super) grants: IndexMap<Id, Grant>,
+    pub(super) prefills: IndexMap<Name, Slot>,
+    pub(super) runs: IndexMap<Name, Slot>,
+    pub(super) numbers: u32,
+    pub(super) cache: Index,
+    pub(super) learn: Learn,
+    pub(super) turn: usize,
     /// Whether anything has changed since the last look at the queue.
-    changed: bool,
-    now: Instant,
+    pub(super) changed: bool,
+    pub(super) now: Instant,
 }
 
 impl Scheduler {
@@ -146,6 +138,29 @@
         }
     }
 
+    /// Takes over the record of a request that another dispatcher placed; returns whether its
+    /// endpoint is known.
+    pub(super) fn adopt(&mut self, now: Instant, held: Held) -> bool {
+        let pieces = held.job.pieces();
+        let Some(slot) = self.runs.get_mut(&held.run) else { return false };
+        slot.take(now, pieces);
+        let grant = Grant {
+            prefill: None,
+            run: held.run,
+            pieces,
+            expected: self.learn.output(&held.job.route, &held.job.team, held.job.most),
+            stage: Stage::Run { begun: now, first: None },
+            job: held.job,
+        };
+        self.grants.insert(grant.job.request, grant);
+        true
+    }
+
+    /// Sets among how many instances the places are split.
+    pub(super) fn split(&mut self, parts: u32) {
+        self.runs.values_mut().for_each(|it| it.parts = parts.max(1));
+    }
+
     /// Removes a waiting job; returns whether it was there.
     pub(super) fn remove(&mut self, request: Id) -> bool {
         self.jobs.swap_remove(&request);
@@ -168,102 +183,6 @@
         }
     }
 
-    /// Takes notice of what became of a step.
-    pub(super) fn observe(&mut self, now: Instant, request: Id, outcome: &Outcome) {
-        self.now = now;
-        let Some(grant) = self.grants.get_mut(&request) else { return };
-        let prefill = grant.prefill.as_ref().and_then(|it| self.prefills.get_mut(it));
-        let run = self.runs.get_mut(&grant.run);
-        match (outcome, grant.stage) {
-            (Outcome::Computed { cached, .. }, Stage::Prefill) => {
-                grant.stage = Stage::Import { begun: now, overdue: false };
-                let Some(slot) = prefill else { return };
-                slot.computed(now, request, grant.job.prompt.saturating_sub(*cached));
-                self.changed = true;
-            }
-            (Outcome::Imported, _) => {
-                grant.stage = Stage::Run { begun: now, first: None };
-                let Some(slot) = prefill else { return };
-                slot.transferred(true);
-                slot.used = slot.used.saturating_sub(1);
-                slot.health.succeeded(slot.endpoint.places);
-                run.into_iter().for_each(|it| it.transferred(true));
-                slot.transfers.retain(|it| it.0 != request);
-                self.changed = true;
-            }
-            (Outcome::First, Stage::Run { begun, .. }) => {
-                grant.stage = Stage::Run { begun, first: Some(now) };
-                let Some(slot) = run else { return };
-                slot.health.step(now.since(begun).as_micros() as f64);
-                slot.health.succeeded(slot.endpoint.places);
-            }
-            (Outcome::Ended { tokens, .. }, Stage::Run { first, .. }) => {
-                if let (Some(slot), Some(first)) = (run, first)
-                    && *tokens > 1
-                {
-                    let us = now.since(first).as_micros() as f64;
-                    slot.health.step(us / (*tokens - 1) as f64);
-                }
-                let job = &grant.job;
-                self.learn.ended(&job.route, &job.team, *tokens);
-                let above = *tokens as i64 - grant.expected as i64;
-                self.queue.correct(&job.team, job.weight, above);
-            }
-            (Outcome::Broken { .. }, Stage::Prefill) => {
-                let name = grant.prefill.clone();
-                name.into_iter().for_each(|it| self.fail(now, &it));
-            }
-            (Outcome::Broken { .. }, Stage::Import { overdue: false, .. }) => {
-                self.transfer_failed(now, request);
-            }
-            (Outcome::Broken { .. }, Stage::Run { .. }) => {
-                let name = grant.run.clone();
-                self.fail(now, &name);
-            }
-            _ => {}
-        }
-    }
-
-    /// Lets one end of a failed transfer rest: the one with which fewer have succeeded of late.
-    fn transfer_failed(&mut self, now: Instant, request: Id) {
-        let Some(grant) = self.grants.get(&request) else { return };
-        let (Some(source), run) = (grant.prefill.clone(), grant.run.clone()) else { return };
-        let ends = (self.prefills.get_mut(&source), self.runs.get_mut(&run));
-        let (Some(prefill), Some(decode)) = ends else { return };
-        prefill.transferred(false);
-        decode.transferred(false);
-        let guilty = if prefill.transferred <= decode.transferred { source } else { run };
-        self.fail(now, &guilty);
-    }
-
-    /// Takes notice of transfers that take far longer than they should, before they break.
-    fn find_overdue(&mut self, now: Instant) {
-        let Some(pool) = self.pool.clone() else { return };
-        let mut found = Vec::new();
-        for (id, grant) in &mut self.grants {
-            let Stage::Import { begun, overdue } = &mut grant.stage else { continue };
-            let usual = Duration::from_micros(grant.job.prompt * pool.transfer_ms);
-            if !*overdue && now.since(*begun) > usual + TRANSFER_SLACK {
-                *overdue = true;
-                found.push(*id);
-            }
-        }
-        for id in found {
-            self.transfer_failed(now, id);
-        }
-    }
-
-    /// Lets a failing endpoint rest, unless half of its role rest already.
-    fn fail(&mut self, now: Instant, name: &Name) {
-        for slots in [&mut self.prefills, &mut self.runs] {
-            let resting = slots.values().filter(|it| it.health.rests(now)).count();
-            let may_rest = (resting + 1) * 2 <= slots.len();
-            if let Some(slot) = slots.get_mut(name) {
-                slot.health.failed(now, may_rest);
-            }
-        }
-    }
-
     /// Takes an endpoint's late report of its load.
     pub(super) fn load(&mut self, endpoint: &str, running: u32, queued: u32) {
         for slots in [&mut self.prefills, &mut self.runs] {
@@ -324,73 +243,6 @@
         }
     }
 
-    fn plan(&self, now: Instant, request: Id) -> Result<Plan, Blocked> {
-        let (Some(job), Some(pool)) = (self.jobs.get(&request), &self.pool) else {
-            return Err(Blocked::Full);
-        };
-        match pool.policy.promises() {
-            true => match self.promise(now, pool, job, false) {
-                Err(blocked) if self.has_remote() => {
-                    self.promise(now, pool, job, true).map_err(|_| blocked)
-                }
-                local => local,
-            },
-            false => self.simple(pool, job),
-        }
-    }
-
-    fn has_remote(&self) -> bool {
-        self.runs.values().any(|it| !it.local)
-    }
-
-    /// Finds a prefill endpoint with a link slot and a decode place with its memory.
-    fn promise(
-        &self,
-        now: Instant,
-        pool: &Pool,
-        job: &Job,
-        may_spill: bool,
-    ) -> Result<Plan, Blocked> {
-        if self.prefills.is_empty() {
-            let run = score::run(now, self.runs.values(), job, may_spill)?;
-            let reason =
-                format!("{} with {} running, of {} with room", run.name, run.used, run.candidates);
-            return Ok(Plan { prefill: None, run: run.name, reason });
-        }
-        let cache = (&self.cache, self.numbers);
-        let prefill = score::prefill(now, pool, self.prefills.values(), cache, job, may_spill)?;
-        if job.urgency == Urgency::Urgent && score::late(job, prefill.ready) {
-            return Err(Blocked::Late);
-        }
-        let run = score::run(now, self.runs.values(), job, may_spill)?;
-        let reason = format!(
-            "{} of {} prefill, {} tokens to compute, at hand in {} ms; {} with {} running, of {} with room",
-            prefill.name,
-            prefill.candidates,
-            prefill.tokens,
-            prefill.ready.since(now).as_millis(),
-            run.name,
-            run.used,
-            run.candidates,
-        );
-        Ok(Plan { run: run.name.clone(), prefill: Some(prefill), reason })
-    }
-
-    fn simple(&self, pool: &Pool, job: &Job) -> Result<Plan, Blocked> {
-        let run = baseline::pick(pool.policy, self.runs.values(), job, self.turn, false);
-        let run = run.ok_or(Blocked::Full)?;
-        let reason = format!("{:?}", pool.policy);
-        if self.prefills.is_empty() {
-            return Ok(Plan { prefill: None, run, reason });
-        }
-        let name = baseline::pick(pool.policy, self.prefills.values(), job, self.turn, true);
-        let name = name.ok_or(Blocked::Full)?;
-        let now = self.now;
-        let prefill =
-            score::Prefill { name, tokens: job.prompt, start: now, ready: now, candidates: 0 };
-        Ok(Plan { prefill: Some(prefill), run, reason })
-    }
-
     fn grant(&mut self, now: Instant, request: Id, plan: Plan) -> Option<Decision> {
         let job = self.jobs.swap_remove(&request)?;
         let pieces = job.pieces();
@@ -399,13 +251,11 @@
         let run = self.runs.get_mut(&plan.run)?;
         run.take(now, pieces);
         let run_endpoint = run.endpoint.clone();
-        let mut tokens = 0;
         let mut prefill = None;
         if let Some(found) = &plan.prefill {
             let slot = self.prefills.get_mut(&found.name)?;
-            tokens = found.tokens;
             slot.used += 1;
-            slot.sent(now, request, tokens);
+            slot.sent(now, request, found.tokens);
             slot.transfers.push((request, found.ready));
             let limit = slot.memory() as usize;
             self.cache.sent(slot.number, &job.prefixes, limit);
@@ -416,7 +266,6 @@
             prefill: plan.prefill.map(|it| it.name),
             run: plan.run,
             pieces,
-            tokens,
             expected,
             stage: if prefill.is_some() {
                 Stage::Prefill
@@ -472,10 +321,3 @@
         Urgency::Patient => job.arrived + (job.first_token * 9 / 10).saturating_sub(fair::AGEING),
     }
 }
-
-/// Endpoints for a job.
-struct Plan {
-    prefill: Option<score::Prefill>,
-    run: Name,
-    reason: String,
-}
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -22,7 +22,7 @@
     /// Starts an attempt at the endpoints that the dispatcher chose.
     pub(super) fn begin(&mut self, now: Instant, id: Id, placement: Placement) {
         let Some(request) = self.requests.get_mut(&id) else {
-            return self.release(id);
+            return self.release(now, id);
         };
         request.attempt += 1;
         request.retries = 0;
@@ -50,11 +50,11 @@
     /// Takes a report on a step; one of an older attempt changes nothing.
     pub(super) fn report(&mut self, now: Instant, report: Report) {
         let Report { request: id, attempt, outcome } = report;
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.attempt != attempt {
+        if self.requests.get(&id).is_none_or(|it| it.attempt != attempt) {
             return;
         }
-        self.dispatcher.observe(now, id, &outcome);
+        self.observe(now, id, &outcome);
+        let Some(request) = self.requests.get_mut(&id) else { return };
         match (request.phase.clone(), outcome) {
             (Phase::Prefill, Outcome::Computed { kv, cached }) => {
                 request.kv = Some(kv);
@@ -116,14 +116,14 @@
     }
 
     fn end_unknown(&mut self, now: Instant, id: Id) {
-        self.end_attempt(id);
+        self.end_attempt(now, id);
         self.count_bad(now, id, burn::Cause::Endpoint);
         self.fail_unknown(id);
     }
 
     /// Ends the attempt and queues the request for another one.
     fn try_again(&mut self, now: Instant, id: Id) {
-        self.end_attempt(id);
+        self.end_attempt(now, id);
         let Some(request) = self.requests.get(&id) else { return };
         if request.attempt >= MAX_ATTEMPTS {
             let ran = if request.route.idempotent { Ran::Unknown } else { Ran::No };
@@ -134,7 +134,7 @@
     }
 
     /// Cancels what the attempt holds on endpoints and frees its places.
-    fn end_attempt(&mut self, id: Id) {
+    fn end_attempt(&mut self, now: Instant, id: Id) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let attempt = request.attempt;
         let Some(placement) = request.placement.take() else { return };
@@ -143,7 +143,7 @@
             let endpoint = endpoint.clone();
             self.effects.push(Effect::Cancel { request: id, attempt, endpoint });
         }
-        self.release(id);
+        self.release(now, id);
     }
 
     /// Ends a request that has not run, or whose attempts have all failed, with an error.
@@ -176,8 +176,8 @@
         self.refund(id, unused);
         self.count_end(now, id, tokens);
         self.trace.note(now, id, format!("answered, {tokens} tokens"));
+        self.release(now, id);
         self.requests.swap_remove(&id);
-        self.release(id);
         self.emit(Effect::Finish { request: id });
     }
 
@@ -221,7 +221,7 @@
             }
             false => self.settle(id, ClaimOutcome::Unknown),
         }
-        self.end_attempt(id);
+        self.end_attempt(now, id);
         self.requests.swap_remove(&id);
     }
 }
--- a/crates/core/src/state/dispatch.rs
+++ b/crates/core/src/state/dispatch.rs
@@ -1,39 +1,103 @@
 //! The queue: from an admitted request to its endpoints.
+//!
+//! Each pool has one dispatcher in each data centre: the live instance with the first rank. The
+//! instance that a request came to, its door, asks it for endpoints. A door that gets no sign of
+//! its dispatcher places on its own, within its part of the places.
+
+mod client;
+mod server;
 
 use std::time::Duration;
 
-use siskinstile_wire::message::dispatch::Message;
+use siskinstile_macros::value;
+use siskinstile_wire::{
+    Body,
+    message::dispatch::{Kind as Said, Message},
+};
 
 use crate::{
     Instant,
     error::{Failure, Kind},
+    object::Name,
     place::{Decision, Job},
-    request::{Id, Phase, Request},
+    request::{Id, Outcome, Phase, Request},
 };
 
 use super::{State, messages::Sender};
 
+/// Time without a heartbeat after which an instance is no dispatcher.
+const HEARTBEAT_LIMIT: Duration = Duration::from_secs(3);
+
+/// What this instance has asked of dispatchers, and what others have asked of it.
+#[value(default)]
+pub(super) struct Desk {
+    clients: server::Clients,
+    asked: client::Asked,
+    listed: Option<Instant>,
+}
+
 impl State {
-    /// Queues a request for endpoints.
+    /// Queues a request for endpoints, here or at the dispatcher of its pool.
     pub(super) fn enqueue(&mut self, now: Instant, id: Id) {
-        let config = self.config.clone();
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.phase = Phase::Queued;
+        let pool = request.route.pool.clone();
+        match self.dispatcher_of(now, &pool) {
+            Some(to) => self.ask(now, id, to),
+            None => self.enqueue_here(now, id),
+        }
+    }
+
+    fn enqueue_here(&mut self, now: Instant, id: Id) {
+        let config = self.config.clone();
+        let Some(request) = self.requests.get(&id) else { return };
         let Some(pool) = config.pool(&request.route.pool) else {
             return self.give_up(now, id, Failure::not_run(Kind::NoEndpoint));
         };
         let weight = |name| config.set.teams.get(name).map_or(1, |team| team.weight);
         let job = job(request, request.team.as_ref().map_or(1, weight));
-        if let Err(failure) = self.dispatcher.submit(now, pool, &self.settings.datacentre, job) {
+        let parts = self.parts(&pool.name);
+        let datacentre = self.settings.datacentre.clone();
+        let submitted = self.dispatcher.submit(now, pool, &datacentre, job);
+        self.dispatcher.split(&pool.name, parts);
+        if let Err(failure) = submitted {
             self.give_up(now, id, failure);
         }
     }
 
+    /// Returns the instance that places the requests of a pool, or none if it is this one or no
+    /// other is heard of.
+    fn dispatcher_of(&self, now: Instant, pool: &str) -> Option<Name> {
+        let key = format!("dispatch:{pool}");
+        let ranked = self.members.ranked(&self.settings.datacentre, &key);
+        let own = &self.settings.name;
+        let heard = |name: &str| {
+            let recent =
+                |it: &crate::member::Heard| !it.leaving && now.since(it.at) < HEARTBEAT_LIMIT;
+            self.members.heard(name).is_some_and(recent)
+        };
+        let first = ranked.into_iter().find(|it| it.name == *own || heard(&it.name))?;
+        (first.name != *own).then(|| first.name.clone())
+    }
+
+    /// Returns among how many instances the places of a pool are split: all of the data centre, if
+    /// this one is not the first of them.
+    fn parts(&self, pool: &str) -> u32 {
+        let key = format!("dispatch:{pool}");
+        let ranked = self.members.ranked(&self.settings.datacentre, &key);
+        match ranked.first() {
+            Some(first) if first.name != self.settings.name => ranked.len() as u32,
+            _ => 1,
+        }
+    }
+
     /// Starts an attempt of each request that can be placed now.
     pub(super) fn place(&mut self, now: Instant) {
         let config = self.config.clone();
-        for decision in self.dispatcher.poll(now, &config, &self.settings.datacentre) {
+        let datacentre = self.settings.datacentre.clone();
+        for decision in self.dispatcher.poll(now, &config, &datacentre) {
             match decision {
+                decision if self.answer_client(now, &decision) => {}
                 Decision::Placed { request, placement, reason } => {
                     self.trace.note(now, request, reason);
                     self.begin(now, request, placement);
@@ -49,19 +113,45 @@
     /// Takes a request that nobody waits for out of the queue.
     pub(super) fn withdraw(&mut self, id: Id) {
         self.dispatcher.remove(id);
+        self.withdraw_ask(id);
     }
 
     /// Frees what an attempt of a request took at endpoints.
-    pub(super) fn release(&mut self, id: Id) {
+    pub(super) fn release(&mut self, now: Instant, id: Id) {
         self.dispatcher.release(id);
+        self.tell_released(now, id);
     }
 
-    /// Each instance places on its own and needs no messages.
-    pub(super) fn dispatch_message(&mut self, _now: Instant, _from: &Sender, _message: Message) {}
+    /// Takes notice of what became of a step of a request.
+    pub(super) fn observe(&mut self, now: Instant, id: Id, outcome: &Outcome) {
+        self.dispatcher.observe(now, id, outcome);
+        self.tell_progress(now, id, outcome);
+    }
 
-    /// Does what the dispatcher does from time to time.
+    /// Takes a message of another instance on placement.
+    pub(super) fn dispatch_message(&mut self, now: Instant, from: &Sender, message: Message) {
+        match message.kind {
+            Some(Said::Submit(submit)) => self.submitted(now, from, &submit),
+            Some(Said::Released(released)) => self.released(&released),
+            Some(Said::Progress(progress)) => self.progressed(now, &progress),
+            Some(Said::Holding(holding)) => self.holding(now, from, holding),
+            Some(Said::Queued(queued)) => self.acknowledged(now, &queued),
+            Some(Said::Placed(placed)) => self.placed(now, from, placed),
+            Some(Said::Refused(refused)) => self.refused_by(now, from, &refused),
+            None => {}
+        }
+    }
+
+    /// Does what the dispatcher and its clients do from time to time.
     pub(super) fn dispatch_tick(&mut self, now: Instant) {
         self.dispatcher.tick(now);
+        self.expire_clients(now);
+        self.ask_again(now);
+        self.list_held(now);
+    }
+
+    fn say(&mut self, to: &str, said: Said) {
+        self.send(to, Body::Dispatch(Message { kind: Some(said) }));
     }
 }
 
--- a/crates/harness/src/policy/placement.rs
+++ b/crates/harness/src/policy/placement.rs
@@ -16,6 +16,8 @@
 use siskinstile_core::{
     Effect, Event, Instant,
     key::Secret,
+    member,
+    object::Name,
     place::Policy,
     request::{Arrival, Id, Target},
     state::Settings,
@@ -49,13 +51,14 @@
 /// Runs at the same time.
 const THREADS: usize = 4;
 /// The policies compared; the oracle is the last.
-const POLICIES: [(&str, Policy); 6] = [
-    ("promise", Policy::Promise),
-    ("least used", Policy::LeastUsed),
-    ("round robin", Policy::RoundRobin),
-    ("least load", Policy::LeastLoad),
-    ("prefix affinity", Policy::PrefixAffinity),
-    ("oracle", Policy::Exact),
+const POLICIES: [(&str, Policy, usize); 7] = [
+    ("promise", Policy::Promise, 1),
+    ("promise, 6 doors", Policy::Promise, 6),
+    ("least used", Policy::LeastUsed, 1),
+    ("round robin", Policy::RoundRobin, 1),
+    ("least load", Policy::LeastLoad, 1),
+    ("prefix affinity", Policy::PrefixAffinity, 1),
+    ("oracle", Policy::Exact, 1),
 ];
 
 const MARK_LOAD: u64 = u64::MAX;
@@ -77,6 +80,8 @@
     Dead,
     /// The link of a prefill engine stalls.
     Stall,
+    /// The instance that places the requests dies.
+    Takeover,
 }
 
 /// One run.
@@ -90,6 +95,8 @@
     pub trouble: Trouble,
     /// How endpoints are chosen.
     pub policy: Policy,
+    /// Instances that requests come to.
+    pub doors: usize,
     /// Seed of the random numbers.
     pub seed: u64,
 }
@@ -100,12 +107,20 @@
     println!("{scenario:?}, seed {seed}, capacity {:.1} requests/s", shape.capacity(seed));
     println!("{}", Figures::head());
     let ordinary = [0.7, 1.0, 1.3, 2.0].map(|load| (load, Trouble::None));
-    let troubles = [Trouble::Bursts, Trouble::Long, Trouble::Slow, Trouble::Dead, Trouble::Stall];
+    let troubles = [
+        Trouble::Bursts,
+        Trouble::Long,
+        Trouble::Slow,
+        Trouble::Dead,
+        Trouble::Stall,
+        Trouble::Takeover,
+    ];
     for (load, trouble) in ordinary.into_iter().chain(troubles.map(|it| (1.0, it))) {
-        let cases =
-            POLICIES.map(|(name, policy)| (name, Case { scenario, load, trouble, policy, seed }));
+        let cases = POLICIES.map(|(name, policy, doors)| {
+            (name, Case { scenario, load, trouble, policy, doors, seed })
+        });
         for (name, figures) in run_all(&cases) {
-            println!("{load:4.1} {:7} {name:16} {figures}", format!("{trouble:?}"));
+            println!("{load:4.1} {:8} {name:16} {figures}", format!("{trouble:?}"));
         }
     }
     Ok(())
@@ -157,16 +172,9 @@
         for (kind, name, value) in set.values() {
             world.edit(&Call::Put { kind: kind.as_str().into(), name, value, if_version: Some(0) });
         }
-        world.start(
-            Settings {
-                name: "a".into(),
-                incarnation: 1,
-                datacentre: "dc".into(),
-                fleet_size: 1,
-                balancer_lag: Duration::from_secs(1),
-            },
-            0,
-        );
+        for door in 0..case.doors {
+            world.start(settings(door, case.doors), 0);
+        }
         let rng = ChaCha8Rng::seed_from_u64(case.seed);
         Run { case, shape, world, rng, fates: IndexMap::new(), reports: VecDeque::new() }
     }
@@ -190,7 +198,8 @@
         let from = START + WARM_UP;
         let capacity = self.shape.capacity(self.case.seed);
         let counts = &self.world.endpoints.counts;
-        Figures::new(&self.fates, counts, from, ARRIVALS - WARM_UP, capacity)
+        let length = ARRIVALS - WARM_UP;
+        Figures::new(&self.fates, counts, self.world.traffic, from, length, capacity)
     }
 
     fn plan_arrivals(&mut self) {
@@ -233,7 +242,10 @@
         if exact && let Some(demand) = self.world.endpoints.demands.get_mut(&id) {
             demand.most = demand.output;
         }
-        self.world.event("a", Event::Arrival(arrival));
+        let door = door(id.0 as usize % self.case.doors);
+        if !self.world.event(&door, Event::Arrival(arrival.clone())) {
+            self.world.event(&door_after(&door, self.case.doors), Event::Arrival(arrival));
+        }
     }
 
     fn report_loads(&mut self) {
@@ -244,7 +256,9 @@
         };
         if self.reports.len() > lag as usize {
             for event in self.reports.pop_front().unwrap_or_default() {
-                self.world.event("a", event);
+                for index in 0..self.case.doors {
+                    self.world.event(&door(index), event.clone());
+                }
             }
         }
         self.world.mark(self.world.now() + REPORT_INTERVAL, MARK_LOAD);
@@ -260,10 +274,25 @@
                 fleet.kill(now, "prefill-0");
             }
             Trouble::Stall => fleet.stall("prefill-0"),
+            Trouble::Takeover => self.kill_dispatcher(),
             Trouble::None | Trouble::Bursts | Trouble::Long => {}
         }
     }
 
+    /// Ends the instance that places the requests; those that came to it end with it.
+    fn kill_dispatcher(&mut self) {
+        let all = (0..self.case.doors).map(door);
+        let first = all.max_by_key(|it| member::rank(it, "dispatch:pool"));
+        let Some(name) = first.filter(|_| self.case.doors > 1) else { return };
+        for (id, fate) in &mut self.fates {
+            if fate.at <= self.world.now() && *door(id.0 as usize % self.case.doors) == *name {
+                fate.lost = true;
+            }
+        }
+        self.world.kill(&name);
+        self.world.store.unlist(&name);
+    }
+
     fn collect(&mut self) {
         for output in std::mem::take(&mut self.world.outputs) {
             let (id, fate) = match output.effect {
@@ -278,5 +307,25 @@
     }
 }
 
+fn settings(index: usize, fleet: usize) -> Settings {
+    Settings {
+        name: door(index),
+        incarnation: 1,
+        datacentre: "dc".into(),
+        fleet_size: fleet as u64,
+        balancer_lag: Duration::from_secs(1),
+    }
+}
+
+fn door(index: usize) -> Name {
+    format!("door-{index}").into()
+}
+
+/// Returns the door that the balancer takes when one is dead.
+fn door_after(name: &str, doors: usize) -> Name {
+    let next = (0..doors).position(|it| *door(it) == *name).map_or(0, |it| (it + 1) % doors);
+    door(next)
+}
+
 /// A shared list of prefix hashes.
 type Prefixes = Arc<[u64]>;
--- a/crates/harness/src/policy/placement/figures.rs
+++ b/crates/harness/src/policy/placement/figures.rs
@@ -31,13 +31,15 @@
     pub patient: bool,
     /// Its first-token target.
     pub first_token: Duration,
+    /// Whether its instance died.
+    pub lost: bool,
     /// Its ends; exactly one in a sound run.
     pub ends: Vec<End>,
 }
 
 impl Fate {
     pub(super) fn new(at: Instant, team: usize, patient: bool, first_token: Duration) -> Fate {
-        Fate { at, team, patient, first_token, ends: Vec::new() }
+        Fate { at, team, patient, first_token, lost: false, ends: Vec::new() }
     }
 }
 
@@ -71,6 +73,10 @@
     pub wrongful: f64,
     /// Requests refused before they ran, and failed after.
     pub failed: (usize, usize),
+    /// Messages between instances for each request, and their bytes.
+    pub messages: f64,
+    /// Bytes of them.
+    pub bytes: f64,
     /// Requests with no end or more than one.
     pub unsound: usize,
 }
@@ -79,6 +85,7 @@
     pub(super) fn new(
         fates: &IndexMap<Id, Fate>,
         counts: &Counts,
+        traffic: (u64, u64),
         from: Instant,
         length: Duration,
         capacity: f64,
@@ -89,7 +96,8 @@
         let (mut arrived, mut good) = (0, 0);
         let mut teams = vec![Served::default(); TEAMS.len()];
         for (id, fate) in fates.iter() {
-            out.unsound += usize::from(fate.ends.len() != 1);
+            out.unsound +=
+                usize::from(fate.ends.len() != 1 && !(fate.lost && fate.ends.is_empty()));
             let times = counts.times.get(id);
             let first = times.map(|it| it.0.since(fate.at));
             let between = times.and_then(|it| Some(it.1?.since(it.0)));
@@ -126,6 +134,8 @@
         let all: u64 = counts.computed.values().map(|it| it.0).sum();
         let lost: u64 = counts.computed.values().filter(|it| !it.1).map(|it| it.0).sum();
         out.good = part(good, arrived);
+        out.messages = traffic.0 as f64 / fates.len().max(1) as f64;
+        out.bytes = traffic.1 as f64 / fates.len().max(1) as f64;
         out.wasted = lost as f64 / all.max(1) as f64;
         out.cached = counts.cached as f64 / counts.prompt.max(1) as f64;
         out.first = percentile(&mut firsts);
@@ -144,7 +154,7 @@
 
     pub(super) fn head() -> String {
         format!(
-            "load trouble policy           {:>8} {:>6} {:>7} {:>6} {:>6} {:>7} {:>6} {:>8} {:>11} {}",
+            "load trouble policy           {:>8} {:>6} {:>7} {:>6} {:>6} {:>7} {:>6} {:>8} {:>11} {} {:>5} {:>6}",
             "goodput",
             "good",
             "wasted",
@@ -154,7 +164,9 @@
             "worst",
             "wrongful",
             "ref/failed",
-            "unsound"
+            "unsound",
+            "msgs",
+            "bytes"
         )
     }
 }
@@ -163,7 +175,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{:8.2} {:5.1}% {:6.2}% {:5.1}% {:5}ms {:5.1}ms {:5.1}% {:7.2}% {:6}/{:4} {}",
+            "{:8.2} {:5.1}% {:6.2}% {:5.1}% {:5}ms {:5.1}ms {:5.1}% {:7.2}% {:6}/{:4} {:7} {:5.1} {:6.0}",
             self.goodput,
             self.good * 100.0,
             self.wasted * 100.0,
@@ -175,6 +187,8 @@
             self.failed.0,
             self.failed.1,
             self.unsound,
+            self.messages,
+            self.bytes,
         )
     }
 }
--- a/crates/wire/src/message/dispatch.rs
+++ b/crates/wire/src/message/dispatch.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Message {
     /// What it says.
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<Kind>,
 }
 
@@ -23,6 +23,15 @@
     /// A request no longer waits for endpoints or has left them.
     #[prost(message, tag = "4")]
     Released(Released),
+    /// The dispatcher has queued a request.
+    #[prost(message, tag = "5")]
+    Queued(Queued),
+    /// A step of a placed request has come to something.
+    #[prost(message, tag = "6")]
+    Progress(Progress),
+    /// What the sender has running in a pool.
+    #[prost(message, tag = "7")]
+    Holding(Holding),
 }
 
 /// Asks for endpoints.
@@ -110,3 +119,72 @@
     #[prost(bool, tag = "4")]
     pub failed: bool,
 }
+
+/// Tells that a request waits in the dispatcher's queue.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Queued {
+    /// The request.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// Number of the attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+}
+
+/// Tells what became of a step.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Progress {
+    /// The request.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// Number of the attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    /// What happened.
+    #[prost(enumeration = "Step", tag = "3")]
+    pub step: i32,
+    /// Prompt tokens that were cached, or tokens generated.
+    #[prost(uint64, tag = "4")]
+    pub tokens: u64,
+}
+
+/// What happened in a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Step {
+    /// The call or the stream broke.
+    Broken = 0,
+    /// The prompt is computed.
+    Computed = 1,
+    /// The KV cache is at the decode endpoint.
+    Imported = 2,
+    /// The first token has come.
+    First = 3,
+    /// The answer has ended.
+    Ended = 4,
+}
+
+/// Lists the placed requests of the sender in a pool, so that a dispatcher can rebuild its record.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Holding {
+    /// Name of the pool.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// The requests.
+    #[prost(message, repeated, tag = "2")]
+    pub held: Vec<Held>,
+}
+
+/// A placed request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Held {
+    /// What it asked for, without its prefixes.
+    #[prost(message, optional, tag = "1")]
+    pub submit: Option<Submit>,
+    /// Name of the prefill endpoint; empty for a plain request.
+    #[prost(string, tag = "2")]
+    pub prefill: String,
+    /// Name of the decode or plain endpoint.
+    #[prost(string, tag = "3")]
+    pub run: String,
+}
