Test placement under faults through six instances

Cause: faults of engines, links, messages and of the dispatcher were only run by hand.

Change: seven runs on virtual time, with the stated bounds for wasted prefill (0.5%, 2% with faults) and one end for each request; a run that loses and doubles one message in twenty.

--- a/crates/harness/src/policy/placement.rs
+++ b/crates/harness/src/policy/placement.rs
@@ -44,6 +44,8 @@
 const FAULT_AT: Duration = Duration::from_secs(30);
 /// How long a link stalls.
 const STALL: Duration = Duration::from_secs(20);
+/// Part of the messages that is lost, and that is doubled.
+const LOSS: f64 = 0.05;
 /// Time between two load reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Age of a load report.
@@ -82,6 +84,8 @@
     Stall,
     /// The instance that places the requests dies.
     Takeover,
+    /// Links lose and double one message in twenty.
+    Loss,
 }
 
 /// One run.
@@ -114,6 +118,7 @@
         Trouble::Dead,
         Trouble::Stall,
         Trouble::Takeover,
+        Trouble::Loss,
     ];
     for (load, trouble) in ordinary.into_iter().chain(troubles.map(|it| (1.0, it))) {
         let cases = POLICIES.map(|(name, policy, doors)| {
@@ -275,6 +280,10 @@
             }
             Trouble::Stall => fleet.stall("prefill-0"),
             Trouble::Takeover => self.kill_dispatcher(),
+            Trouble::Loss => {
+                let link = &mut self.world.links.usual;
+                (link.loss, link.twice) = (LOSS, LOSS);
+            }
             Trouble::None | Trouble::Bursts | Trouble::Long => {}
         }
     }
