--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -64,6 +64,7 @@
     members: member::Table,
     limits: limit::Limiter,
     dispatcher: place::Dispatcher,
+    desk: dispatch::Desk,
     requests: IndexMap<request::Id, request::Request>,
     burn: burn::Report,
     trace: trace::Ring,
@@ -98,6 +99,7 @@
             members: member::Table::default(),
             limits,
             dispatcher: place::Dispatcher::default(),
+            desk: dispatch::Desk::default(),
             requests: IndexMap::new(),
             burn: burn::Report::default(),
             trace: trace::Ring::default(),
@@ -129,7 +131,10 @@
             Event::Report(report) => self.report(now, report),
             Event::Message(envelope) => self.message(now, envelope),
             Event::Stored { tag, answer } => self.stored(now, tag, answer),
-            Event::Load { .. } => {}
+            Event::Load { endpoint, running, queued } => {
+                self.dispatcher.load(&endpoint, running, queued);
+            }
+            Event::Evicted { endpoint, prefix } => self.dispatcher.evicted(&endpoint, prefix),
             Event::Drain => self.drain(now),
             Event::Query { id, query } => self.query(now, id, query),
         }
@@ -175,13 +180,13 @@
     /// Ends a request with an error; the only place where one is given to a caller.
     ///
     /// It says that the request did not run only if no byte of it can have left.
-    fn fail(&mut self, request: request::Id, mut failure: Failure) {
+    fn fail(&mut self, now: Instant, request: request::Id, mut failure: Failure) {
         let sent = self.requests.get(&request).is_some_and(|it| it.sent || it.is_running());
         if sent && failure.ran == Ran::No && !self.has(Fault::ClaimNotRun) {
             failure.ran = Ran::Unknown;
         }
         self.settle_failed(request, failure.ran);
-        self.end_attempt(request);
+        self.end_attempt(now, request);
         self.requests.swap_remove(&request);
         self.emit(Effect::Fail { request, failure });
     }
--- a/crates/core/src/state/admission.rs
+++ b/crates/core/src/state/admission.rs
@@ -20,7 +20,7 @@
             Ok(request) => self.charge(now, request),
             Err(failure) => {
                 self.trace.note(now, id, format!("refused: {}", failure.kind.as_str()));
-                self.fail(id, failure);
+                self.fail(now, id, failure);
             }
         }
     }
@@ -124,7 +124,7 @@
             let text = format!("refused: {rights}; again in {} ms", retry_after.as_millis());
             self.trace.note(now, id, text);
         }
-        self.fail(id, Failure::not_run(Kind::RateLimited).with_retry_after(retry_after));
+        self.fail(now, id, Failure::not_run(Kind::RateLimited).with_retry_after(retry_after));
     }
 
     fn accept(&mut self, now: Instant, request: Request) {
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -17,7 +17,7 @@
     /// Starts an attempt at the endpoints that the dispatcher chose.
     pub(super) fn begin(&mut self, now: Instant, id: Id, placement: Placement) {
         let Some(request) = self.requests.get_mut(&id) else {
-            return self.release(&placement);
+            return self.release(now, id);
         };
         request.attempt += 1;
         request.retries = 0;
@@ -64,10 +64,11 @@
     pub(super) fn report(&mut self, now: Instant, report: Report) {
         let Report { request: id, attempt, outcome } = report;
         let old_counts = self.has(Fault::OldAttempt);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.attempt != attempt && !old_counts {
+        if self.requests.get(&id).is_none_or(|it| it.attempt != attempt && !old_counts) {
             return;
         }
+        self.observe(now, id, &outcome);
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.sent |= !matches!(outcome, Outcome::Broken { sent: false, .. });
         match (request.phase.clone(), outcome) {
             (Phase::Prefill, Outcome::Computed { kv, cached }) => {
@@ -141,9 +142,8 @@
         if self.has(Fault::AnswerTwice) {
             return self.emit(Effect::Finish { request: id });
         }
-        if let Some(request) = self.requests.swap_remove(&id) {
-            request.placement.iter().for_each(|placement| self.release(placement));
-        }
+        self.release(now, id);
+        self.requests.swap_remove(&id);
         self.emit(Effect::Finish { request: id });
     }
 
@@ -184,7 +184,7 @@
             self.refund(now, id, charged);
         }
         self.settle_failed(id, if sent { Ran::Unknown } else { Ran::No });
-        self.end_attempt(id);
+        self.end_attempt(now, id);
         self.requests.swap_remove(&id);
     }
 }
--- a/crates/core/src/state/keys.rs
+++ b/crates/core/src/state/keys.rs
@@ -24,7 +24,7 @@
             self.withdraw(id);
             self.settle(id, Outcome::NotRun);
             self.refund(now, id, charged);
-            self.fail(id, Failure::not_run(Kind::Unauthorized));
+            self.fail(now, id, Failure::not_run(Kind::Unauthorized));
         }
     }
 
--- a/crates/core/src/state/retries.rs
+++ b/crates/core/src/state/retries.rs
@@ -82,7 +82,7 @@
         if !lives || request.attempt >= MAX_ATTEMPTS {
             return self.try_again(now, id);
         }
-        let other = if elsewhere { self.move_run(id) } else { None };
+        let other = if elsewhere { self.move_run(now, id) } else { None };
         if elsewhere && other.is_none() {
             return self.try_again(now, id);
         }
@@ -106,7 +106,7 @@
     fn end_unknown(&mut self, now: Instant, id: Id) {
         self.count_bad(now, id, burn::Cause::Endpoint);
         self.trace.note(now, id, "it may have run and must not be tried again");
-        self.fail(id, Failure::not_run(Kind::OutcomeUnknown).with_ran(Ran::Unknown));
+        self.fail(now, id, Failure::not_run(Kind::OutcomeUnknown).with_ran(Ran::Unknown));
     }
 
     /// Ends the attempt and queues the request for another one.
@@ -115,7 +115,7 @@
             let failed = failed_endpoint(request);
             request.avoid.extend(failed);
         }
-        self.end_attempt(id);
+        self.end_attempt(now, id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.phase = Phase::Queued;
         request.since = now;
@@ -131,7 +131,7 @@
     }
 
     /// Cancels what the attempt holds on endpoints and frees its places.
-    pub(super) fn end_attempt(&mut self, id: Id) {
+    pub(super) fn end_attempt(&mut self, now: Instant, id: Id) {
         self.drop_hold(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let attempt = request.attempt;
@@ -140,14 +140,14 @@
             let endpoint = endpoint.clone();
             self.effects.push(Effect::Cancel { request: id, attempt, endpoint });
         }
-        self.release(&placement);
+        self.release(now, id);
     }
 
     /// Ends a request that has not run, or whose attempts have all failed, with an error.
     pub(super) fn give_up(&mut self, now: Instant, id: Id, failure: Failure) {
         let cause = match failure.kind {
             Kind::EndpointFailed => burn::Cause::Endpoint,
-            Kind::QueueFull | Kind::NoEndpoint => burn::Cause::Queue,
+            Kind::QueueFull | Kind::NoEndpoint | Kind::TooLate => burn::Cause::Queue,
             _ => burn::Cause::Refusal,
         };
         self.count_bad(now, id, cause);
@@ -157,7 +157,7 @@
         if let Some(charged) = unsent {
             self.refund(now, id, charged);
         }
-        self.fail(id, failure);
+        self.fail(now, id, failure);
     }
 
     /// Ends the steps that have passed their limit without a report.
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod claim;
 mod log;
 mod order;
+mod place;
 mod retry;
 mod sweep;
--- a/crates/harness/src/capacity/rig.rs
+++ b/crates/harness/src/capacity/rig.rs
@@ -7,6 +7,7 @@
     key::Secret,
     member::{Record, Standing},
     object::{Endpoint, Key, Kind, Name, Pool, Role, Route, Service, Team, Urgency, Workload},
+    place::Policy,
     request::{Arrival, Id, Target},
     state,
     store::{Answer, Call},
@@ -144,6 +145,7 @@
         link_slots: 4,
         transfer_ms: 10,
         queue_limit: 256,
+        policy: Policy::default(),
     }
 }
 
--- a/crates/harness/src/policy.rs
+++ b/crates/harness/src/policy.rs
@@ -1,6 +1,8 @@
 //! Policy runs on virtual time over the real reducer, each against baselines in the same run.
 
+pub mod engine;
 pub mod limits;
+pub mod placement;
 
 use clap::ValueEnum;
 
@@ -11,6 +13,8 @@
     Board,
     /// The pools of the association.
     Association,
+    /// A pool of 190 workers.
+    LargePool,
     /// Rates of six instances without faults.
     LimitsSix,
     /// Rates of six instances with deaths and a data centre cut off.
@@ -23,12 +27,12 @@
 ///
 /// # Errors
 ///
-/// The scenario has no runner yet.
+/// The figures cannot be printed.
 pub fn run(scenario: Scenario, seed: u64) -> anyhow::Result<()> {
     match scenario {
         Scenario::LimitsSix => limits::quiet(seed),
         Scenario::LimitsFaults => limits::faults(seed),
         Scenario::LimitsLarge => limits::large(seed),
-        scenario => anyhow::bail!("no runner for {scenario:?} yet"),
+        scenario => placement::run(scenario, seed),
     }
 }
--- a/crates/harness/tests/testsuite/main.rs
+++ b/crates/harness/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod demo;
 mod fuzz;
+mod placement;
 mod rollout;
 mod world;
