--- a/crates/harness/tests/testsuite/main.rs
+++ b/crates/harness/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole path over real sockets.
 
+mod bench;
 mod demo;
 mod fuzz;
 mod placement;
