Hand holds of peers over at a planned stop, and stop only after two idle ticks

Cause: found by the fuzz. A leaving peer took the knowledge of a dead instance's holds with it; with only leaving peers left, none was told; an instance paused for less than the limit on pauses stopped with requests unread. Change: a planned stop waits until holds of peers are handed over or cancelled; leaving peers are told last; the exit needs two idle ticks. The world no longer shortens a pause by a second one, and the oracle counts dead instances and the balancer's lag.

--- a/crates/core/src/state/drain.rs
+++ b/crates/core/src/state/drain.rs
@@ -6,7 +6,10 @@
 
 use super::{Fault, State};
 
-/// Longest time that a stop waits for the platform to take the outcomes of claims.
+/// Ticks without anything to do before the exit: after a pause, requests may wait to be read.
+const IDLE_TICKS: u32 = 2;
+
+/// Longest time that a stop waits for claims and for the holds of peers.
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 
 impl State {
@@ -27,15 +30,18 @@
         self.draining.is_some_and(|at| now.since(at.max(running)) >= self.settings.balancer_lag)
     }
 
-    /// Returns whether no request is open and every claim is settled, as far as that can be.
+    /// Returns whether no request is open, and every claim is settled and every hold of a peer
+    /// handed over or cancelled, as far as that can be.
     fn is_idle(&self, now: Instant) -> bool {
         let waited = self.draining.is_some_and(|at| now.since(at) >= SETTLE_LIMIT);
-        let settled = self.settling.is_empty() || waited;
+        let settled = (self.settling.is_empty() && !self.keeps_holds()) || waited;
         (self.requests.is_empty() && settled) || self.has(Fault::CutDrain)
     }
 
     pub(super) fn drain_tick(&mut self, now: Instant) {
-        if self.has_left(now) && self.is_idle(now) && !self.stopped {
+        let idle = self.has_left(now) && self.is_idle(now);
+        self.idle_ticks = if idle { self.idle_ticks + 1 } else { 0 };
+        if self.idle_ticks >= IDLE_TICKS && !self.stopped {
             self.stopped = true;
             self.log(log::STOPPED, self.settings.name.to_string());
             self.emit(Effect::Stopped);
--- a/crates/core/src/state/holds.rs
+++ b/crates/core/src/state/holds.rs
@@ -38,19 +38,25 @@
         }
     }
 
-    /// Returns the peers for a request, spread over the data centre.
+    /// Returns the peers for a request, spread over the data centre; leaving ones come last.
     fn hold_peers(&self, now: Instant, id: Id) -> Vec<Name> {
         if self.has(Fault::ForgetHold) {
             return Vec::new();
         }
         let ranked = self.members.ranked(&self.settings.datacentre, &id.to_string());
-        let names = ranked.into_iter().map(|it| &it.name);
-        names.filter(|name| self.may_keep(now, name)).take(PEERS).cloned().collect()
+        let others = ranked.into_iter().map(|it| &it.name);
+        let mut near: Vec<&Name> = others.filter(|name| self.is_peer(now, name)).collect();
+        near.sort_by_key(|name| !self.may_keep(now, name));
+        near.into_iter().take(PEERS).cloned().collect()
+    }
+
+    fn is_peer(&self, now: Instant, name: &Name) -> bool {
+        *name != self.settings.name && self.ledger.is_near(now, name)
     }
 
     fn may_keep(&self, now: Instant, name: &Name) -> bool {
         let leaving = self.members.heard(name).is_some_and(|it| it.leaving);
-        *name != self.settings.name && !leaving && self.ledger.is_near(now, name)
+        !leaving && self.is_peer(now, name)
     }
 
     /// Tells the peers that have not answered yet.
@@ -197,6 +203,29 @@
         let known: Vec<Name> = request.told.iter().map(|it| it.peer.clone()).collect();
         let new = peers.into_iter().filter(|it| !known.contains(it));
         request.told.extend(new.map(Told::new));
+        self.release_peers(now, id);
+    }
+
+    /// Tells peers that are leaving to forget a hold which others have noted.
+    fn release_peers(&mut self, now: Instant, id: Id) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let named = Named { request: id.0, attempt: request.attempt };
+        let (stay, leave): (Vec<Told>, Vec<Told>) =
+            request.told.iter().cloned().partition(|it| self.may_keep(now, &it.peer));
+        if stay.is_empty() || stay.iter().any(|it| !it.acked) {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.told = stay;
+        }
+        for told in leave {
+            self.send_hold(&told.peer, Kind::Gone(named));
+        }
+    }
+
+    /// Returns whether a hold of a peer is noted here that is not cancelled.
+    pub(super) fn keeps_holds(&self) -> bool {
+        self.ledger.entries.values().any(|it| it.cancels < CANCELS)
     }
 
     fn watch_hold(&mut self, now: Instant, key: &Key) {
--- a/crates/harness/src/fuzz/oracle.rs
+++ b/crates/harness/src/fuzz/oracle.rs
@@ -87,6 +87,8 @@
     pub asked: IndexMap<Id, Asked>,
     /// Instances that have stopped as planned.
     pub stopped: Vec<Name>,
+    /// When each instance that is not running has stopped as planned.
+    pub stops: IndexMap<Name, Instant>,
     /// What did not hold.
     pub violations: Vec<Violation>,
     disturbed: Vec<(Instant, Name)>,
@@ -225,6 +227,7 @@
             .iter()
             .filter(|(until, name)| *until >= from && *name != hold.instance)
             .map(|(_, name)| name)
+            .chain(self.stops.iter().filter(|(_, at)| **at <= hold.since).map(|(name, _)| name))
             .collect();
         if others.len() <= 1 {
             let text = format!("{} holds memory for {}", hold.endpoint, hold.request);
--- a/crates/harness/src/fuzz/runner.rs
+++ b/crates/harness/src/fuzz/runner.rs
@@ -30,6 +30,8 @@
 const CATCH_UP: Duration = Duration::from_secs(6);
 /// Time after a fault in which an instance may not have caught up.
 const TELL_MARGIN: Duration = Duration::from_secs(4);
+/// Time for which the balancer goes on sending to an instance that drains.
+const BALANCER_LAG: Duration = Duration::from_secs(1);
 const CALLER_KEY: &str = "field-assessors-key.demo-yek-srossessa-dleif";
 const DATACENTRE: &str = "lk-west-1";
 
@@ -63,6 +65,8 @@
     bad_until: Vec<Option<Instant>>,
     unlist: Vec<(Instant, Name)>,
     next_id: u64,
+    /// When the balancer stops sending to each instance, because it drains.
+    closed: Vec<Option<Instant>>,
     /// When the last pause ends.
     paused_until: Instant,
 }
@@ -77,7 +81,7 @@
         incarnation: 1,
         datacentre: DATACENTRE.into(),
         fleet_size: 1,
-        balancer_lag: Duration::from_secs(1),
+        balancer_lag: BALANCER_LAG,
     }
 }
 
@@ -118,6 +122,7 @@
             bad_until,
             unlist: Vec::new(),
             next_id: seed << 20,
+            closed: vec![None; INSTANCES],
             paused_until: Instant::default(),
         };
         runner.wait(START_TIME);
@@ -149,6 +154,9 @@
             Op::Kill { at, listed } => self.kill(at, listed),
             Op::Restart(at) if !self.alive(at) => {
                 self.world.restart(&name(at));
+                self.oracle.stops.swap_remove(&name(at));
+                self.closed[at] = None;
+                self.bad_until[at] = None;
                 self.disturb(at, TELL_MARGIN);
             }
             Op::Restart(_) => {}
@@ -178,7 +186,10 @@
                 self.world.endpoints.take_down(&endpoint, now + Duration::from_millis(ms));
             }
             Op::Mark { endpoint, leaving } => self.mark(endpoint, leaving),
-            Op::Drain(at) => drop(self.world.event(&name(at), Event::Drain)),
+            Op::Drain(at) => {
+                self.world.event(&name(at), Event::Drain);
+                self.closed[at].get_or_insert(now + BALANCER_LAG);
+            }
         }
     }
 
@@ -194,7 +205,8 @@
     fn mend(&mut self) {
         self.world.links = Links::default();
         for at in 0..INSTANCES {
-            if self.bad_until[at].take().is_some() {
+            let dead = !self.alive(at);
+            if self.bad_until[at].take_if(|_| !dead).is_some() {
                 self.disturb(at, TELL_MARGIN);
             }
         }
@@ -222,7 +234,8 @@
             max_tokens: tokens,
             prefixes: Arc::new([]),
         };
-        if self.world.event(&name(at), Event::Arrival(arrival)) {
+        let closed = self.closed[at].is_some_and(|since| since <= self.world.now());
+        if !closed && self.world.event(&name(at), Event::Arrival(arrival)) {
             self.world.endpoints.lengths.insert(id, tokens);
             self.oracle.ask(id, &name(at), kind, key);
         }
@@ -294,6 +307,7 @@
         for name in std::mem::take(&mut self.oracle.stopped) {
             self.world.kill(&name);
             self.oracle.die(now, &name);
+            self.oracle.stops.insert(name.clone(), now);
             self.world.store.unlist(&name);
         }
         let due: Vec<Name> =
--- a/crates/harness/src/world.rs
+++ b/crates/harness/src/world.rs
@@ -242,7 +242,7 @@
     pub fn pause(&mut self, name: &str, length: Duration) {
         let until = self.now + length;
         if let Some(node) = self.nodes.get_mut(name) {
-            node.paused_until = Some(until);
+            node.paused_until = node.paused_until.max(Some(until));
         }
     }
 
