Test attempts step by step

Cause: the fuzz shows that promises hold, not that a prefill result is used again or a stream resumed. Change: focused tests on one instance: resumption at the token, re-import, new prefill, other endpoint first, honest ran, silence.

--- /dev/null
+++ b/crates/core/tests/testsuite/attempts.rs
@@ -0,0 +1,238 @@
+use std::{sync::Arc, time::Duration};
+
+use rstest::rstest;
+use serde_json::json;
+use siskinstile_core::{
+    Effect, Event, Instant, State,
+    error::{Kind, Ran},
+    object::{Kind as Object, Set},
+    request::{Arrival, Id, Outcome, Report, Step, Target},
+    state::Settings,
+    store::{self, Answer, Tag},
+};
+
+const REQUEST: Id = Id(1);
+
+fn set() -> Set {
+    let endpoint = |name: &str, role: &str, port: u16| {
+        json!({ "name": name, "address": format!("127.0.0.1:{port}"), "datacentre": "dc",
+                "role": role, "places": 4, "memory": 65536 })
+    };
+    let engines = [
+        endpoint("prefill-1", "prefill", 1),
+        endpoint("prefill-2", "prefill", 2),
+        endpoint("decode-1", "decode", 3),
+        endpoint("decode-2", "decode", 4),
+    ];
+    let plains = [endpoint("plain-1", "plain", 5), endpoint("plain-2", "plain", 6)];
+    let route = |name: &str, idempotent: bool| {
+        json!({ "name": name, "service": "plain", "pool": "plain", "path": format!("/{name}"),
+                "urgency": "urgent", "idempotent": idempotent, "open": true, "first_token_ms": 100 })
+    };
+    let model = json!({ "name": "model", "service": "model", "pool": "model", "model": "m",
+        "urgency": "urgent", "idempotent": true, "open": true, "first_token_ms": 100 });
+    let mut set = Set::default();
+    let objects = [
+        (Object::Service, json!({ "name": "model", "workload": "model", "models": ["m"] })),
+        (Object::Service, json!({ "name": "plain", "workload": "plain" })),
+        (Object::Pool, json!({ "name": "model", "service": "model", "endpoints": engines })),
+        (Object::Pool, json!({ "name": "plain", "service": "plain", "endpoints": plains })),
+        (Object::Route, model),
+        (Object::Route, route("lookup", true)),
+        (Object::Route, route("issue", false)),
+    ];
+    for (kind, value) in objects {
+        set.insert(kind, value).unwrap();
+    }
+    set
+}
+
+/// One instance without peers, with the objects in force.
+struct Bench {
+    state: State,
+    now: Instant,
+    effects: Vec<Effect>,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let settings = Settings {
+            name: "a".into(),
+            incarnation: 1,
+            datacentre: "dc".into(),
+            fleet_size: 1,
+            balancer_lag: Duration::from_secs(1),
+        };
+        let (state, _) = State::new(settings);
+        let mut bench = Bench { state, now: Instant::from_millis(10_000), effects: Vec::new() };
+        let object = |value| {
+            let (kind, name) = ("any".into(), "any".into());
+            Answer::Object(store::Object { kind, name, version: 1, value: Some(value) })
+        };
+        let manifest = object(json!({ "generation": 1, "chunk": "c" }));
+        bench.step(Event::Stored { tag: Tag::Manifest, answer: manifest });
+        let chunk = object(serde_json::to_value(set()).unwrap());
+        bench.step(Event::Stored { tag: Tag::Chunk(1), answer: chunk });
+        bench
+    }
+
+    fn step(&mut self, event: Event) {
+        self.effects = self.state.step(self.now, event);
+    }
+
+    fn ask(&mut self, target: Target) {
+        self.step(Event::Arrival(Arrival {
+            id: REQUEST,
+            key: None,
+            target,
+            idempotency: None,
+            digest: 0,
+            prompt_tokens: 10,
+            max_tokens: 8,
+            prefixes: Arc::new([]),
+        }));
+    }
+
+    fn ask_plain(&mut self, path: &str) {
+        self.ask(Target::Path { method: "POST".into(), path: path.into() });
+    }
+
+    fn report(&mut self, attempt: u32, outcome: Outcome) {
+        self.step(Event::Report(Report { request: REQUEST, attempt, outcome }));
+    }
+
+    /// Returns attempt, endpoint and step of the one call of the last event.
+    fn call(&self) -> (u32, String, Step) {
+        let mut calls = self.effects.iter().filter_map(|effect| match effect {
+            Effect::Call { attempt, endpoint, step, .. } => {
+                Some((*attempt, endpoint.name.to_string(), step.clone()))
+            }
+            _ => None,
+        });
+        let call = calls.next().expect("a call");
+        assert!(calls.next().is_none());
+        call
+    }
+
+    fn failure(&self) -> Option<(Kind, Ran)> {
+        self.effects.iter().find_map(|effect| match effect {
+            Effect::Fail { failure, .. } => Some((failure.kind, failure.ran)),
+            _ => None,
+        })
+    }
+
+    /// Brings a completion to its decode step, at attempt 1.
+    fn decoding(&mut self) -> String {
+        self.ask(Target::Model("m".into()));
+        self.report(1, Outcome::Computed { kv: "kv".into(), cached: 0 });
+        self.report(1, Outcome::Imported);
+        self.call().1
+    }
+}
+
+fn broken(sent: bool, next_index: u64) -> Outcome {
+    Outcome::Broken { sent, next_index }
+}
+
+#[test]
+fn stream_resumed_at_token() {
+    let mut bench = Bench::new();
+    let endpoint = bench.decoding();
+    bench.report(1, broken(true, 5));
+    assert_eq!(bench.call(), (1, endpoint, Step::Decode { from_index: 5 }));
+}
+
+#[test]
+fn stream_reimported_elsewhere() {
+    let mut bench = Bench::new();
+    let endpoint = bench.decoding();
+    bench.report(1, broken(true, 5));
+    bench.report(1, Outcome::Refused { status: 410 });
+    let (attempt, other, step) = bench.call();
+    assert!(attempt == 2 && other != endpoint && matches!(step, Step::Import { .. }));
+    bench.report(2, Outcome::Imported);
+    assert_eq!(bench.call(), (2, other, Step::Decode { from_index: 5 }));
+}
+
+#[test]
+fn stream_prefilled_again() {
+    let mut bench = Bench::new();
+    bench.decoding();
+    bench.now = bench.now + Duration::from_millis(900);
+    bench.report(1, Outcome::Refused { status: 410 });
+    let (attempt, _, step) = bench.call();
+    assert_eq!((attempt, step), (2, Step::Prefill));
+}
+
+#[test]
+fn transfer_reuses_prefill() {
+    let mut bench = Bench::new();
+    bench.ask(Target::Model("m".into()));
+    bench.report(1, Outcome::Computed { kv: "kv".into(), cached: 0 });
+    let (_, endpoint, _) = bench.call();
+    bench.report(1, broken(true, 0));
+    let (attempt, again, step) = bench.call();
+    assert!(attempt == 2 && again == endpoint && matches!(step, Step::Import { .. }));
+}
+
+#[test]
+fn retry_other_endpoint() {
+    let mut bench = Bench::new();
+    bench.ask_plain("/lookup");
+    let (_, first, _) = bench.call();
+    bench.report(1, broken(true, 0));
+    let (attempt, second, _) = bench.call();
+    assert!(attempt == 2 && first != second);
+}
+
+#[test]
+fn report_old_attempt() {
+    let mut bench = Bench::new();
+    bench.ask_plain("/lookup");
+    bench.report(1, broken(true, 0));
+    bench.report(1, Outcome::Ended { tokens: 0, answer: None });
+    assert!(bench.effects.is_empty());
+}
+
+#[rstest]
+#[case(true, Some((Kind::OutcomeUnknown, Ran::Unknown)))]
+#[case(false, None)]
+fn issue_broken(#[case] sent: bool, #[case] failure: Option<(Kind, Ran)>) {
+    let mut bench = Bench::new();
+    bench.ask_plain("/issue");
+    bench.report(1, broken(sent, 0));
+    assert_eq!(bench.failure(), failure);
+}
+
+#[rstest]
+#[case(true, Ran::Unknown)]
+#[case(false, Ran::No)]
+fn lookup_ran(#[case] first_sent: bool, #[case] ran: Ran) {
+    let mut bench = Bench::new();
+    bench.ask_plain("/lookup");
+    bench.report(1, broken(first_sent, 0));
+    for attempt in 2..=6 {
+        bench.report(attempt, broken(false, 0));
+    }
+    assert_eq!(bench.failure(), Some((Kind::EndpointFailed, ran)));
+}
+
+#[test]
+fn forward_begun() {
+    let mut bench = Bench::new();
+    bench.ask_plain("/lookup");
+    bench.report(1, Outcome::First);
+    bench.report(1, broken(true, 0));
+    assert_eq!(bench.failure(), Some((Kind::EndpointFailed, Ran::Unknown)));
+}
+
+#[rstest]
+#[case("/issue", Some((Kind::OutcomeUnknown, Ran::Unknown)))]
+#[case("/lookup", None)]
+fn forward_silent(#[case] path: &str, #[case] failure: Option<(Kind, Ran)>) {
+    let mut bench = Bench::new();
+    bench.ask_plain(path);
+    bench.now = bench.now + Duration::from_secs(13);
+    bench.step(Event::Tick);
+    assert_eq!(bench.failure(), failure);
+}
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the core.
 
+mod attempts;
 mod check;
 mod claim;
 mod log;
