Keep the holds of an older incarnation until they are cancelled; sharpen the fuzz

Cause: found by the fuzz. A restarted instance answered that it did not hold what its old incarnation held, and peers forgot it without a cancel; an instance that had just started heard no peer yet and told none. Two planted faults were caught only by luck. Change: only the same incarnation ends a hold; a new instance takes listed peers for near. A call that breaks after its effect may report both; the planted use of leaving endpoints reaches placement. Each mended case is replayed by a test, and a proptest runs cases of its own.

--- a/crates/core/src/hold.rs
+++ b/crates/core/src/hold.rs
@@ -108,8 +108,9 @@
         now.since(at.max(self.running_since))
     }
 
-    /// Returns whether an instance was heard of late.
+    /// Returns whether an instance was heard of late, or may yet be heard because this one is new.
     pub fn is_near(&self, now: Instant, name: &str) -> bool {
-        self.heard.get(name).is_some_and(|it| now.since(it.at) < GONE_SILENCE)
+        let at = self.heard.get(name).map_or(Instant::default(), |it| it.at);
+        now.since(at) < GONE_SILENCE
     }
 }
--- a/crates/core/src/state/dispatch.rs
+++ b/crates/core/src/state/dispatch.rs
@@ -31,7 +31,7 @@
 
     /// Starts an attempt of each request that can be placed now.
     pub(super) fn place(&mut self, now: Instant) {
-        let config = self.config.clone();
+        let config = self.placing_config();
         for decision in self.dispatcher.poll(&config, &self.settings.datacentre.clone()) {
             let Decision::Placed { request, placement } = decision;
             self.begin(now, request, placement);
--- a/crates/core/src/state/fault.rs
+++ b/crates/core/src/state/fault.rs
@@ -1,7 +1,11 @@
 //! Faults planted on purpose, to show that an oracle sees them; never set outside tests.
 
+use std::sync::Arc;
+
 use siskinstile_macros::value;
 
+use crate::Config;
+
 use super::State;
 
 /// A mechanism that is left out.
@@ -37,6 +41,17 @@
         self.planted = fault;
     }
 
+    /// Returns the configuration by which requests are placed.
+    pub(super) fn placing_config(&self) -> Arc<Config> {
+        if !self.has(Fault::UseLeaving) {
+            return self.config.clone();
+        }
+        let mut set = self.config.set.clone();
+        let endpoints = set.pools.values_mut().flat_map(|pool| &mut pool.endpoints);
+        endpoints.for_each(|it| it.leaving = false);
+        Arc::new(Config::new(self.config.generation, set))
+    }
+
     pub(super) fn has(&self, fault: Fault) -> bool {
         self.planted == Some(fault)
     }
--- a/crates/core/src/state/holds.rs
+++ b/crates/core/src/state/holds.rs
@@ -98,7 +98,7 @@
         match message.kind {
             Some(Kind::Take(take)) => self.note_hold(now, from, take),
             Some(Kind::Noted(named)) => self.hold_noted(now, from, named),
-            Some(Kind::Gone(named)) => drop(self.ledger.entries.swap_remove(&key(from, named))),
+            Some(Kind::Gone(named)) => self.hold_gone(from, named),
             Some(Kind::Ask(named)) => self.hold_asked(from, named),
             Some(Kind::Cancelled(named)) => self.hold_cancelled(now, named),
             None => {}
@@ -117,6 +117,15 @@
         self.send_hold(&from.name, Kind::Noted(named));
     }
 
+    /// A hold has ended; a later incarnation knows nothing of the holds of the one before it.
+    fn hold_gone(&mut self, from: &Sender, named: Named) {
+        let key = key(from, named);
+        let entry = self.ledger.entries.get(&key);
+        if entry.is_some_and(|it| it.incarnation == from.incarnation) {
+            self.ledger.entries.swap_remove(&key);
+        }
+    }
+
     fn hold_noted(&mut self, now: Instant, from: &Sender, named: Named) {
         let id = Id(named.request);
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/crates/harness/src/fuzz/model.rs
+++ b/crates/harness/src/fuzz/model.rs
@@ -158,10 +158,17 @@
         let soon = now + Duration::from_millis(1) + self.millis(5);
         match fate {
             Fate::Mute => {}
-            Fate::LostBefore | Fate::LostAfter => {
+            Fate::LostBefore => {
                 let at = now + self.millis(2_000);
                 self.broken(at, call, true);
             }
+            // The break is seen first, and the answer crosses what follows.
+            Fate::LostAfter => {
+                let at = now + self.millis(1_000);
+                let late = at + self.millis(1_000);
+                self.broken(at, call, true);
+                self.report(late, call, outcome);
+            }
             Fate::Late => {
                 let at = now + self.millis(15_000);
                 self.report(at, call, outcome);
--- a/crates/harness/tests/testsuite/fuzz.rs
+++ b/crates/harness/tests/testsuite/fuzz.rs
@@ -26,3 +26,18 @@
     let report = fuzz::search(1, 1_000_000, Some(fault));
     assert_eq!(report.finding.map(|it| it.violation.promise), Some(promise));
 }
+
+/// Each case once broke a promise.
+#[rstest]
+#[case(include_str!("cases/call-without-report.json"))]
+#[case(include_str!("cases/claim-dead-runner.json"))]
+#[case(include_str!("cases/claim-lost-write.json"))]
+#[case(include_str!("cases/drain-paused.json"))]
+#[case(include_str!("cases/drain-short-pause.json"))]
+#[case(include_str!("cases/hold-leaving-peers.json"))]
+#[case(include_str!("cases/hold-new-instance.json"))]
+#[case(include_str!("cases/hold-restarted-owner.json"))]
+fn fuzz_replays_mended(#[case] case: &str) {
+    let case = serde_json::from_str(case).unwrap();
+    assert_eq!(fuzz::run(&case, None).violations, []);
+}
--- a/crates/harness/tests/testsuite/main.rs
+++ b/crates/harness/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod demo;
 mod fuzz;
+mod fuzz_property;
 mod world;
