--- a/crates/core/src/state/control.rs
+++ b/crates/core/src/state/control.rs
@@ -1,12 +1,12 @@
 //! Configuration: publication, adoption, readiness and the report on both.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use serde_json::{Value, json};
 use siskinstile_wire::{Body, message::config as wire};
 
 use crate::{
-    Effect, Instant, log,
+    Config, Effect, Instant, log,
     store::{Answer, Tag},
     sync,
 };
@@ -85,6 +85,13 @@
         live.iter().take(CANDIDATES).any(|it| it.name == self.settings.name)
     }
 
+    /// Puts a configuration in force without the platform; for tests.
+    #[doc(hidden)]
+    pub fn adopt(&mut self, now: Instant, config: Arc<Config>) -> Vec<Effect> {
+        self.apply(now, vec![sync::Output::Adopt(config)]);
+        std::mem::take(&mut self.effects)
+    }
+
     pub(super) fn apply(&mut self, now: Instant, outputs: Vec<sync::Output>) {
         for output in outputs {
             match output {
--- a/crates/core/src/state/dispatch.rs
+++ b/crates/core/src/state/dispatch.rs
@@ -93,7 +93,7 @@
 
     /// Starts an attempt of each request that can be placed now.
     pub(super) fn place(&mut self, now: Instant) {
-        let config = self.config.clone();
+        let config = self.placing_config();
         let datacentre = self.settings.datacentre.clone();
         for decision in self.dispatcher.poll(now, &config, &datacentre) {
             match decision {
--- a/crates/core/src/state/holds.rs
+++ b/crates/core/src/state/holds.rs
@@ -38,19 +38,25 @@
         }
     }
 
-    /// Returns the peers for a request, spread over the data centre.
+    /// Returns the peers for a request, spread over the data centre; leaving ones come last.
     fn hold_peers(&self, now: Instant, id: Id) -> Vec<Name> {
         if self.has(Fault::ForgetHold) {
             return Vec::new();
         }
         let ranked = self.members.ranked(&self.settings.datacentre, &id.to_string());
-        let names = ranked.into_iter().map(|it| &it.name);
-        names.filter(|name| self.may_keep(now, name)).take(PEERS).cloned().collect()
+        let others = ranked.into_iter().map(|it| &it.name);
+        let mut near: Vec<&Name> = others.filter(|name| self.is_peer(now, name)).collect();
+        near.sort_by_key(|name| !self.may_keep(now, name));
+        near.into_iter().take(PEERS).cloned().collect()
+    }
+
+    fn is_peer(&self, now: Instant, name: &Name) -> bool {
+        *name != self.settings.name && self.ledger.is_near(now, name)
     }
 
     fn may_keep(&self, now: Instant, name: &Name) -> bool {
         let leaving = self.members.heard(name).is_some_and(|it| it.leaving);
-        *name != self.settings.name && !leaving && self.ledger.is_near(now, name)
+        !leaving && self.is_peer(now, name)
     }
 
     /// Tells the peers that have not answered yet.
@@ -92,7 +98,7 @@
         match message.kind {
             Some(Kind::Take(take)) => self.note_hold(now, from, take),
             Some(Kind::Noted(named)) => self.hold_noted(now, from, named),
-            Some(Kind::Gone(named)) => drop(self.ledger.entries.swap_remove(&key(from, named))),
+            Some(Kind::Gone(named)) => self.hold_gone(from, named),
             Some(Kind::Ask(named)) => self.hold_asked(from, named),
             Some(Kind::Cancelled(named)) => self.hold_cancelled(now, named),
             None => {}
@@ -111,6 +117,15 @@
         self.send_hold(&from.name, Kind::Noted(named));
     }
 
+    /// A hold has ended; a later incarnation knows nothing of the holds of the one before it.
+    fn hold_gone(&mut self, from: &Sender, named: Named) {
+        let key = key(from, named);
+        let entry = self.ledger.entries.get(&key);
+        if entry.is_some_and(|it| it.incarnation == from.incarnation) {
+            self.ledger.entries.swap_remove(&key);
+        }
+    }
+
     fn hold_noted(&mut self, now: Instant, from: &Sender, named: Named) {
         let id = Id(named.request);
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -197,6 +212,29 @@
         let known: Vec<Name> = request.told.iter().map(|it| it.peer.clone()).collect();
         let new = peers.into_iter().filter(|it| !known.contains(it));
         request.told.extend(new.map(Told::new));
+        self.release_peers(now, id);
+    }
+
+    /// Tells peers that are leaving to forget a hold which others have noted.
+    fn release_peers(&mut self, now: Instant, id: Id) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let named = Named { request: id.0, attempt: request.attempt };
+        let (stay, leave): (Vec<Told>, Vec<Told>) =
+            request.told.iter().cloned().partition(|it| self.may_keep(now, &it.peer));
+        if stay.is_empty() || stay.iter().any(|it| !it.acked) {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.told = stay;
+        }
+        for told in leave {
+            self.send_hold(&told.peer, Kind::Gone(named));
+        }
+    }
+
+    /// Returns whether a hold of a peer is noted here that is not cancelled.
+    pub(super) fn keeps_holds(&self) -> bool {
+        self.ledger.entries.values().any(|it| it.cancels < CANCELS)
     }
 
     fn watch_hold(&mut self, now: Instant, key: &Key) {
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the core.
 
+mod attempts;
 mod burn;
 mod check;
 mod claim;
--- a/crates/harness/tests/testsuite/main.rs
+++ b/crates/harness/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod demo;
 mod fuzz;
+mod fuzz_property;
 mod placement;
 mod rollout;
 mod world;
