Bound and tell the platform client's calls

Cause: each call had one deadline, a fixed pause of 200 ms after a loss and no bound on calls.

Conclusion: an answer slower than the term of the publish lease (9 s less a margin of 1.5 s) still means that nothing is published until it is faster.

--- a/crates/siskinstiled/src/control.rs
+++ b/crates/siskinstiled/src/control.rs
@@ -16,7 +16,7 @@
 use serde_json::Value;
 use siskinstile_core::{
     Config, Effect, Event, Instant, State, error, request, state,
-    store::{Answer, Call, Tag},
+    store::{Call, Tag},
 };
 use tokio::sync::oneshot;
 
@@ -32,8 +32,6 @@
 const CANCEL_TRIES: u32 = 3;
 /// Time between two of them.
 const CANCEL_PAUSE: Duration = Duration::from_millis(500);
-/// Time before a platform call without an answer is passed on as lost.
-const LOST_PAUSE: Duration = Duration::from_millis(200);
 
 /// What the traffic threads share with the control thread.
 pub struct Shared {
@@ -158,11 +156,6 @@
         let (events, platform) = (self.shared.events.clone(), self.platform.clone());
         self.workers.run(move || {
             let answer = platform.call(&call);
-            metrics::counter!("siskinstile_platform_calls_total").increment(1);
-            if answer == Answer::Lost {
-                metrics::counter!("siskinstile_platform_lost_total").increment(1);
-                thread::sleep(LOST_PAUSE);
-            }
             let _ = events.send(Event::Stored { tag, answer });
         });
     }
--- a/crates/siskinstiled/src/daemon.rs
+++ b/crates/siskinstiled/src/daemon.rs
@@ -66,6 +66,7 @@
         let (halt_sender, halt) = channel::bounded(0);
         let core = core_settings(settings);
         let identity = peer::Identity { name: core.name.clone(), incarnation: core.incarnation };
+        let incarnation = core.incarnation;
         let peers = settings.peer.as_ref().map(|it| {
             Peers::bind(runtime.handle(), it, identity, shared.events.clone()).map(Arc::new)
         });
@@ -73,7 +74,7 @@
         let executor = Executor {
             shared: shared.clone(),
             workers: Workers::open(),
-            platform: Arc::new(Http::open(settings.platform.address)),
+            platform: Arc::new(Http::open(settings.platform.address, incarnation)),
             peers: peers.clone(),
             runtime: runtime.handle().clone(),
             stopped: stopped_sender,
--- a/crates/siskinstiled/src/platform.rs
+++ b/crates/siskinstiled/src/platform.rs
@@ -2,6 +2,7 @@
 
 use siskinstile_core::store::{Answer, Call};
 
+mod budget;
 mod http;
 
 pub use http::Http;
