Measure what configuration costs, and stop watches that are not wanted

Cause: an instance that watched before it knew the members went on to watch, so that all fetched each change from the platform. Chunks were asked for all at once.

Change: a watch is opened again only by those who watch; chunks are asked for 16 at a time; command config size, traffic and delay. The world counts watches as calls.

--- a/crates/core/src/sync/fetch.rs
+++ b/crates/core/src/sync/fetch.rs
@@ -10,6 +10,9 @@
     object::{Name, Set},
 };
 
+/// Chunks asked for at once.
+pub(super) const BATCH: usize = 16;
+
 /// Where the chunks come from.
 #[value]
 pub(super) enum Source {
@@ -29,6 +32,8 @@
     pub(super) since: Instant,
     /// Buckets that differ from what is in force, with the texts that have come.
     pub(super) texts: IndexMap<Bucket, Option<String>>,
+    /// Chunks that were asked for and have not come.
+    asked: usize,
 }
 
 impl Fetch {
@@ -48,7 +53,7 @@
         };
         let changed = in_force.changed(&index);
         let texts = changed.into_iter().map(|bucket| (bucket, keep(bucket))).collect();
-        Fetch { generation, index, source, since: now, texts }
+        Fetch { generation, index, source, since: now, texts, asked: 0 }
     }
 
     /// Returns buckets of which the text is missing.
@@ -56,13 +61,24 @@
         self.texts.iter().filter(|it| it.1.is_none()).map(|it| *it.0)
     }
 
+    /// Returns the buckets to ask for next, once those asked for have come.
+    pub(super) fn ask(&mut self) -> Vec<Bucket> {
+        if self.asked > 0 {
+            return Vec::new();
+        }
+        let next: Vec<Bucket> = self.missing().take(BATCH).collect();
+        self.asked = next.len();
+        next
+    }
+
     /// Takes a text that matches its hash; returns whether nothing is missing.
     pub(super) fn take(&mut self, bucket: Bucket, text: String) -> bool {
         let wanted = self.index.0.get(&bucket).is_some_and(|hash| matches(&text, hash));
         match self.texts.get_mut(&bucket) {
-            Some(held) if wanted => *held = Some(text),
+            Some(held) if wanted && held.is_none() => *held = Some(text),
             _ => return false,
         }
+        self.asked = self.asked.saturating_sub(1);
         self.missing().next().is_none()
     }
 
--- a/crates/core/src/sync/peer.rs
+++ b/crates/core/src/sync/peer.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Output, Sync,
-    fetch::{Fetch, Source},
+    fetch::{BATCH, Fetch, Source},
     unreadable,
 };
 use crate::{
@@ -19,8 +19,6 @@
 
 /// Time without a part after which a fetch is begun anew.
 pub(super) const STALLED: Duration = Duration::from_secs(2);
-/// Chunks asked for at once.
-const BATCH: usize = 16;
 
 impl Sync {
     /// Takes the generation that another instance has in force.
@@ -113,11 +111,14 @@
 
     /// Asks for the next chunks; with none missing the generation is put in force.
     fn want(&mut self, from: &Name) -> Vec<Output> {
-        let Some(fetch) = &self.fetch else { return Vec::new() };
-        let buckets: Vec<String> = fetch.missing().take(BATCH).map(Bucket::word).collect();
-        if buckets.is_empty() {
+        let Some(fetch) = &mut self.fetch else { return Vec::new() };
+        if fetch.missing().next().is_none() {
             return self.finish();
         }
+        let buckets: Vec<String> = fetch.ask().into_iter().map(Bucket::word).collect();
+        if buckets.is_empty() {
+            return Vec::new();
+        }
         let want = wire::Want { generation: fetch.generation, buckets };
         vec![Output::Send(from.clone(), wire::Kind::Want(want))]
     }
@@ -141,12 +142,8 @@
         let ours = |it: &&mut Fetch| matches!(&it.source, Source::Peer(peer) if peer == from);
         let Some(fetch) = self.fetch.as_mut().filter(ours) else { return Vec::new() };
         fetch.since = now;
-        let before = fetch.missing().count();
         let mut out = self.chunk(bucket, chunk.text);
-        let left = self.fetch.as_ref().map_or(0, |it| it.missing().count());
-        if left > 0 && left < before && (before - 1).is_multiple_of(BATCH) {
-            out.extend(self.want(from));
-        }
+        out.extend(self.want(from));
         out
     }
 }
--- a/crates/core/src/sync/watch.rs
+++ b/crates/core/src/sync/watch.rs
@@ -39,6 +39,8 @@
     pub(super) reached: Option<Instant>,
     /// Generation that the platform last told.
     pub(super) known: Option<u64>,
+    /// Whether this instance is one of those that watch.
+    wanted: bool,
     number: u64,
     revision: u64,
     opened: Option<Instant>,
@@ -51,6 +53,7 @@
     /// Does what is due; `watcher` tells whether this instance watches.
     pub fn tick(&mut self, now: Instant, watcher: bool) -> Vec<Output> {
         let watch = &mut self.watch;
+        watch.wanted = watcher;
         if now < watch.paused_until || self.fault == Some(Fault::Deaf) {
             return Vec::new();
         }
@@ -77,7 +80,11 @@
             (Tag::Watch(number), _) if number != self.watch.number => Vec::new(),
             (Tag::Watch(_), Answer::Objects { revision, objects }) => {
                 self.watch.revision = revision;
-                let mut out = vec![self.watch(now)];
+                self.watch.opened = None;
+                let mut out = Vec::new();
+                if self.watch.wanted {
+                    out.push(self.watch(now));
+                }
                 for object in objects {
                     out.extend(self.manifest(now, object));
                 }
@@ -168,17 +175,18 @@
     }
 
     fn get_chunks(&mut self) -> Vec<Output> {
-        let Some(Fetch { source: Source::Platform(names), generation, .. }) = &self.fetch else {
-            return Vec::new();
-        };
-        let fetch = self.fetch.as_ref().expect("just seen");
+        let Some(fetch) = &mut self.fetch else { return Vec::new() };
+        if fetch.missing().next().is_none() {
+            return self.finish();
+        }
+        let (generation, next) = (fetch.generation, fetch.ask());
+        let Source::Platform(names) = &fetch.source else { return Vec::new() };
         let get = |bucket: Bucket| {
             let call =
                 Call::Get { kind: manifest::CHUNK.into(), name: names.get(&bucket)?.clone() };
-            Some(Output::Call(Tag::Chunk(*generation, bucket), call))
+            Some(Output::Call(Tag::Chunk(generation, bucket), call))
         };
-        let out: Vec<Output> = fetch.missing().filter_map(get).collect();
-        if out.is_empty() { self.finish() } else { out }
+        next.into_iter().filter_map(get).collect()
     }
 
     fn chunk_read(
@@ -194,7 +202,11 @@
         fetch.since = now;
         // The platform may have ordered fields anew; the objects' own order is what is hashed.
         match crate::chunk::canonical(bucket, object.value.unwrap_or_default()) {
-            Ok(text) => self.chunk(bucket, text),
+            Ok(text) => {
+                let mut out = self.chunk(bucket, text);
+                out.extend(self.get_chunks());
+                out
+            }
             Err(error) => vec![unreadable(&error)],
         }
     }
--- a/crates/harness/src/rollout.rs
+++ b/crates/harness/src/rollout.rs
@@ -1,6 +1,8 @@
 //! A fuzz test of publication and distribution: operators' edits and faults over a small world.
 
 pub mod action;
+pub mod cost;
+pub mod delay;
 pub mod oracle;
 
 use std::time::Duration;
--- a/crates/harness/src/world.rs
+++ b/crates/harness/src/world.rs
@@ -378,6 +378,7 @@
 
     fn call(&mut self, from: Name, incarnation: u64, tag: Tag, call: Call) {
         if let Call::Watch { kinds, since } = call {
+            self.store.calls += 1;
             let until = self.now + WATCH_LIMIT;
             self.watches.push(Watch { from, incarnation, tag, kinds, since, until });
             self.push(until, What::Watches);
