Test grace, withdrawal and that no secret shows

Cause: offline_grace, the end of waiting requests on withdrawal and the absence of secrets had no tests.

Change: five tests: the grace counts only without the platform and is kept fresh by peers; a withdrawal ends what waits and leaves what runs; no secret in the core's state and outputs; none in logs at trace level, metrics, status, burn, explain, answers, at endpoints or the platform.

Conclusion: messages of peers carry keys by name only, as the state does.

--- /dev/null
+++ b/crates/harness/tests/testsuite/keys.rs
@@ -0,0 +1,172 @@
+use std::{
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex, Once, PoisonError},
+    time::Duration,
+};
+
+use serde_json::json;
+use siskinstile_core::{
+    Effect, Event,
+    error::Kind,
+    key::Secret,
+    object::Set,
+    request::{Arrival, Id, Target},
+    store::Call,
+};
+use siskinstile_harness::{
+    client,
+    fleet::Fleet,
+    rollout::{INSTANCES, Unused, instance, settings},
+    world::{PLATFORM, World},
+};
+
+/// Seconds of the grace that the tests give the team.
+const GRACE_S: u64 = 15;
+const MODEL_KEY: &str = "member-staff-key.demo-yek-ffats-rebmem";
+const PLAIN_KEY: &str = "wash-bays-key.demo-yek-syab-hsaw";
+
+fn directory() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/association")
+}
+
+fn association() -> Set {
+    let mut set = siskinctl::files::load(&directory()).unwrap().0;
+    set.teams.values_mut().for_each(|it| it.offline_grace_s = Some(GRACE_S));
+    set
+}
+
+fn world() -> World<Unused> {
+    let mut world = World::new(1, Unused);
+    for (kind, name, value) in association().values() {
+        world.edit(&Call::Put { kind: kind.as_str().into(), name, value, if_version: None });
+    }
+    (0..INSTANCES).for_each(|it| world.start(settings(it), 0));
+    pass(&mut world, 5);
+    world
+}
+
+fn pass(world: &mut World<Unused>, seconds: u64) {
+    world.run(world.now() + Duration::from_secs(seconds));
+}
+
+fn arrive(world: &mut World<Unused>, id: u64) {
+    let arrival = Arrival {
+        id: Id(id),
+        key: Some(Secret::new(MODEL_KEY)),
+        target: Target::Model("assistant-1".into()),
+        idempotency: None,
+        digest: 0,
+        prompt_tokens: 10,
+        max_tokens: 8,
+        prefixes: Arc::new([]),
+    };
+    world.event(&instance(0), Event::Arrival(arrival));
+    world.run(world.now() + Duration::from_millis(10));
+}
+
+fn failed(world: &World<Unused>, kind: Kind) -> usize {
+    let of_kind = |it: &&siskinstile_harness::world::Output| matches!(&it.effect, Effect::Fail { failure, .. } if failure.kind == kind);
+    world.outputs.iter().filter(of_kind).count()
+}
+
+#[test]
+fn grace_over_only_without_platform() {
+    let mut world = world();
+    pass(&mut world, 3 * GRACE_S);
+    arrive(&mut world, 1);
+    assert_eq!(failed(&world, Kind::OfflineGrace), 0);
+    for index in 0..INSTANCES {
+        world.links.cut(&instance(index), PLATFORM, true);
+    }
+    pass(&mut world, 2 * GRACE_S);
+    arrive(&mut world, 2);
+    assert_eq!(failed(&world, Kind::OfflineGrace), 1);
+}
+
+#[test]
+fn grace_kept_by_peers() {
+    let mut world = world();
+    // Instance 0 is alone in not reaching the platform; its peers tell it what is new.
+    world.links.cut(&instance(0), PLATFORM, true);
+    pass(&mut world, 3 * GRACE_S);
+    arrive(&mut world, 1);
+    assert_eq!(failed(&world, Kind::OfflineGrace), 0);
+}
+
+#[test]
+fn withdrawal_ends_what_waits() {
+    let mut world = world();
+    (0..100).for_each(|id| arrive(&mut world, id));
+    let open = |world: &World<Unused>| world.state(&instance(0)).unwrap().open_requests();
+    let before = open(&world);
+    let mut value = world.store.get("key", "member-staff-key").unwrap().value.clone().unwrap();
+    value["withdrawn"] = json!(true);
+    let (kind, name) = ("key".into(), "member-staff-key".into());
+    world.edit(&Call::Put { kind, name, value, if_version: None });
+    pass(&mut world, 3);
+    let ended = failed(&world, Kind::Unauthorized);
+    assert!(ended > 0 && ended < before, "{ended} of {before}");
+    assert_eq!(open(&world), before - ended);
+    arrive(&mut world, 1_000);
+    assert_eq!(failed(&world, Kind::Unauthorized), ended + 1);
+}
+
+#[test]
+fn secret_not_in_effects() {
+    let mut world = world();
+    arrive(&mut world, 1);
+    let texts = format!("{:?} {:?}", world.outputs, world.state(&instance(0)));
+    assert!(!texts.contains("ffats-rebmem"), "a secret is in the state or an output");
+}
+
+/// A logger that keeps everything.
+struct Keeper;
+
+static LINES: Mutex<String> = Mutex::new(String::new());
+
+impl log::Log for Keeper {
+    fn enabled(&self, _metadata: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let mut lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push_str(&format!("{}\n", record.args()));
+    }
+
+    fn flush(&self) {}
+}
+
+fn get(address: std::net::SocketAddr, path: &str) -> String {
+    attohttpc::get(format!("http://{address}{path}")).send().unwrap().text().unwrap()
+}
+
+#[test]
+fn secret_nowhere() {
+    static LOGGER: Once = Once::new();
+    LOGGER.call_once(|| {
+        log::set_logger(&Keeper).unwrap();
+        log::set_max_level(log::LevelFilter::Trace);
+    });
+    let fleet = Fleet::spawn(&directory(), 2).unwrap();
+    let door = fleet.daemons[0].door();
+    let mut texts = Vec::new();
+    let stream = client::stream(door, MODEL_KEY, "assistant-1", "a prompt", 4).unwrap();
+    let id = stream.request_id.clone();
+    for key in [PLAIN_KEY, "wash-bays-key.demo-wrong-secret", "nobody.demo-wrong-secret"] {
+        let answer = client::plain(door, "GET", "/billing/plans/77", key, None, "").unwrap();
+        texts.push(format!("{answer:?}"));
+    }
+    let admin = fleet.daemons[0].admin();
+    for path in ["/metrics", "/status", "/burn", &format!("/explain/{id}")] {
+        texts.push(get(admin, path));
+    }
+    texts.extend(fleet.platform.seen());
+    texts.extend(fleet.engines.values().flat_map(|it| it.seen()));
+    texts.extend(fleet.plains.values().flat_map(|it| it.seen()));
+    texts.push(LINES.lock().unwrap().clone());
+    for secret in ["ffats-rebmem", "syab-hsaw", "demo-wrong-secret"] {
+        let leaked = texts.iter().find(|it| it.contains(secret));
+        assert_eq!(leaked, None, "{secret}");
+    }
+}
--- a/crates/harness/tests/testsuite/main.rs
+++ b/crates/harness/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole path over real sockets.
 
 mod demo;
+mod keys;
 mod rollout;
 mod world;
