--- a/crates/harness/src/bin/config.rs
+++ b/crates/harness/src/bin/config.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
-use siskinstile_harness::rollout::{cost, delay};
+use siskinstile_harness::rollout::{self, cost, delay};
 
 /// Measures what configuration costs.
 #[derive(Debug, Parser)]
@@ -22,6 +22,18 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Sequences of edits and faults against the oracle.
+    Fuzz {
+        /// First seed.
+        #[arg(long, default_value_t = 0)]
+        seed: u64,
+        /// Number of sequences.
+        #[arg(long, default_value_t = 1_000)]
+        runs: u64,
+        /// Directory of the objects.
+        #[arg(long, default_value = "examples/association")]
+        objects: PathBuf,
+    },
     /// Time from an accepted write to in force at each of six real instances.
     Delay {
         /// Number of writes.
@@ -41,6 +53,14 @@
             cost::traffic(seed);
             Ok(())
         }
+        Command::Fuzz { seed, runs, objects } => {
+            let (set, _) = siskinctl::files::load(&objects)?;
+            match rollout::fuzz(&set, seed..seed + runs, None) {
+                Some((seed, breach)) => anyhow::bail!("seed {seed}: {breach:?}"),
+                None => println!("{runs} sequences from seed {seed}: no breach"),
+            }
+            Ok(())
+        }
         Command::Delay { writes, objects } => delay::run(&objects, writes),
     }
 }
--- a/crates/harness/src/rollout.rs
+++ b/crates/harness/src/rollout.rs
@@ -5,8 +5,12 @@
 pub mod delay;
 pub mod oracle;
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
+use proptest::{
+    strategy::{Strategy as _, ValueTree as _},
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
+};
 use siskinstile_core::{
     Effect, Instant,
     fault::Fault,
@@ -54,6 +58,23 @@
     oracle: Oracle,
 }
 
+/// Runs the sequences of actions of some seeds and returns the first breach with its seed.
+pub fn fuzz(set: &Set, seeds: Range<u64>, fault: Option<Fault>) -> Option<(u64, Breach)> {
+    let actions = action::actions();
+    seeds.into_iter().find_map(|seed| {
+        let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &rng_seed(seed));
+        let mut runner = TestRunner::new_with_rng(proptest::test_runner::Config::default(), rng);
+        let drawn = actions.new_tree(&mut runner).ok()?.current();
+        Rollout::new(seed, set, fault).run(&drawn).err().map(|it| (seed, it))
+    })
+}
+
+fn rng_seed(seed: u64) -> [u8; 32] {
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    bytes
+}
+
 /// Returns the name of an instance.
 pub fn instance(index: usize) -> Name {
     format!("instance-{}", index % INSTANCES).into()
--- a/crates/siskinstiled/src/platform/http.rs
+++ b/crates/siskinstiled/src/platform/http.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 use serde_json::Value;
 use siskinstile_core::{
-    claim, member,
+    claim, log as events, member,
     object::Name,
     store::{Answer, Call, Object},
 };
@@ -83,6 +83,10 @@
         }
         let mut health = self.health.lock().unwrap_or_else(PoisonError::into_inner);
         let pause = match lost {
+            true if health.lost == 0 => {
+                events::Record::new(events::PLATFORM_SILENT, kind).write();
+                health.pause()
+            }
             true => health.pause(),
             false => {
                 health.lost = 0;
