--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -2,3 +2,4 @@
 
 mod check;
 mod log;
+mod member;
--- /dev/null
+++ b/crates/core/tests/testsuite/member.rs
@@ -0,0 +1,68 @@
+use std::time::Duration;
+
+use rstest::rstest;
+use siskinstile_core::{
+    Instant,
+    member::{Heard, Record, Standing, Table},
+    object::Name,
+};
+
+fn table(size: usize) -> Table {
+    let mut table = Table::default();
+    let record = |index: usize| Record {
+        name: format!("i-{index}").into(),
+        address: format!("10.0.0.{index}:1").into(),
+        admin: None,
+        datacentre: "d".into(),
+        incarnation: 1,
+        state: Standing::Live,
+    };
+    table.replace((0..size).map(record).collect());
+    table
+}
+
+fn hear(table: &mut Table, at: Instant, incarnation: u64) {
+    let heard = Heard { at, incarnation, generation: 1, leaving: false };
+    table.hear(&Name::from("i-1"), heard);
+}
+
+/// Lets time pass second by second.
+fn advance(table: &mut Table, seconds: u64) -> Instant {
+    (0..=seconds).for_each(|it| table.advance(Instant::from_millis(it * 1_000)));
+    Instant::from_millis(seconds * 1_000)
+}
+
+#[rstest]
+#[case::fresh(3, true)]
+#[case::silent(4, false)]
+fn alive_after(#[case] seconds: u64, #[case] expected: bool) {
+    let mut table = table(2);
+    hear(&mut table, Instant::default(), 1);
+    let now = advance(&mut table, seconds);
+    assert_eq!(table.alive("i-1", now), expected);
+    assert_eq!(table.ranked("d", "key").len(), 1 + usize::from(expected));
+}
+
+#[test]
+fn alive_after_own_pause() {
+    let mut table = table(2);
+    hear(&mut table, Instant::default(), 1);
+    let now = Instant::default() + Duration::from_secs(20);
+    table.advance(now);
+    assert!(table.alive("i-1", now));
+}
+
+#[test]
+fn hear_older_incarnation() {
+    let mut table = table(2);
+    hear(&mut table, Instant::default(), 5);
+    hear(&mut table, Instant::from_millis(10), 4);
+    assert_eq!(table.heard("i-1").unwrap().incarnation, 5);
+}
+
+#[rstest]
+#[case::mesh(12, 11)]
+#[case::ring(36, 6)]
+fn neighbours_of(#[case] size: usize, #[case] expected: usize) {
+    assert_eq!(table(size).neighbours("d", "i-0").len(), expected);
+}
