--- a/crates/siskinstiled/tests/testsuite/main.rs
+++ b/crates/siskinstiled/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the daemon's adapters over loopback.
 
 mod peer;
+mod platform;
