--- a/crates/siskinstiled/tests/testsuite/main.rs
+++ b/crates/siskinstiled/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the daemon's adapters over loopback.
 
+mod door;
 mod peer;
 mod platform;
