--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod claim;
 mod log;
+mod member;
 mod order;
 mod place;
 mod retry;
--- a/crates/harness/src/rollout.rs
+++ b/crates/harness/src/rollout.rs
@@ -1,10 +1,16 @@
 //! A fuzz test of publication and distribution: operators' edits and faults over a small world.
 
 pub mod action;
+pub mod cost;
+pub mod delay;
 pub mod oracle;
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
+use proptest::{
+    strategy::{Strategy as _, ValueTree as _},
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
+};
 use siskinstile_core::{
     Effect, Instant,
     fault::Fault,
@@ -23,7 +29,9 @@
 /// Instances of the world.
 pub const INSTANCES: usize = 6;
 /// Time without faults after which what was written long enough ago has to be in force.
-const SETTLE: Duration = Duration::from_secs(25);
+const SETTLE: Duration = Duration::from_secs(18);
+/// Longest pause of an instance.
+const LONGEST_PAUSE: Duration = Duration::from_secs(15);
 
 /// Endpoints that are never called.
 #[derive(Debug, Default)]
@@ -52,6 +60,23 @@
     oracle: Oracle,
 }
 
+/// Runs the sequences of actions of some seeds and returns the first breach with its seed.
+pub fn fuzz(set: &Set, seeds: Range<u64>, fault: Option<Fault>) -> Option<(u64, Breach)> {
+    let actions = action::actions();
+    seeds.into_iter().find_map(|seed| {
+        let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &rng_seed(seed));
+        let mut runner = TestRunner::new_with_rng(proptest::test_runner::Config::default(), rng);
+        let drawn = actions.new_tree(&mut runner).ok()?.current();
+        Rollout::new(seed, set, fault).run(&drawn).err().map(|it| (seed, it))
+    })
+}
+
+fn rng_seed(seed: u64) -> [u8; 32] {
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    bytes
+}
+
 /// Returns the name of an instance.
 pub fn instance(index: usize) -> Name {
     format!("instance-{}", index % INSTANCES).into()
@@ -92,6 +117,8 @@
             self.act(action)?;
         }
         self.mend();
+        // The time without faults begins when the last paused instance has woken.
+        self.pass(LONGEST_PAUSE)?;
         self.pass(SETTLE)?;
         self.oracle.settled(&self.world)
     }
--- a/crates/harness/tests/testsuite/main.rs
+++ b/crates/harness/tests/testsuite/main.rs
@@ -2,8 +2,10 @@
 
 mod bench;
 mod demo;
+mod distribution;
 mod fuzz;
 mod fuzz_property;
+mod keys;
 mod placement;
 mod rollout;
 mod world;
--- a/crates/siskinstiled/tests/testsuite/main.rs
+++ b/crates/siskinstiled/tests/testsuite/main.rs
@@ -3,10 +3,12 @@
 mod bad_input;
 mod caller_gone;
 mod check_settings;
+mod door;
 mod errors;
 mod keys;
 mod peer;
 mod plain;
+mod platform;
 mod process;
 mod silence;
 mod site;
