--- a/crates/harness/src/policy/limits/mesh.rs
+++ b/crates/harness/src/policy/limits/mesh.rs
@@ -136,7 +136,7 @@
 
     /// Returns the name of an instance.
     pub fn name(&self, node: usize) -> &Name {
-        &self.nodes.get_index(node).expect("an instance").0
+        self.nodes.get_index(node).expect("an instance").0
     }
 
     /// Returns the limiter of an instance that is alive.
