--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod burn;
 mod check;
 mod claim;
+mod fair;
 mod log;
 mod member;
 mod order;
--- a/crates/harness/src/capacity/measure.rs
+++ b/crates/harness/src/capacity/measure.rs
@@ -185,6 +185,7 @@
         tokens: 20_000,
         sequence: 99_999,
         incarnation: 1_800_000_000_000,
+        left: 50_000,
     }
 }
 
--- a/crates/harness/tests/testsuite/main.rs
+++ b/crates/harness/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod fuzz;
 mod fuzz_property;
 mod keys;
+mod limits;
 mod placement;
 mod rollout;
 mod world;
