--- a/crates/harness/src/bin/place-bench.rs
+++ b/crates/harness/src/bin/place-bench.rs
@@ -84,7 +84,7 @@
 
 fn pool(size: u64) -> Pool {
     let endpoint = |index: u64| {
-        let role = if index % 4 == 0 { Role::Prefill } else { Role::Decode };
+        let role = if index.is_multiple_of(4) { Role::Prefill } else { Role::Decode };
         serde_json::json!({
             "name": format!("endpoint-{index}"), "address": format!("127.0.0.1:{}", 1_024 + index),
             "datacentre": "dc", "role": role, "places": 16, "memory": 200_000,
