Send cold prompts of one prefix to the same endpoints

Cause: in the large pool past capacity, prompts go to any cold endpoint and evict what is held there.

Change: an endpoint without the prefix has a handicap of up to 400 ms, in the same order for all prompts of that prefix.

--- a/crates/core/src/place/score.rs
+++ b/crates/core/src/place/score.rs
@@ -16,6 +16,8 @@
 const RESULT_LIFE: Duration = Duration::from_millis(600);
 /// How often the time to compute what is not cached counts beside the time until the result.
 const COLD_WEIGHT: u32 = 1;
+/// Greatest handicap of an endpoint without the prompt's prefix.
+const MOST_AWAY: Duration = Duration::from_millis(400);
 /// Extra time of each step at an endpoint of another data centre.
 const REMOTE_COST: Duration = Duration::from_millis(20);
 /// Time from a transfer to the first token, and for messages.
@@ -84,7 +86,7 @@
         let remote = if slot.local { Duration::ZERO } else { REMOTE_COST };
         let ready = start + transfer + remote;
         // What is computed anew takes time of later prompts and evicts other prefixes.
-        let score = ready + slot.compute(tokens) * COLD_WEIGHT;
+        let score = ready + slot.compute(tokens) * COLD_WEIGHT + away(slot, job, held);
         if best.as_ref().is_none_or(|it| score < it.0) {
             best = Some((score, Choice { start, ready, tokens }, slot));
         }
@@ -93,6 +95,15 @@
     Ok(Prefill { name: slot.endpoint.name.clone(), tokens, start, ready, candidates })
 }
 
+/// Returns a handicap for an endpoint without the prompt's prefix, which puts the endpoints in the
+/// same order for all prompts of a prefix, so that it is computed at few of them.
+fn away(slot: &Slot, job: &Job, held: u64) -> Duration {
+    let Some(first) = job.prefixes.first().filter(|_| held == 0) else { return Duration::ZERO };
+    let mixed =
+        (first ^ u64::from(slot.number).rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    Duration::from_micros((mixed >> 32) % MOST_AWAY.as_micros() as u64)
+}
+
 /// What a prefill endpoint would give.
 struct Choice {
     start: Instant,
