Test a forgotten prefix by what is to be computed

Cause: the test took the other endpoint as the sign that an evicted prefix was forgotten; with the handicap of cold endpoints the first may rightly be chosen again.

Change: it compares the tokens to compute, which the reason tells, before and after the eviction; that is at least as strict, since it fails wherever the record keeps the prefix.

Conclusion: the record was right; the test asked for the wrong sign.

--- a/crates/core/tests/testsuite/place.rs
+++ b/crates/core/tests/testsuite/place.rs
@@ -70,6 +70,7 @@
     placed: IndexMap<Id, (Placement, u64)>,
     waiting: Vec<Id>,
     refused: IndexMap<Id, Kind>,
+    reasons: IndexMap<Id, String>,
 }
 
 impl Bench {
@@ -81,6 +82,7 @@
             placed: IndexMap::new(),
             waiting: Vec::new(),
             refused: IndexMap::new(),
+            reasons: IndexMap::new(),
         }
     }
 
@@ -96,7 +98,8 @@
         let config = config(&self.pool);
         for decision in self.dispatcher.poll(self.now, &config, "dc") {
             match decision {
-                Decision::Placed { request, placement, .. } => {
+                Decision::Placed { request, placement, reason } => {
+                    self.reasons.insert(request, reason);
                     self.waiting.retain(|it| *it != request);
                     let held = pieces.get(&request).copied().unwrap_or(1);
                     assert!(self.placed.insert(request, (placement, held)).is_none());
@@ -305,10 +308,14 @@
     let mut warm = job(1, bench.now);
     (warm.prompt, warm.prefixes) = (2_100, Arc::new([1]));
     let first = bench.place_at(1, warm.clone()).unwrap().prefill.unwrap();
-    bench.dispatcher.evicted(&first.name, 1);
     warm.request = Id(2);
-    let second = bench.place_at(2, warm).unwrap().prefill.unwrap();
-    assert_ne!(first.name, second.name);
+    let second = bench.place_at(2, warm.clone()).unwrap().prefill.unwrap();
+    assert_eq!(first.name, second.name);
+    assert!(bench.reasons[&Id(2)].contains(" 100 tokens to compute"));
+    bench.dispatcher.evicted(&first.name, 1);
+    warm.request = Id(3);
+    bench.place_at(3, warm).unwrap();
+    assert!(bench.reasons[&Id(3)].contains(" 2100 tokens to compute"));
 }
 
 #[test]
