Ask for rights anew once the seats are known

Change: its wait for other homes starts, and its homes are ordered, when the seats become known; take_before_seats_are_known covers it.

--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -175,9 +175,12 @@
             self.accounts.retain(|_, it| !it.waiting.is_empty());
             for (name, account) in &mut self.accounts {
                 self.busy.insert(name.clone());
+                account.waiting.iter_mut().for_each(|it| it.since = now);
                 let (homes, own_ppm) =
                     order(&self.table, &self.own, &self.datacentre, &account.team.name);
                 (account.homes, account.own_ppm) = (homes, own_ppm);
+                account.order = account.fullest(now);
+                account.tried = 0;
             }
         }
     }
--- a/crates/core/src/limit/limiter/borrow.rs
+++ b/crates/core/src/limit/limiter/borrow.rs
@@ -29,7 +29,7 @@
 
 impl Account {
     /// Returns the homes, those first that have the most as far as is known.
-    fn fullest(&self, now: Instant) -> Vec<Name> {
+    pub(super) fn fullest(&self, now: Instant) -> Vec<Name> {
         let mut homes: Vec<(u64, &Name)> = self
             .homes
             .iter()
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod check;
 mod fair;
+mod limit;
 mod log;
