--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod claim;
 mod fair;
+mod limit;
 mod log;
 mod member;
 mod order;
