Take peers for near after a pause of the own

Cause: found by the fuzz: an instance that woke from a pause counted its peers as silent, told none of its next holds, and died. Change: silence counts from the end of an own pause, which every event notices, not only a tick.

--- a/crates/core/src/hold.rs
+++ b/crates/core/src/hold.rs
@@ -69,19 +69,19 @@
     heard: IndexMap<Name, Heard>,
     /// Since when this instance has run without a pause.
     running_since: Instant,
-    last_tick: Instant,
+    last_run: Instant,
 }
 
-/// Time between ticks beyond which this instance has been paused.
+/// Time between events beyond which this instance has been paused.
 const PAUSE: Duration = Duration::from_millis(500);
 
 impl Ledger {
-    /// Notes that this instance runs; after a pause of its own, the silence of others is its own.
-    pub fn tick(&mut self, now: Instant) {
-        if now.since(self.last_tick) > PAUSE {
+    /// Notes that this instance runs; after a pause, the silence of others is its own.
+    pub fn run(&mut self, now: Instant) {
+        if now.since(self.last_run) > PAUSE {
             self.running_since = now;
         }
-        self.last_tick = now;
+        self.last_run = now;
     }
 
     /// Returns since when this instance has run without a pause.
@@ -108,9 +108,9 @@
         now.since(at.max(self.running_since))
     }
 
-    /// Returns whether an instance was heard of late, or may yet be heard because this one is new.
+    /// Returns whether an instance was heard of late, or may yet be heard because this one is new
+    /// or was paused.
     pub fn is_near(&self, now: Instant, name: &str) -> bool {
-        let at = self.heard.get(name).map_or(Instant::default(), |it| it.at);
-        now.since(at) < GONE_SILENCE
+        self.silence(now, name) < GONE_SILENCE
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -109,6 +109,7 @@
 
     /// Takes an event and returns what is to be done.
     pub fn step(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        self.ledger.run(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Arrival(arrival) => self.arrive(now, arrival),
--- a/crates/core/src/state/holds.rs
+++ b/crates/core/src/state/holds.rs
@@ -179,7 +179,6 @@
 
     /// Does what the keeping of holds does from time to time.
     pub(super) fn hold_tick(&mut self, now: Instant) {
-        self.ledger.tick(now);
         self.tell_again(now);
         let keys: Vec<Key> = self.ledger.entries.keys().cloned().collect();
         for key in keys {
--- a/crates/harness/tests/testsuite/fuzz.rs
+++ b/crates/harness/tests/testsuite/fuzz.rs
@@ -36,6 +36,7 @@
 #[case(include_str!("cases/drain-short-pause.json"))]
 #[case(include_str!("cases/hold-leaving-peers.json"))]
 #[case(include_str!("cases/hold-new-instance.json"))]
+#[case(include_str!("cases/hold-paused-owner.json"))]
 #[case(include_str!("cases/hold-restarted-owner.json"))]
 fn fuzz_replays_mended(#[case] case: &str) {
     let case = serde_json::from_str(case).unwrap();
