Take requests only once the holders of rights are known

Cause: after the merge of limits an instance was ready before it knew the seats, so it refused requests inside their team's rate with 429 for up to ten seconds after a cold start; four tests of the daemon saw it. Change: an instance is ready once it knows the seats, or after 12 s; the test sites wait for ready, set the size of their fleet and connect as peers; the note on a refusal names its kind again. Ruled out: rates that are really used up (status showed no seats).

--- a/crates/core/src/state/admission.rs
+++ b/crates/core/src/state/admission.rs
@@ -121,7 +121,8 @@
         if let Some(team) = name.and_then(|name| config.set.teams.get(&name)) {
             self.burn.bad(now, &service, &team.name, burn::Cause::Refusal);
             let rights = self.limits.explain(now, team);
-            let text = format!("refused: {rights}; again in {} ms", retry_after.as_millis());
+            let text =
+                format!("refused: rate_limited, {rights}; again in {} ms", retry_after.as_millis());
             self.trace.note(now, id, text);
         }
         self.fail(now, id, Failure::not_run(Kind::RateLimited).with_retry_after(retry_after));
--- a/crates/core/src/state/control.rs
+++ b/crates/core/src/state/control.rs
@@ -23,6 +23,8 @@
 const PUBLISHER: &str = "publisher";
 /// Time after which a new instance serves what its peers have, without word of the platform.
 const START_WAIT: Duration = Duration::from_secs(5);
+/// Time after which a new instance serves although it does not know who holds the teams' rights.
+const SEATS_WAIT: Duration = Duration::from_secs(12);
 
 /// When things of the configuration happened.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -116,12 +118,17 @@
 
     /// Takes requests once this instance is not behind the platform and its peers, or has waited
     /// for the platform long enough.
+    fn waited(&self, now: Instant, time: Duration) -> bool {
+        self.moments.started.is_some_and(|at| now.since(at) >= time)
+    }
+
     fn become_ready(&mut self, now: Instant) {
-        let waited = self.moments.started.is_some_and(|at| now.since(at) >= START_WAIT);
+        let waited = self.waited(now, START_WAIT);
         let generation = self.config.generation;
         let behind = self.members.heard_all().any(|it| it.1.generation > generation);
         let current = self.sync.is_current() && !behind;
-        let ready = self.draining.is_none() && generation > 0 && (current || waited);
+        let seated = !self.limits.table().seats.is_empty() || self.waited(now, SEATS_WAIT);
+        let ready = self.draining.is_none() && generation > 0 && (current || waited) && seated;
         if ready && !self.moments.ready {
             self.moments.ready = true;
             self.emit(Effect::Ready(true));
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -122,7 +122,7 @@
         let dir = self.objects.display().to_string();
         self.siskinctl(&["apply", &dir, "--platform", &self.platform.address().to_string()])?;
         let (set, _) = siskinctl::files::load(&self.objects)?;
-        wait(IN_FORCE, || self.daemons.iter().all(|it| it.config().set == set))
+        wait(IN_FORCE, || self.daemons.iter().all(|it| it.config().set == set && it.is_ready()))
             .context("the objects are not in force everywhere")
     }
 
--- a/crates/siskinctl/tests/testsuite/daemon.rs
+++ b/crates/siskinctl/tests/testsuite/daemon.rs
@@ -97,7 +97,8 @@
     assert_eq!(code, Code::Success);
     assert!(out.contains(&id) && out.contains("refused: rate_limited"), "{out}");
     let (_, out) = site.on_admin(&["--output", "json", "explain", &id]);
-    assert_eq!(parse(&out)["decisions"][0]["decision"], "refused: rate_limited");
+    let decision = parse(&out)["decisions"][0]["decision"].to_string();
+    assert!(decision.starts_with("\"refused: rate_limited, team visitors has"), "{decision}");
 }
 
 #[rstest]
--- a/crates/siskinstiled/src/daemon.rs
+++ b/crates/siskinstiled/src/daemon.rs
@@ -127,6 +127,11 @@
         !matches!(self.stopped.recv_timeout(limit), Err(channel::RecvTimeoutError::Timeout))
     }
 
+    /// Returns whether the instance takes new requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.ready.load(std::sync::atomic::Ordering::Acquire)
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Arc<Config> {
         self.shared.config.load_full()
--- a/crates/siskinstiled/tests/testsuite/process.rs
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -28,14 +28,21 @@
 
 impl Process {
     fn spawn(name: &str, stand_ins: &StandIns) -> Process {
-        Process::spawn_by(Command::new(env!("CARGO_BIN_EXE_siskinstiled")), name, stand_ins)
+        let command = Command::new(env!("CARGO_BIN_EXE_siskinstiled"));
+        let process = Process::start(command, name, stand_ins, 1);
+        process.wait_ready();
+        process
+    }
+
+    fn wait_ready(&self) {
+        wait(|| raw(self.admin, request("GET", "/ready", "", "")).status == 200);
     }
 
-    /// Starts a process by a command to which the arguments of the daemon are added.
-    fn spawn_by(mut command: Command, name: &str, stand_ins: &StandIns) -> Process {
+    /// Starts a process of a fleet by a command to which the arguments of the daemon are added.
+    fn start(mut command: Command, name: &str, stand_ins: &StandIns, fleet: u64) -> Process {
         let door = Builder::default().door;
         let mut settings = settings(name, stand_ins.platform.address(), door);
-        settings.fleet.size = 2;
+        settings.fleet.size = fleet;
         let file = std::env::temp_dir().join(format!("{name}-{:016x}.toml", rand::random::<u64>()));
         fs::write(&file, toml::to_string(&settings).unwrap()).unwrap();
         let mut child = command
@@ -54,11 +61,10 @@
             let _ = stderr.read_to_string(&mut text);
             text
         });
-        let [_, door, _, admin] = words[..] else { panic!("{line}") };
+        let [_, door, _, admin, _, peer] = words[..] else { panic!("{line}") };
         let (door, admin) = (door.parse().unwrap(), admin.parse().unwrap());
         let process = Process { child, door, admin, file, log: Some(log) };
-        register(name, door, admin, &stand_ins.platform);
-        wait(|| raw(admin, request("GET", "/ready", "", "")).status == 200);
+        register(name, peer.parse().unwrap(), admin, &stand_ins.platform);
         process
     }
 
@@ -106,7 +112,11 @@
 #[test]
 fn process_end_to_end() {
     let stand_ins = slow().stand_ins();
-    let [one, two] = ["one", "two"].map(|name| Process::spawn(name, &stand_ins));
+    let [one, two] = ["one", "two"].map(|name| {
+        let command = Command::new(env!("CARGO_BIN_EXE_siskinstiled"));
+        Process::start(command, name, &stand_ins, 2)
+    });
+    [&one, &two].into_iter().for_each(Process::wait_ready);
     let streamed = raw(one.door, completion("hello", 4, true));
     assert!(streamed.body.contains("[DONE]"), "{streamed:?}");
     assert_eq!(raw(two.door, request("GET", "/look", &bearer(KEY), "")).status, 200);
@@ -178,7 +188,8 @@
     let mut command = Command::new("sh");
     let script = format!("ulimit -n {DESCRIPTORS}; exec \"$0\" \"$@\"");
     command.args(["-c", &script, env!("CARGO_BIN_EXE_siskinstiled")]);
-    let process = Process::spawn_by(command, "one", &stand_ins);
+    let process = Process::start(command, "one", &stand_ins, 1);
+    process.wait_ready();
     let held: Vec<_> = (0..2 * DESCRIPTORS).map(|_| connect(process.door)).collect();
     thread::sleep(std::time::Duration::from_millis(200));
     drop(held);
--- a/crates/siskinstiled/tests/testsuite/site.rs
+++ b/crates/siskinstiled/tests/testsuite/site.rs
@@ -67,8 +67,8 @@
         let stand_ins = self.stand_ins();
         let settings = settings("one", stand_ins.platform.address(), self.door);
         let daemon = Daemon::spawn(&settings).unwrap();
-        register("one", daemon.door(), daemon.admin(), &stand_ins.platform);
-        wait(|| daemon.config().generation > 0);
+        register("one", daemon.peer().unwrap(), daemon.admin(), &stand_ins.platform);
+        wait(|| daemon.config().generation > 0 && daemon.is_ready());
         let StandIns { platform, prefills, decode, plain } = stand_ins;
         Site { daemon, prefills, decode, plain, _platform: platform }
     }
@@ -116,7 +116,7 @@
         instance: settings::Instance { name: name.into(), datacentre: "a".into() },
         door,
         admin: settings::Admin { listen: any },
-        peer: None,
+        peer: Some(settings::Peer { listen: any, tls: settings::Tls::Off(settings::Off::Off) }),
         platform: settings::Platform { address: platform },
         fleet: settings::Fleet { size: 1, balancer_lag_ms: 100 },
     }
@@ -128,8 +128,8 @@
 }
 
 /// Tells the platform of an instance.
-pub(crate) fn register(name: &str, door: SocketAddr, admin: SocketAddr, platform: &Platform) {
-    let record = json!({"name": name, "address": door.to_string(), "admin": admin.to_string(),
+pub(crate) fn register(name: &str, peer: SocketAddr, admin: SocketAddr, platform: &Platform) {
+    let record = json!({"name": name, "address": peer.to_string(), "admin": admin.to_string(),
         "datacentre": "a", "incarnation": 1, "state": "live"});
     let url = format!("http://{}/instances/{name}", platform.address());
     assert!(attohttpc::put(url).json(&record).unwrap().send().unwrap().is_success());
