Tell leaving peers of holds when no others are left, again

Change: the peers of a hold are ranked over every listed instance, and those that are silent or leaving come last as before. Conclusion: roles take ranked, holds take ranked_all.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -161,10 +161,18 @@
 
     /// Returns the instances of a data centre that take work, in the order of their rank for `key`.
     pub fn ranked(&self, datacentre: &str, key: &str) -> Vec<&Record> {
+        let mut all = self.ranked_all(datacentre, key);
+        all.retain(|it| self.takes_work(it));
+        all
+    }
+
+    /// Returns every listed instance of a data centre, leaving and silent ones too, in the order of
+    /// their rank for `key`.
+    pub fn ranked_all(&self, datacentre: &str, key: &str) -> Vec<&Record> {
         let here = self.records.values().filter(|it| &*it.datacentre == datacentre);
-        let mut live: Vec<&Record> = here.filter(|it| self.takes_work(it)).collect();
-        live.sort_by_key(|it| std::cmp::Reverse((rank(&it.name, key), it.name.clone())));
-        live
+        let mut all: Vec<&Record> = here.collect();
+        all.sort_by_key(|it| std::cmp::Reverse((rank(&it.name, key), it.name.clone())));
+        all
     }
 
     /// Returns the instances that get the heartbeats of `own`: all of a small data centre, else
--- a/crates/core/src/state/holds.rs
+++ b/crates/core/src/state/holds.rs
@@ -43,7 +43,7 @@
         if self.has(Fault::ForgetHold) {
             return Vec::new();
         }
-        let ranked = self.members.ranked(&self.settings.datacentre, &id.to_string());
+        let ranked = self.members.ranked_all(&self.settings.datacentre, &id.to_string());
         let others = ranked.into_iter().map(|it| &it.name);
         let mut near: Vec<&Name> = others.filter(|name| self.is_peer(now, name)).collect();
         near.sort_by_key(|name| !self.may_keep(now, name));
