Work out the capacity page from measured slopes, and tell what burned a late answer

Change: capacity writes the tables of the page from committed slopes and a test compares them; time before the first token is kept by phase; a refusal burns only where the fleet could not tell.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -48,6 +48,8 @@
     Refused {
         /// Time until enough could be there.
         retry_after: Duration,
+        /// Why.
+        cause: Cause,
     },
 }
 
@@ -64,3 +66,10 @@
     /// It is not yet known which instances are homes.
     NoSeats,
 }
+
+impl Cause {
+    /// Returns whether the fleet, and not the team's use, is why.
+    pub fn is_ours(self) -> bool {
+        matches!(self, Cause::Unreached | Cause::NoSeats)
+    }
+}
--- a/crates/core/src/limit/even.rs
+++ b/crates/core/src/limit/even.rs
@@ -8,7 +8,7 @@
     object::{Name, Team},
 };
 
-use super::{Verdict, bucket::Bucket, bucket::Part, seat::WHOLE_PPM};
+use super::{Cause, Verdict, bucket::Bucket, bucket::Part, seat::WHOLE_PPM};
 
 /// The buckets of one of several equal instances.
 #[value]
@@ -34,7 +34,10 @@
                 bucket.take(tokens);
                 Verdict::Granted
             }
-            false => Verdict::Refused { retry_after: part.time_for(tokens - bucket.tokens()) },
+            false => Verdict::Refused {
+                retry_after: part.time_for(tokens - bucket.tokens()),
+                cause: Cause::Empty,
+            },
         }
     }
 
--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -405,7 +405,8 @@
         let account = &mut self.accounts[name];
         account.usage.refuse(cause);
         let part = Part::ideal(&account.team, WHOLE_PPM);
-        Verdict::Refused { retry_after: part.time_for(tokens.saturating_sub(available).max(1)) }
+        let retry_after = part.time_for(tokens.saturating_sub(available).max(1));
+        Verdict::Refused { retry_after, cause }
     }
 
     fn available(&mut self, now: Instant, name: &Name) -> u64 {
--- a/crates/core/src/limit/limiter/borrow.rs
+++ b/crates/core/src/limit/limiter/borrow.rs
@@ -161,7 +161,7 @@
         let least = waiting.iter().map(|it| it.tokens).min().unwrap_or(0);
         for Waiting { wait, tokens, .. } in waiting {
             let verdict = self.refused(now, name, tokens, cause);
-            if let Verdict::Refused { retry_after } = verdict {
+            if let Verdict::Refused { retry_after, .. } = verdict {
                 let pause = (retry_after / 2).clamp(DRY_LEAST, DRY_MOST);
                 self.accounts[name].dry = Some((now + pause, least));
             }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -1,11 +1,11 @@
 //! A caller's request and its attempts.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, sync::Arc, time::Duration};
 
 use siskinstile_macros::value;
 
 use crate::{
-    Instant,
+    Instant, burn,
     key::Secret,
     object::{Endpoint, Name, Route},
 };
@@ -164,6 +164,20 @@
     Forward,
 }
 
+impl Phase {
+    /// Returns what time in this phase counts as.
+    pub const fn cause(&self) -> burn::Cause {
+        match self {
+            Phase::Admitting | Phase::Queued | Phase::Holding => burn::Cause::Queue,
+            Phase::Claiming => burn::Cause::Platform,
+            Phase::Prefill => burn::Cause::Prefill,
+            Phase::Import => burn::Cause::Transfer,
+            Phase::Decode => burn::Cause::Decode,
+            Phase::Forward => burn::Cause::Endpoint,
+        }
+    }
+}
+
 /// The endpoints that an attempt uses.
 #[value]
 pub struct Placement {
@@ -210,6 +224,8 @@
     pub sent: bool,
     /// When its step began.
     pub since: Instant,
+    /// Time spent before the first token, by what it was spent on.
+    pub spent: [Duration; burn::Cause::ALL.len()],
     /// When its prefill result was reported.
     pub computed: Instant,
     /// Peers that were told of what its attempt holds.
@@ -219,6 +235,25 @@
 }
 
 impl Request {
+    /// Goes on to a phase, and counts the time spent in the one before.
+    pub fn enter(&mut self, now: Instant, phase: Phase) {
+        if self.first.is_none() {
+            self.spent[self.phase.cause() as usize] += now.since(self.since);
+        }
+        self.phase = phase;
+        self.since = now;
+    }
+
+    /// Returns what took the longest until the first token.
+    pub fn slowest(&self, first: Instant) -> burn::Cause {
+        let spent = |cause: &burn::Cause| {
+            let current =
+                if *cause == self.phase.cause() { first.since(self.since) } else { Duration::ZERO };
+            self.spent[*cause as usize] + current
+        };
+        burn::Cause::ALL.into_iter().max_by_key(spent).unwrap_or(burn::Cause::Queue)
+    }
+
     /// Returns whether a call of its attempt is under way.
     pub fn is_running(&self) -> bool {
         matches!(self.phase, Phase::Prefill | Phase::Import | Phase::Decode | Phase::Forward)
--- a/crates/core/src/state/admission.rs
+++ b/crates/core/src/state/admission.rs
@@ -59,6 +59,7 @@
             avoid: Vec::new(),
             sent: false,
             since: now,
+            spent: Default::default(),
             computed: now,
             told: Vec::new(),
             claim_writes: 0,
@@ -90,9 +91,9 @@
                 self.trace.note(now, id, format!("waits for {tokens} tokens from other homes"));
                 self.requests.insert(id, request);
             }
-            limit::Verdict::Refused { retry_after } => {
+            limit::Verdict::Refused { retry_after, cause } => {
                 self.requests.insert(id, request);
-                self.refuse(now, id, retry_after);
+                self.refuse(now, id, retry_after, cause);
             }
         }
     }
@@ -105,21 +106,25 @@
                 request.charged = self.cost(&request.route, &request.arrival);
                 self.accept(now, request);
             }
-            limit::Verdict::Refused { retry_after } => {
+            limit::Verdict::Refused { retry_after, cause } => {
                 self.requests.insert(id, request);
-                self.refuse(now, id, retry_after);
+                self.refuse(now, id, retry_after, cause);
             }
             limit::Verdict::Pending => {}
         }
     }
 
     /// Refuses a request whose team may not spend, and notes where its rights are.
-    fn refuse(&mut self, now: Instant, id: Id, retry_after: Duration) {
+    ///
+    /// A team that is over its rate burns no service level; a fleet that cannot tell does.
+    fn refuse(&mut self, now: Instant, id: Id, retry_after: Duration, cause: limit::Cause) {
         let config = self.config.clone();
         let Some(request) = self.requests.get(&id) else { return };
         let (service, name) = (request.route.service.clone(), request.team.clone());
         if let Some(team) = name.and_then(|name| config.set.teams.get(&name)) {
-            self.burn.bad(now, &service, &team.name, burn::Cause::Refusal);
+            if cause.is_ours() {
+                self.burn.bad(now, &service, &team.name, burn::Cause::Refusal);
+            }
             let rights = self.limits.explain(now, team);
             let text =
                 format!("refused: rate_limited, {rights}; again in {} ms", retry_after.as_millis());
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -54,8 +54,7 @@
 
     fn call(&mut self, now: Instant, id: Id, phase: Phase, endpoint: Arc<Endpoint>, step: Step) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.phase = phase;
-        request.since = now;
+        request.enter(now, phase);
         let (attempt, keep) = (request.attempt, request.claim.is_some());
         self.emit(Effect::Call { request: id, attempt, endpoint, step, keep });
     }
@@ -155,10 +154,11 @@
         let first = request.first.unwrap_or(now);
         let first_ms = first.since(request.arrived).as_millis() as u64;
         let between_ms = now.since(first).as_millis() as u64 / tokens.max(1);
+        let slowest = request.slowest(first);
         self.burn.latency(now, &route.service, first_ms, between_ms);
         match () {
             () if first_ms > route.first_token_ms => {
-                self.burn.bad(now, &route.service, &team, burn::Cause::Queue);
+                self.burn.bad(now, &route.service, &team, slowest);
             }
             () if between_ms > route.between_tokens_ms => {
                 self.burn.bad(now, &route.service, &team, burn::Cause::Decode);
--- a/crates/core/src/state/claims.rs
+++ b/crates/core/src/state/claims.rs
@@ -51,8 +51,7 @@
     /// Creates the claim of a request.
     pub(super) fn claim(&mut self, now: Instant, id: Id) {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.phase = Phase::Claiming;
-            request.since = now;
+            request.enter(now, Phase::Claiming);
         }
         self.write_claim(id, 0);
     }
--- a/crates/core/src/state/dispatch.rs
+++ b/crates/core/src/state/dispatch.rs
@@ -40,7 +40,7 @@
     /// Queues a request for endpoints, here or at the dispatcher of its pool.
     pub(super) fn enqueue(&mut self, now: Instant, id: Id) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.phase = Phase::Queued;
+        request.enter(now, Phase::Queued);
         let pool = request.route.pool.clone();
         match self.dispatcher_of(now, &pool) {
             Some(to) => self.ask(now, id, to),
--- a/crates/core/src/state/holds.rs
+++ b/crates/core/src/state/holds.rs
@@ -29,8 +29,7 @@
     pub(super) fn take_hold(&mut self, now: Instant, id: Id) {
         let peers = self.hold_peers(now, id);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.phase = Phase::Holding;
-        request.since = now;
+        request.enter(now, Phase::Holding);
         request.told = peers.into_iter().map(Told::new).collect();
         self.tell(id);
         if self.requests.get(&id).is_some_and(|it| it.told.is_empty()) {
--- a/crates/core/src/state/retries.rs
+++ b/crates/core/src/state/retries.rs
@@ -117,8 +117,7 @@
         }
         self.end_attempt(now, id);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.phase = Phase::Queued;
-        request.since = now;
+        request.enter(now, Phase::Queued);
         let spent = request.attempt >= MAX_ATTEMPTS;
         let pool = request.route.pool.clone();
         let budget = self.budgets.entry(pool).or_insert_with(|| Budget::new(now));
--- a/crates/core/tests/testsuite/attempts.rs
+++ b/crates/core/tests/testsuite/attempts.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use serde_json::json;
 use siskinstile_core::{
-    Config, Effect, Event, Instant, State,
+    Config, Effect, Event, Instant, Query, State,
     error::{Kind, Ran},
     object::{Kind as Object, Set},
     request::{Arrival, Id, Outcome, Report, Step, Target},
@@ -228,3 +228,26 @@
     bench.step(Event::Tick);
     assert_eq!(bench.failure(), failure);
 }
+
+#[rstest]
+#[case::prefill([300, 20, 20], "prefill")]
+#[case::transfer([20, 300, 20], "transfer")]
+#[case::decode([20, 20, 300], "decode")]
+fn late_first_token_burns(#[case] step_ms: [u64; 3], #[case] cause: &str) {
+    let mut bench = Bench::new();
+    bench.ask(Target::Model("m".into()));
+    let outcomes =
+        [Outcome::Computed { kv: "kv".into(), cached: 0 }, Outcome::Imported, Outcome::First];
+    for (outcome, ms) in outcomes.into_iter().zip(step_ms) {
+        bench.now = bench.now + Duration::from_millis(ms);
+        bench.report(1, outcome);
+    }
+    bench.report(1, Outcome::Ended { tokens: 8, answer: None });
+    bench.step(Event::Query { id: 1, query: Query::Burn });
+    let reply = bench.effects.iter().find_map(|it| match it {
+        Effect::Reply { reply, .. } => Some(reply.to_value()),
+        _ => None,
+    });
+    let causes = reply.unwrap()["rows"][0]["causes"].clone();
+    assert_eq!(causes.as_object().unwrap().keys().collect::<Vec<_>>(), [cause]);
+}
--- a/crates/harness/src/capacity/measure.rs
+++ b/crates/harness/src/capacity/measure.rs
@@ -22,6 +22,8 @@
 const LENGTH_BYTES: usize = 4;
 /// Requests of a measurement.
 const REQUESTS: u64 = 20_000;
+/// Most ticks until a change is in force.
+const CHANGE_TICKS: usize = 400;
 /// Ticks of a measurement.
 const TICKS: u64 = 2_000;
 
@@ -42,6 +44,9 @@
     cpu_us.insert("set_check".into(), set_check());
     cpu_us.insert("set_adoption".into(), set_adoption());
     drop(rig);
+    let mut publisher = Rig::open(&Size { instances: 1, ..TARGET });
+    cpu_us.insert("change_at_publisher".into(), change(&mut publisher));
+    drop(publisher);
     Slopes { cpu_us, message_bytes: messages(), memory_bytes: memory(allocated) }
 }
 
@@ -118,6 +123,19 @@
     })
 }
 
+/// One changed object, from the operator's edit to its adoption at the publisher.
+fn change(rig: &mut Rig) -> f64 {
+    time(10, |number| {
+        let generation = rig.state.config().generation;
+        rig.edit(number);
+        let ticks = (0..CHANGE_TICKS).take_while(|_| {
+            rig.tick();
+            rig.state.config().generation == generation
+        });
+        assert!(ticks.count() < CHANGE_TICKS, "a change is not in force");
+    })
+}
+
 fn envelope(from: &str, body: Body) -> Envelope {
     Envelope { from: from.into(), incarnation: 1_800_000_000_000, body: Some(body) }
 }
@@ -162,6 +180,7 @@
         ("hold_gone", hold(hold::Kind::Gone(named()))),
         ("submit", dispatch(dispatch::Kind::Submit(submit()))),
         ("placed", dispatch(dispatch::Kind::Placed(placed()))),
+        ("burn_series", Body::Burn(message::burn::Message { series: vec![series()] })),
         ("released", dispatch(dispatch::Kind::Released(released()))),
     ];
     let bytes = |body| (envelope("dc-3-instance-17", body).encoded_len() + LENGTH_BYTES) as f64;
@@ -213,6 +232,15 @@
     }
 }
 
+fn series() -> message::burn::Series {
+    message::burn::Series {
+        service: "model-7".into(),
+        team: "team-4711".into(),
+        slots: vec![100; 96],
+        causes: vec![1.0; 7],
+    }
+}
+
 fn released() -> message::dispatch::Released {
     message::dispatch::Released { request: u64::MAX, attempt: 1, tokens: 256, failed: false }
 }
@@ -235,7 +263,8 @@
         ("team", team),
         ("key", key),
         ("endpoint", endpoint),
-        ("instance_whole", whole_instance(allocated)),
+        ("configuration", config(TARGET)),
+        ("publisher", whole_instance(allocated)),
         ("open_request", open_request(allocated)),
         ("trace", traces(allocated)),
         ("burn_series", burn_series(allocated)),
--- a/crates/harness/src/capacity/rig.rs
+++ b/crates/harness/src/capacity/rig.rs
@@ -10,7 +10,7 @@
     place::Policy,
     request::{Arrival, Id, Target},
     state,
-    store::{Answer, Call},
+    store::{Answer, Call, Tag},
 };
 
 use crate::world::Store;
@@ -157,6 +157,7 @@
     pub store: Store,
     /// Its clock.
     pub now: Instant,
+    watches: Vec<(Tag, Vec<Name>, u64)>,
 }
 
 impl Rig {
@@ -176,7 +177,8 @@
             balancer_lag: Duration::from_secs(2),
         };
         let (state, effects) = State::new(settings);
-        let mut rig = Rig { state, store, now: Instant::from_millis(1) };
+        let now = Instant::from_millis(1);
+        let mut rig = Rig { state, store, now, watches: Vec::new() };
         rig.answer(effects);
         rig.settle();
         (1..size.instances).for_each(|index| rig.store.list(record(size, index)));
@@ -209,6 +211,28 @@
     pub fn tick(&mut self) {
         self.now = self.now + state::TICK;
         self.step(Event::Tick);
+        self.answer_watches();
+    }
+
+    /// Changes the rate of a team as an operator does.
+    pub fn edit(&mut self, number: u64) {
+        let (kind, name): (Name, Name) = ("team".into(), format!("team-{number}").into());
+        let Some(mut value) = self.store.get(&kind, &name).and_then(|it| it.value.clone()) else {
+            return;
+        };
+        value["rate"] = (RATE - 1 - number).into();
+        self.store.call(&Call::Put { kind, name, value, if_version: None });
+    }
+
+    fn answer_watches(&mut self) {
+        for (tag, kinds, since) in std::mem::take(&mut self.watches) {
+            match self.store.events(&kinds, since) {
+                Answer::Objects { objects, .. } if objects.is_empty() => {
+                    self.watches.push((tag, kinds, since));
+                }
+                answer => drop(self.step(Event::Stored { tag, answer })),
+            }
+        }
     }
 
     /// Hands the instance an event and answers its platform calls.
@@ -225,7 +249,9 @@
             let mut next = Vec::new();
             for effect in waiting {
                 match effect {
-                    Effect::Store { call: Call::Watch { .. }, .. } => {}
+                    Effect::Store { tag, call: Call::Watch { kinds, since } } => {
+                        self.watches.push((tag, kinds, since));
+                    }
                     Effect::Store { tag, call } => {
                         let answer = self.store.call(&call);
                         next.extend(self.state.step(self.now, Event::Stored { tag, answer }));
@@ -237,12 +263,6 @@
         }
         others
     }
-
-    /// Returns the answer that a watch of everything would get now.
-    pub fn changes(&mut self, since: u64) -> Answer {
-        let kinds: Vec<Name> = Kind::ALL.iter().map(|it| it.as_str().into()).collect();
-        self.store.events(&kinds, since)
-    }
 }
 
 fn record(size: &Size, index: usize) -> Record {
--- a/crates/harness/tests/testsuite/main.rs
+++ b/crates/harness/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the whole path over real sockets.
 
 mod bench;
+mod capacity;
 mod demo;
 mod distribution;
 mod fuzz;
