Test that a refusal over a team's own rate burns no service level

Change: the test sends a refused request and a failed lookup and wants exactly one row, with the failure as its cause: stricter than before, when any text with the names passed.

--- a/crates/siskinctl/tests/testsuite/daemon.rs
+++ b/crates/siskinctl/tests/testsuite/daemon.rs
@@ -77,6 +77,15 @@
     }
 }
 
+impl Site {
+    /// Sends a lookup to the endpoint of the example, at which nothing listens.
+    fn failed_lookup(&self) {
+        let url = format!("http://{}/registry/licences/1", self.daemon.door());
+        let request = attohttpc::get(url).header("authorization", format!("Bearer {SMALL_KEY}"));
+        assert_eq!(request.send().unwrap().status().as_u16(), 502);
+    }
+}
+
 fn wait(done: impl Fn() -> bool) {
     let start = Instant::now();
     while !done() {
@@ -113,9 +122,15 @@
 fn burn_report() {
     let site = Site::spawn();
     site.refused_request();
+    site.failed_lookup();
     let (code, out) = site.on_admin(&["--output", "json", "burn"]);
     assert_eq!(code, Code::Success);
-    assert!(out.contains("assessor") && out.contains("visitors"), "{out}");
+    let rows = parse(&out)["rows"].clone();
+    // The refusal over the team's own rate burns nothing.
+    assert_eq!(rows.as_array().unwrap().len(), 1, "{out}");
+    assert_eq!((&rows[0]["service"], &rows[0]["team"]), (&json!("registry"), &json!("visitors")));
+    assert_eq!(rows[0]["windows"][0], json!({ "total": 1, "bad": 1 }));
+    assert!(rows[0]["causes"]["endpoint"].as_f64() > Some(0.9), "{out}");
     let (code, out) = site.on_admin(&["burn"]);
     assert_eq!(code, Code::Success);
     assert!(out.contains("visitors"), "{out}");
