--- a/crates/core/src/state/drain.rs
+++ b/crates/core/src/state/drain.rs
@@ -43,22 +43,25 @@
     pub(super) fn drain_tick(&mut self, now: Instant) {
         let idle = self.has_left(now) && self.is_idle(now);
         self.idle_ticks = if idle { self.idle_ticks + 1 } else { 0 };
+        if idle {
+            self.hand_over_burn(now);
+        }
         if self.idle_ticks >= IDLE_TICKS && !self.stopped {
             self.stopped = true;
-            self.hand_over_burn(now);
             self.log(log::STOPPED, self.settings.name.to_string());
             self.emit(Effect::Stopped);
         }
     }
 
-    /// Hands the service-level counts to the first ranked peer of the data centre.
+    /// Hands the service-level counts to the first ranked peer of the data centre; at the first
+    /// idle tick, so that the messages have left before the process ends.
     fn hand_over_burn(&mut self, now: Instant) {
         let own = &self.settings.name;
         let peers = self.members.ranked(&self.settings.datacentre, own);
         let Some(peer) = peers.iter().map(|it| &it.name).find(|name| *name != own).cloned() else {
             return;
         };
-        for message in self.burn.hand_over(now) {
+        for message in std::mem::take(&mut self.burn).hand_over(now) {
             self.send(&peer, Body::Burn(message));
         }
     }
--- a/crates/siskinstiled/tests/testsuite/process.rs
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -109,6 +109,14 @@
 }
 
 /// Two processes serve, explain, report and stop, and cut off nothing.
+/// Returns the services that an instance has counts of.
+fn services(admin: SocketAddr) -> Vec<String> {
+    let report = siskinctl(&["--output", "json", "burn", "--admin", &admin.to_string()]);
+    let report: serde_json::Value = serde_json::from_str(&report).unwrap();
+    let rows = report["rows"].as_array().unwrap();
+    rows.iter().map(|it| it["service"].to_string()).collect()
+}
+
 #[test]
 fn process_end_to_end() {
     let stand_ins = slow().stand_ins();
@@ -133,6 +141,8 @@
     assert!(explained.contains("answered, 4 tokens"), "{explained}");
     let burn = siskinctl(&["--output", "json", "burn", "--admin", &admin]);
     assert!(burn.contains("\"t\""), "{burn}");
+    let (streams, lookups) = (services(one.admin), services(two.admin));
+    assert!(streams.iter().any(|it| !lookups.contains(it)), "{streams:?} {lookups:?}");
 
     let mut open = connect(one.door);
     open.write_all(completion("again", 20, true).as_bytes()).unwrap();
@@ -144,6 +154,7 @@
     let (status, log) = one.exit();
     assert_eq!(status.code(), Some(0));
     assert!(log.contains("E101") && !log.contains("open-sesame"), "{log}");
+    wait(|| streams.iter().all(|it| services(two.admin).contains(it)));
     assert_eq!(raw(two.door, request("GET", "/look", &bearer(KEY), "")).status, 200);
     two.signal();
     assert_eq!(two.exit().0.code(), Some(0));
