Hash each name once when instances are ranked

Cause: the sorts by rendezvous rank hashed a name at each comparison: a tick ranked 360 instances for the publisher's place, and each request ranked its data centre several times. Change: the keys of these sorts are cached.

--- a/crates/core/src/limit/seat.rs
+++ b/crates/core/src/limit/seat.rs
@@ -55,7 +55,7 @@
     /// Returns the homes of a team with their parts.
     pub fn homes(&self, team: &str) -> Vec<Home> {
         let mut ranked: Vec<&Seat> = self.seats.iter().collect();
-        ranked.sort_by_key(|it| std::cmp::Reverse((rank(&it.name, team), it.name.clone())));
+        ranked.sort_by_cached_key(|it| std::cmp::Reverse((rank(&it.name, team), it.name.clone())));
         let mut by_datacentre: IndexMap<&str, Vec<&Seat>> = IndexMap::new();
         for seat in &ranked {
             by_datacentre.entry(&seat.datacentre).or_default().push(seat);
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -171,7 +171,7 @@
     pub fn ranked_all(&self, datacentre: &str, key: &str) -> Vec<&Record> {
         let here = self.records.values().filter(|it| &*it.datacentre == datacentre);
         let mut all: Vec<&Record> = here.collect();
-        all.sort_by_key(|it| std::cmp::Reverse((rank(&it.name, key), it.name.clone())));
+        all.sort_by_cached_key(|it| std::cmp::Reverse((rank(&it.name, key), it.name.clone())));
         all
     }
 
--- a/crates/core/src/state/control.rs
+++ b/crates/core/src/state/control.rs
@@ -83,7 +83,7 @@
     fn is_candidate(&self) -> bool {
         let mut live: Vec<_> =
             self.members.iter().filter(|it| self.members.takes_work(it)).collect();
-        live.sort_by_key(|it| std::cmp::Reverse(crate::member::rank(&it.name, PUBLISHER)));
+        live.sort_by_cached_key(|it| std::cmp::Reverse(crate::member::rank(&it.name, PUBLISHER)));
         live.iter().take(CANDIDATES).any(|it| it.name == self.settings.name)
     }
 
