Measure what a change costs its readers

Cause: the capacity page took the publisher's cost of a change for every reader, which put an ordinary instance over 1.5% of a core. Change: capacity measures what an instance does with a difference of one object: copy, apply, hash, compare, build.

--- a/crates/harness/src/capacity/measure.rs
+++ b/crates/harness/src/capacity/measure.rs
@@ -5,9 +5,11 @@
 use indexmap::IndexMap;
 use prost::Message as _;
 use siskinstile_core::{
-    Config, Effect, Event, Query, burn, check, key,
+    Config, Effect, Event, Query, burn, check,
+    chunk::{self, Change, Index},
+    key,
     key::Secret,
-    object::Name,
+    object::{Kind, Name},
     request::{Id, Outcome, Report, Step},
     trace,
 };
@@ -44,6 +46,7 @@
     cpu_us.insert("set_check".into(), set_check());
     cpu_us.insert("set_adoption".into(), set_adoption());
     drop(rig);
+    cpu_us.insert("change_at_reader".into(), change_read());
     let mut publisher = Rig::open(&Size { instances: 1, ..TARGET });
     cpu_us.insert("change_at_publisher".into(), change(&mut publisher));
     drop(publisher);
@@ -123,6 +126,26 @@
     })
 }
 
+/// What an instance does with a difference of one object that a peer has sent.
+fn change_read() -> f64 {
+    let old = rig::set(&TARGET);
+    let index = Index::of(&old);
+    time(20, |number| {
+        let name: Name = format!("team-{number}").into();
+        let mut team = old.teams[&name].clone();
+        team.rate += 1;
+        let text = serde_json::to_string(&team).expect("a team is plain data");
+        let change = Change { kind: Kind::Team, name, text: Some(text) };
+        let mut set = old.clone();
+        let touched = chunk::apply(&mut set, &[change]).expect("the change is valid");
+        let mut newer = index.clone();
+        newer.refresh(&set, touched);
+        assert_ne!(newer.digest(), index.digest());
+        assert_eq!(chunk::difference(&old, &set).len(), 1);
+        black_box(Config::new(2, set));
+    })
+}
+
 /// One changed object, from the operator's edit to its adoption at the publisher.
 fn change(rig: &mut Rig) -> f64 {
     time(10, |number| {
--- a/crates/harness/src/capacity/model.rs
+++ b/crates/harness/src/capacity/model.rs
@@ -93,7 +93,7 @@
             control: true,
             messages: CHANGES * 4.0,
             bytes: CHANGES * CHANGE_BYTES,
-            cpu_percent: percent(CHANGES * slopes.cpu("change_at_publisher")),
+            cpu_percent: percent(CHANGES * slopes.cpu("change_at_reader")),
             memory_mb: 0.0,
             mechanism: "differences between instances of a data centre",
         },
