--- a/crates/harness/src/policy.rs
+++ b/crates/harness/src/policy.rs
@@ -6,6 +6,8 @@
 
 use clap::ValueEnum;
 
+use placement::Site;
+
 /// What is run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum Scenario {
@@ -33,6 +35,8 @@
         Scenario::LimitsSix => limits::quiet(seed),
         Scenario::LimitsFaults => limits::faults(seed),
         Scenario::LimitsLarge => limits::large(seed),
-        scenario => placement::run(scenario, seed),
+        Scenario::Board => placement::run(Site::Board, seed),
+        Scenario::Association => placement::run(Site::Association, seed),
+        Scenario::LargePool => placement::run(Site::LargePool, seed),
     }
 }
--- a/crates/harness/src/policy/placement.rs
+++ b/crates/harness/src/policy/placement.rs
@@ -29,9 +29,20 @@
     figures::Fate,
     workload::{Shape, TEAMS},
 };
-use super::{Scenario, engine::Fleet};
+use super::engine::Fleet;
 use crate::world::World;
 
+/// A pool and its demand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Site {
+    /// The pools of the Board.
+    Board,
+    /// The pools of the association.
+    Association,
+    /// A pool of 190 workers.
+    LargePool,
+}
+
 /// Time for which requests arrive.
 const ARRIVALS: Duration = Duration::from_secs(120);
 /// Requests that arrive before this are not counted.
@@ -92,7 +103,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Case {
     /// The pool and its demand.
-    pub scenario: Scenario,
+    pub site: Site,
     /// Demand as a multiple of capacity.
     pub load: f64,
     /// What is out of the ordinary.
@@ -105,10 +116,10 @@
     pub seed: u64,
 }
 
-/// Runs every case of a scenario and prints a table.
-pub(super) fn run(scenario: Scenario, seed: u64) -> anyhow::Result<()> {
-    let shape = Shape::new(scenario, false);
-    println!("{scenario:?}, seed {seed}, capacity {:.1} requests/s", shape.capacity(seed));
+/// Runs every case of a site and prints a table.
+pub(super) fn run(site: Site, seed: u64) -> anyhow::Result<()> {
+    let shape = Shape::new(site, false);
+    println!("{site:?}, seed {seed}, capacity {:.1} requests/s", shape.capacity(seed));
     println!("{}", Figures::head());
     let ordinary = [0.7, 1.0, 1.3, 2.0].map(|load| (load, Trouble::None));
     let troubles = [
@@ -121,9 +132,8 @@
         Trouble::Loss,
     ];
     for (load, trouble) in ordinary.into_iter().chain(troubles.map(|it| (1.0, it))) {
-        let cases = POLICIES.map(|(name, policy, doors)| {
-            (name, Case { scenario, load, trouble, policy, doors, seed })
-        });
+        let cases = POLICIES
+            .map(|(name, policy, doors)| (name, Case { site, load, trouble, policy, doors, seed }));
         for (name, figures) in run_all(&cases) {
             println!("{load:4.1} {:8} {name:16} {figures}", format!("{trouble:?}"));
         }
@@ -168,7 +178,7 @@
 
 impl Run {
     fn new(case: Case) -> Run {
-        let shape = Shape::new(case.scenario, case.trouble == Trouble::Long);
+        let shape = Shape::new(case.site, case.trouble == Trouble::Long);
         let set = shape.set(case.policy);
         let fleet = Fleet::new(&set.pools["pool"]);
         let mut world = World::new(case.seed, fleet);
--- a/crates/harness/src/policy/placement/workload.rs
+++ b/crates/harness/src/policy/placement/workload.rs
@@ -10,7 +10,7 @@
     place::Policy,
 };
 
-use super::{Prefixes, Scenario};
+use super::{Prefixes, Site};
 use crate::policy::engine::{Demand, PIECE_TOKENS, step_seconds};
 
 /// Places of a decode engine.
@@ -73,13 +73,11 @@
 }
 
 impl Shape {
-    pub(super) fn new(scenario: Scenario, long: bool) -> Shape {
+    pub(super) fn new(site: Site, long: bool) -> Shape {
         let long = if long { 0.3 } else { 0.03 };
-        match scenario {
-            Scenario::Board => Shape { prefills: 3, decodes: 9, groups: 40, patient: 0.6, long },
-            Scenario::Association => {
-                Shape { prefills: 5, decodes: 15, groups: 80, patient: 0.1, long }
-            }
+        match site {
+            Site::Board => Shape { prefills: 3, decodes: 9, groups: 40, patient: 0.6, long },
+            Site::Association => Shape { prefills: 5, decodes: 15, groups: 80, patient: 0.1, long },
             _ => Shape { prefills: 45, decodes: 145, groups: 600, patient: 0.5, long },
         }
     }
--- a/crates/harness/src/world.rs
+++ b/crates/harness/src/world.rs
@@ -5,13 +5,10 @@
 //! one seed and one order of calls every run is the same.
 
 mod link;
+mod queue;
 mod store;
 
-use std::{
-    cmp::{Ordering, Reverse},
-    collections::BinaryHeap,
-    time::Duration,
-};
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use rand::{Rng as _, RngExt as _, SeedableRng as _};
@@ -25,6 +22,7 @@
 use siskinstile_wire::Envelope;
 
 pub use link::{Link, Links};
+use queue::{Queue, What};
 pub use store::Store;
 
 /// The name of the platform's end of a link.
@@ -99,45 +97,6 @@
     }
 }
 
-enum What {
-    /// An event for an incarnation of an instance.
-    Event { to: Name, incarnation: u64, event: Event },
-    /// A message for whichever incarnation is there.
-    Message { to: Name, envelope: Envelope },
-    /// A call that has reached the platform.
-    Call { from: Name, incarnation: u64, tag: Tag, call: Call },
-    /// The time of a watch is over.
-    Watches,
-    /// A mark that the driver set.
-    Mark(u64),
-}
-
-struct Entry {
-    at: Instant,
-    sequence: u64,
-    what: What,
-}
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Entry) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Entry {}
-
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Entry) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entry {
-    fn cmp(&self, other: &Entry) -> Ordering {
-        (self.at, self.sequence).cmp(&(other.at, other.sequence))
-    }
-}
-
 struct Watch {
     from: Name,
     incarnation: u64,
@@ -168,8 +127,7 @@
     /// Tokens that instances granted or gave back, oldest first; the driver drains it.
     pub grants: Vec<(Instant, Name, limit::Entry)>,
     now: Instant,
-    sequence: u64,
-    queue: BinaryHeap<Reverse<Entry>>,
+    queue: Queue,
     nodes: IndexMap<Name, Node>,
     watches: Vec<Watch>,
 }
@@ -188,8 +146,7 @@
             outputs: Vec::new(),
             grants: Vec::new(),
             now: Instant::default(),
-            sequence: 0,
-            queue: BinaryHeap::new(),
+            queue: Queue::default(),
             nodes: IndexMap::new(),
             watches: Vec::new(),
         }
@@ -277,7 +234,7 @@
     /// Runs until the next mark, or until `end`.
     pub fn run(&mut self, end: Instant) -> Option<u64> {
         loop {
-            let queued = self.queue.peek().map(|Reverse(it)| it.at);
+            let queued = self.queue.next();
             let endpoint = self.endpoints.next().map(|at| at.max(self.now));
             let at = queued.into_iter().chain(endpoint).min().filter(|at| *at <= end);
             let Some(at) = at else {
@@ -289,11 +246,11 @@
                 self.advance_endpoints();
                 continue;
             }
-            let Reverse(entry) = self.queue.pop()?;
-            if let What::Mark(mark) = entry.what {
+            let what = self.queue.pop()?;
+            if let What::Mark(mark) = what {
                 return Some(mark);
             }
-            self.happen(entry.what);
+            self.happen(what);
         }
     }
 
@@ -425,8 +382,7 @@
     }
 
     fn push(&mut self, at: Instant, what: What) {
-        self.sequence += 1;
-        self.queue.push(Reverse(Entry { at, sequence: self.sequence, what }));
+        self.queue.push(at, what);
     }
 
     /// Returns a random number below `below`.
--- a/crates/harness/tests/testsuite/placement.rs
+++ b/crates/harness/tests/testsuite/placement.rs
@@ -1,16 +1,13 @@
 use rstest::rstest;
 use siskinstile_core::place::Policy;
-use siskinstile_harness::policy::{
-    Scenario,
-    placement::{Case, Trouble},
-};
+use siskinstile_harness::policy::placement::{Case, Site, Trouble};
 
 /// Most prefill that may be wasted, without and with faults.
 const WASTED: f64 = 0.005;
 const WASTED_WITH_FAULTS: f64 = 0.02;
 
 fn case(trouble: Trouble, load: f64, doors: usize) -> Case {
-    Case { scenario: Scenario::Board, load, trouble, policy: Policy::Promise, doors, seed: 1 }
+    Case { site: Site::Board, load, trouble, policy: Policy::Promise, doors, seed: 1 }
 }
 
 #[rstest]
