--- a/crates/core/src/state/retries.rs
+++ b/crates/core/src/state/retries.rs
@@ -111,8 +111,11 @@
 
     /// Ends the attempt and queues the request for another one.
     fn try_again(&mut self, now: Instant, id: Id) {
+        let mut where_it_broke = String::new();
         if let Some(request) = self.requests.get_mut(&id) {
             let failed = failed_endpoint(request);
+            let endpoint = failed.as_deref().unwrap_or_default();
+            where_it_broke = format!("{:?} at {endpoint}", request.phase);
             request.avoid.extend(failed);
         }
         self.end_attempt(now, id);
@@ -125,7 +128,7 @@
             let failure = Failure::not_run(Kind::EndpointFailed).with_retry_after(BUDGET_PAUSE);
             return self.give_up(now, id, failure);
         }
-        self.log(log::ATTEMPT_RETRIED, id.to_string());
+        self.log(log::ATTEMPT_RETRIED, format!("{id} {where_it_broke}"));
         self.enqueue(now, id);
     }
 
--- a/crates/siskinstiled/src/endpoint.rs
+++ b/crates/siskinstiled/src/endpoint.rs
@@ -15,8 +15,8 @@
 pub use engine::Engine;
 pub use plain::Plain;
 
-/// Limit on setting up a connection.
-const CONNECT: Duration = Duration::from_secs(1);
+/// Limit on setting up a connection: long enough for one repetition of a lost SYN, which comes after 1 s.
+const CONNECT: Duration = Duration::from_millis(1_500);
 /// Limit on silence where a sign of life is due each second.
 const SILENCE: Duration = Duration::from_millis(1_800);
 
--- a/crates/siskinstiled/src/endpoint/engine.rs
+++ b/crates/siskinstiled/src/endpoint/engine.rs
@@ -38,9 +38,9 @@
             // A cancel that overtook the call found nothing to end.
             let _ = self.cancel(job.request, job.attempt, job.endpoint);
         }
-        result.unwrap_or_else(|error| Outcome::Broken {
-            sent: may_have_left(&error),
-            next_index: job.relay.next_index(),
+        result.unwrap_or_else(|error| {
+            log::debug!("request {} at {}: {error}", job.request, job.endpoint.name);
+            Outcome::Broken { sent: may_have_left(&error), next_index: job.relay.next_index() }
         })
     }
 
