--- /dev/null
+++ b/crates/gateway/src/engine.rs
@@ -0,0 +1,118 @@
+//! Placement at model engines: a decode place is promised before a prompt is computed.
+
+mod forecast;
+mod queue;
+
+use std::sync::Arc;
+
+use siskinstile_macros::value;
+
+pub use forecast::Forecast;
+pub use queue::{Queue, Waiting};
+
+use crate::{
+    Instant, Name,
+    catalog::Engine,
+    directory::{Endpoint, Stage},
+    health::Book,
+    load::Loads,
+    request::Tokens,
+};
+
+/// Memory of an engine is given out in blocks of this many tokens.
+const BLOCK_TOKENS: u64 = 16;
+/// Cost of an engine that is completely full, in milliseconds of delay.
+const FULLNESS_COST_MS: f64 = 60.0;
+/// Cost of a hop to another data centre, in milliseconds of delay.
+const FAR_COST_MS: f64 = 15.0;
+/// Cost of an engine in a data centre that is not heard of.
+const DARK_COST_MS: f64 = 2_000.0;
+/// Cost of an engine whose recent calls have all failed.
+const FAILURE_COST_MS: f64 = 400.0;
+
+/// Where a request runs.
+#[value]
+pub struct Placement {
+    /// The engine that generates its tokens.
+    pub decode: Arc<Endpoint>,
+    /// The engine that computes its prompt; none where the decode engine does.
+    pub prefill: Option<Arc<Endpoint>>,
+}
+
+/// What a placement is decided on.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The moment.
+    pub now: Instant,
+    /// The service's endpoints.
+    pub endpoints: &'a [Arc<Endpoint>],
+    /// Properties of its engines.
+    pub engine: &'a Engine,
+    /// What instances have there.
+    pub loads: &'a Loads,
+    /// What answers have told.
+    pub health: &'a Book,
+    /// Data centre of this instance.
+    pub datacentre: &'a str,
+    /// Data centres that have instances, none of which is heard of.
+    pub dark: &'a [Name],
+    /// What has been learnt of the engines' speed.
+    pub forecast: &'a Forecast,
+}
+
+/// Returns the memory that a request needs, in tokens.
+pub fn memory(tokens: Tokens) -> u64 {
+    tokens.total().next_multiple_of(BLOCK_TOKENS)
+}
+
+impl View<'_> {
+    /// Chooses engines for a request; none if no decode engine has room for it.
+    pub fn place(&self, tokens: Tokens, avoid: &[Name]) -> Option<Placement> {
+        let decode = self.decode(tokens, avoid)?;
+        let prefill = self.prefill(&decode.datacentre, avoid);
+        Some(Placement { decode, prefill })
+    }
+
+    /// Returns the decode engines that take requests.
+    pub fn decodes(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.endpoints.iter().filter(|it| it.is_ready() && it.stage == Some(Stage::Decode))
+    }
+
+    fn decode(&self, tokens: Tokens, avoid: &[Name]) -> Option<Arc<Endpoint>> {
+        let need = memory(tokens);
+        let fits = |it: &&Arc<Endpoint>| {
+            let load = self.loads.total(&it.id);
+            let room = load.tokens + need <= self.engine.memory_tokens;
+            let usable =
+                !self.health.rests(self.now, &it.id) && !self.health.is_full(self.now, &it.id);
+            room && load.runs < self.engine.slots && usable && !avoid.contains(&it.id)
+        };
+        let cost = |it: &&Arc<Endpoint>| self.common_cost(it, self.datacentre) + self.fullness(it);
+        self.decodes().filter(fits).min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+    }
+
+    fn fullness(&self, endpoint: &Endpoint) -> f64 {
+        let used = self.loads.total(&endpoint.id).tokens as f64;
+        used / self.engine.memory_tokens as f64 * FULLNESS_COST_MS
+    }
+
+    /// Chooses the engine that computes a prompt for a decode engine in a data centre.
+    pub fn prefill(&self, datacentre: &str, avoid: &[Name]) -> Option<Arc<Endpoint>> {
+        let usable = |it: &&Arc<Endpoint>| {
+            let fit = it.is_ready() && it.stage == Some(Stage::Prefill);
+            fit && !self.health.rests(self.now, &it.id) && !avoid.contains(&it.id)
+        };
+        let cost = |it: &&Arc<Endpoint>| {
+            let backlog = self.forecast.prompt_ms(self.loads.total(&it.id).prompt);
+            self.common_cost(it, datacentre) + backlog
+        };
+        let all = self.endpoints.iter().filter(usable);
+        all.min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+    }
+
+    fn common_cost(&self, endpoint: &Endpoint, near: &str) -> f64 {
+        let far = if &*endpoint.datacentre == near { 0.0 } else { FAR_COST_MS };
+        let dark = if self.dark.contains(&endpoint.datacentre) { DARK_COST_MS } else { 0.0 };
+        far + dark + self.health.failures(self.now, &endpoint.id) * FAILURE_COST_MS
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/queue.rs
@@ -0,0 +1,60 @@
+//! Requests that wait for a decode place.
+
+use siskinstile_macros::value;
+
+use crate::{Instant, Name, request};
+
+/// A request that waits.
+#[value]
+pub struct Waiting {
+    /// The request.
+    pub request: request::Id,
+    /// Name of its service.
+    pub service: Name,
+    /// Rank of its team, then of its route; lower goes first.
+    pub rank: (u32, u32),
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When it is refused.
+    pub until: Instant,
+}
+
+/// The queue of one instance, in order of rank and arrival.
+#[value(default)]
+pub struct Queue {
+    waiting: Vec<Waiting>,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub fn push(&mut self, waiting: Waiting) {
+        let key = |it: &Waiting| (it.rank, it.arrived);
+        let at = self.waiting.partition_point(|it| key(it) <= key(&waiting));
+        self.waiting.insert(at, waiting);
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, request: request::Id) {
+        self.waiting.retain(|it| it.request != request);
+    }
+
+    /// Returns the requests in the order in which they get places.
+    pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.waiting.iter()
+    }
+
+    /// Returns how many requests wait for a service before one of the given rank.
+    pub fn ahead(&self, service: &str, rank: (u32, u32)) -> u32 {
+        self.waiting.iter().filter(|it| &*it.service == service && it.rank <= rank).count() as u32
+    }
+
+    /// Returns the first moment at which a request is refused.
+    pub fn wake(&self) -> Option<Instant> {
+        self.waiting.iter().map(|it| it.until).min()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/event.rs
@@ -0,0 +1,31 @@
+//! What happens to a gateway: the reducer's input.
+
+use std::sync::Arc;
+
+use siskinstile_macros::value;
+use siskinstile_wire::message::beat::Beat;
+
+use crate::{Catalog, Directory, call, request};
+
+/// Something that happened.
+#[value]
+pub enum Event {
+    /// A moment that the state asked for has come.
+    Tick,
+    /// A configuration has arrived.
+    Configured(Arc<Catalog>),
+    /// The platform's list of endpoints has changed.
+    Listed(Arc<Directory>),
+    /// The platform lists this number of instances, this one included.
+    Members(usize),
+    /// A caller's request has arrived whole.
+    Arrival(request::Arrival),
+    /// A caller has left before its answer ended.
+    Gone(request::Id),
+    /// A call has come to something.
+    Report(call::Report),
+    /// A beat of another instance has arrived.
+    Beat(Beat),
+    /// The instance is to stop gracefully.
+    Drain,
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,27 @@
+//! The decisions of a gateway in front of prefill, decode and plain endpoints.
+//!
+//! [`State::step`] takes the moment and an [`Event`] and returns the [`Effect`]s that adapters
+//! carry out. Nothing here reads a clock, opens a socket or starts a thread.
+
+pub mod budget;
+pub mod call;
+pub mod catalog;
+pub mod directory;
+pub mod effect;
+pub mod engine;
+pub mod event;
+pub mod health;
+pub mod load;
+pub mod member;
+pub mod plain;
+pub mod quota;
+pub mod record;
+pub mod request;
+pub mod state;
+
+pub use catalog::Catalog;
+pub use directory::Directory;
+pub use effect::Effect;
+pub use event::Event;
+pub use siskinstile_core::{Instant, object::Name};
+pub use state::State;
--- /dev/null
+++ b/crates/gateway/src/load.rs
@@ -0,0 +1,95 @@
+//! What instances have at each endpoint: their own record and their peers' reports.
+
+use indexmap::IndexMap;
+use siskinstile_macros::value;
+
+use crate::Name;
+
+/// What runs at an endpoint.
+#[value(id, default)]
+pub struct Load {
+    /// Requests.
+    pub runs: u32,
+    /// Engine memory that is held for them, in tokens.
+    pub tokens: u64,
+    /// Prompt tokens that are still to be computed.
+    pub prompt: u64,
+}
+
+impl Load {
+    /// Returns the sum of two loads.
+    pub fn plus(self, other: Load) -> Load {
+        Load {
+            runs: self.runs + other.runs,
+            tokens: self.tokens + other.tokens,
+            prompt: self.prompt + other.prompt,
+        }
+    }
+
+    fn minus(self, other: Load) -> Load {
+        Load {
+            runs: self.runs.saturating_sub(other.runs),
+            tokens: self.tokens.saturating_sub(other.tokens),
+            prompt: self.prompt.saturating_sub(other.prompt),
+        }
+    }
+}
+
+/// The loads of all endpoints.
+#[value(default)]
+pub struct Loads {
+    own: IndexMap<Name, Load>,
+    peers: IndexMap<Name, IndexMap<Name, Load>>,
+    changed: bool,
+}
+
+impl Loads {
+    /// Adds to this instance's own load of an endpoint.
+    pub fn add(&mut self, endpoint: &Name, load: Load) {
+        let own = self.own.entry(endpoint.clone()).or_default();
+        *own = own.plus(load);
+        self.changed = true;
+    }
+
+    /// Takes from this instance's own load of an endpoint.
+    pub fn remove(&mut self, endpoint: &Name, load: Load) {
+        let Some(own) = self.own.get_mut(endpoint) else { return };
+        *own = own.minus(load);
+        if *own == Load::default() {
+            self.own.swap_remove(endpoint);
+        }
+        self.changed = true;
+    }
+
+    /// Replaces what a peer has reported.
+    pub fn learn(&mut self, peer: &Name, loads: IndexMap<Name, Load>) {
+        self.peers.insert(peer.clone(), loads);
+    }
+
+    /// Drops what a peer that is gone has reported.
+    pub fn forget(&mut self, peer: &str) {
+        self.peers.swap_remove(peer);
+    }
+
+    /// Returns the load of an endpoint over all instances.
+    pub fn total(&self, endpoint: &str) -> Load {
+        let own = self.own.get(endpoint).copied().unwrap_or_default();
+        let reported = self.peers.values().filter_map(|it| it.get(endpoint));
+        reported.fold(own, |sum, it| sum.plus(*it))
+    }
+
+    /// Returns this instance's own loads.
+    pub fn own(&self) -> &IndexMap<Name, Load> {
+        &self.own
+    }
+
+    /// Returns whether the own loads have changed since they were last told to peers.
+    pub fn is_changed(&self) -> bool {
+        self.changed
+    }
+
+    /// Notes that the own loads are told to peers; returns whether they had changed.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/member.rs
@@ -0,0 +1,116 @@
+//! The instances of the fleet, as heard from their beats.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use siskinstile_macros::value;
+
+use crate::{Instant, Name};
+
+/// Time without a beat after which a peer is not counted on.
+pub const SILENCE: Duration = Duration::from_millis(900);
+/// Time without a beat after which what a peer runs is taken to have ended.
+const LOADS_LIMIT: Duration = Duration::from_secs(3);
+/// Time without a beat after which a peer is no member any more.
+const FORGET: Duration = Duration::from_secs(20);
+
+/// What a peer has said of itself.
+#[value]
+pub struct Peer {
+    /// Tells its starts apart.
+    pub incarnation: u64,
+    /// Name of its data centre.
+    pub datacentre: Name,
+    /// Number of its last beat.
+    pub number: u64,
+    /// When its last beat came.
+    pub heard: Instant,
+    /// Requests that wait there, by service.
+    pub waiting: IndexMap<Name, u32>,
+}
+
+/// The peers that have been heard of.
+#[value(default)]
+pub struct Table {
+    peers: IndexMap<Name, Peer>,
+    /// Members that the platform lists, this instance included.
+    listed: usize,
+}
+
+/// What has become of a peer.
+#[value(eq)]
+pub enum Change {
+    /// What it runs is taken to have ended.
+    Silent(Name),
+    /// It is no member any more; its incarnation.
+    Gone(Name, u64),
+}
+
+impl Table {
+    /// Takes what a peer says of itself; returns what it replaces.
+    pub fn hear(&mut self, name: Name, peer: Peer) -> Option<Peer> {
+        self.peers.insert(name, peer)
+    }
+
+    /// Returns whether a beat is older than one that has been heard of the same start.
+    pub fn is_stale(&self, name: &str, incarnation: u64, number: u64) -> bool {
+        let newer = |it: &Peer| it.incarnation == incarnation && it.number >= number;
+        self.peers.get(name).is_some_and(newer)
+    }
+
+    /// Removes a peer that says that it stops.
+    pub fn remove(&mut self, name: &str) -> Option<Peer> {
+        self.peers.swap_remove(name)
+    }
+
+    /// Sets the number of members that the platform lists, this instance included.
+    pub fn set_listed(&mut self, listed: usize) {
+        self.listed = listed;
+    }
+
+    /// Returns the number of members, this instance included.
+    pub fn len(&self) -> usize {
+        (self.peers.len() + 1).max(self.listed)
+    }
+
+    /// Returns whether no peer has been heard of.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Returns the part of the members that is heard of, this instance included.
+    pub fn reach(&self, now: Instant) -> f64 {
+        let heard = self.peers.values().filter(|it| now.since(it.heard) < SILENCE).count();
+        (heard + 1) as f64 / self.len() as f64
+    }
+
+    /// Returns whether a data centre has members and none of them is heard of.
+    pub fn is_dark(&self, now: Instant, datacentre: &str) -> bool {
+        let mut peers = self.peers.values().filter(|it| &*it.datacentre == datacentre).peekable();
+        peers.peek().is_some() && peers.all(|it| now.since(it.heard) >= SILENCE)
+    }
+
+    /// Returns the requests that wait for a service at peers.
+    pub fn waiting(&self, now: Instant, service: &str) -> u32 {
+        let heard = self.peers.values().filter(|it| now.since(it.heard) < SILENCE);
+        heard.filter_map(|it| it.waiting.get(service)).sum()
+    }
+
+    /// Returns what has become of silent peers since the last call, a time `before` ago.
+    pub fn expire(&mut self, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        self.peers.retain(|name, peer| match now.since(peer.heard) {
+            silence if silence >= FORGET => {
+                changes.push(Change::Gone(name.clone(), peer.incarnation));
+                false
+            }
+            silence => {
+                if silence >= LOADS_LIMIT {
+                    changes.push(Change::Silent(name.clone()));
+                }
+                true
+            }
+        });
+        changes
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quota.rs
@@ -0,0 +1,129 @@
+//! Teams' rates and bursts, kept by every instance on its own copy of each team's bucket.
+//!
+//! An instance takes from its copy what it spends itself, and what its peers report to have spent.
+//! While it hears only some of the peers it refills its copy by its part of the rate, so that the
+//! parts of a fleet that is cut in pieces add up to the whole rate.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use siskinstile_macros::value;
+
+use crate::{
+    Instant, Name,
+    catalog::{Quota, Team},
+};
+
+/// Part of a burst by which a copy may be overdrawn, since reports of refunds come late.
+const OVERDRAFT: f64 = 0.25;
+
+/// A copy of a team's bucket.
+#[value]
+struct Bucket {
+    quota: Quota,
+    level: f64,
+    refilled: Instant,
+}
+
+impl Bucket {
+    fn refill(&mut self, now: Instant, reach: f64) {
+        let elapsed = now.since(self.refilled).as_secs_f64();
+        let earned = elapsed * self.quota.rate as f64 * reach;
+        self.level = (self.level + earned).min(self.quota.burst as f64);
+        self.refilled = now;
+    }
+
+    fn overdraft(&self, reach: f64) -> f64 {
+        if reach < 1.0 { 0.0 } else { self.quota.burst as f64 * OVERDRAFT }
+    }
+}
+
+/// What this instance knows of all teams' spending.
+#[value(default)]
+pub struct Ledger {
+    buckets: IndexMap<Name, Bucket>,
+    /// Units that this instance has spent since it started.
+    spent: IndexMap<Name, u64>,
+    /// Units that each peer has reported, by its name and incarnation.
+    reported: IndexMap<(Name, u64), IndexMap<Name, u64>>,
+    /// Part of the rate by which copies are refilled.
+    reach: f64,
+}
+
+impl Ledger {
+    /// Puts teams' quotas in force; a bucket starts full only where the whole fleet has just started.
+    pub fn configure<'a>(
+        &mut self,
+        now: Instant,
+        teams: impl Iterator<Item = &'a Arc<Team>>,
+        full: bool,
+    ) {
+        let mut old = std::mem::take(&mut self.buckets);
+        for team in teams {
+            let Some(quota) = team.quota.clone() else { continue };
+            let level = if full { quota.burst as f64 } else { 0.0 };
+            let fresh = Bucket { quota: quota.clone(), level, refilled: now };
+            let mut bucket = old.swap_remove(&team.name).unwrap_or(fresh);
+            bucket.refill(now, self.reach);
+            bucket.level = bucket.level.min(quota.burst as f64);
+            bucket.quota = quota;
+            self.buckets.insert(team.name.clone(), bucket);
+        }
+    }
+
+    /// Sets the part of the fleet that is heard of, this instance included.
+    pub fn set_reach(&mut self, now: Instant, reach: f64) {
+        if self.reach == reach {
+            return;
+        }
+        for bucket in self.buckets.values_mut() {
+            bucket.refill(now, self.reach);
+        }
+        self.reach = reach;
+    }
+
+    /// Spends units of a team, or tells when they could be there.
+    pub fn take(&mut self, now: Instant, team: &Name, units: u64) -> Result<(), Duration> {
+        let Some(bucket) = self.buckets.get_mut(team) else { return Ok(()) };
+        bucket.refill(now, self.reach);
+        let left = bucket.level + bucket.overdraft(self.reach) - units as f64;
+        if left < 0.0 {
+            let rate = (bucket.quota.rate as f64 * self.reach).max(1.0);
+            return Err(Duration::from_secs_f64(-left / rate));
+        }
+        bucket.level -= units as f64;
+        *self.spent.entry(team.clone()).or_default() += units;
+        Ok(())
+    }
+
+    /// Gives back units of a request that has not run and never will.
+    ///
+    /// The report to peers only grows, so the units stay spent there.
+    pub fn refund(&mut self, team: &Name, units: u64) {
+        if let Some(bucket) = self.buckets.get_mut(team) {
+            bucket.level = (bucket.level + units as f64).min(bucket.quota.burst as f64);
+        }
+    }
+
+    /// Takes a peer's report of all units that it has spent since it started.
+    pub fn learn(&mut self, now: Instant, peer: (Name, u64), team: &Name, total: u64) {
+        let known = self.reported.entry(peer).or_default().entry(team.clone()).or_default();
+        let more = total.saturating_sub(*known);
+        *known = (*known).max(total);
+        if let Some(bucket) = self.buckets.get_mut(team).filter(|_| more > 0) {
+            bucket.refill(now, self.reach);
+            let floor = -(bucket.quota.burst as f64);
+            bucket.level = (bucket.level - more as f64).max(floor);
+        }
+    }
+
+    /// Drops what a peer that is gone has reported.
+    pub fn forget(&mut self, peer: &(Name, u64)) {
+        self.reported.swap_remove(peer);
+    }
+
+    /// Returns the units that this instance has spent since it started, by team.
+    pub fn spent(&self) -> &IndexMap<Name, u64> {
+        &self.spent
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/record.rs
@@ -0,0 +1,113 @@
+//! Structured log lines of a gateway; docs/log-events.md is the catalogue of their codes.
+
+use log::Level;
+use serde_json::Value;
+use siskinstile_core::log::Code;
+use siskinstile_macros::value;
+
+use crate::Name;
+
+const fn code(number: u16, level: Level, text: &'static str) -> Code {
+    Code { number, level, text }
+}
+
+/// The process has started.
+pub const STARTED: Code = code(700, Level::Info, "gateway started");
+/// The process is stopping gracefully.
+pub const DRAINING: Code = code(701, Level::Info, "gateway draining");
+/// The process has stopped.
+pub const STOPPED: Code = code(702, Level::Info, "gateway stopped");
+/// The settings file has been read again.
+pub const RELOADED: Code = code(703, Level::Info, "settings read again");
+/// A configuration is in force.
+pub const CONFIGURED: Code = code(710, Level::Info, "configuration in force");
+/// A configuration was refused; the one before stays in force.
+pub const CONFIG_REFUSED: Code = code(711, Level::Error, "configuration refused, the last stays");
+/// The list of endpoints has changed.
+pub const LISTED: Code = code(712, Level::Info, "endpoints listed");
+/// An entry of the platform cannot be read and is left out.
+pub const ENTRY_UNREADABLE: Code = code(713, Level::Warn, "entry unreadable, left out");
+/// The platform's store does not answer.
+pub const STORE_LOST: Code = code(720, Level::Warn, "platform store lost");
+/// The platform's store answers again.
+pub const STORE_REGAINED: Code = code(721, Level::Info, "platform store regained");
+/// A peer has fallen silent.
+pub const PEER_LOST: Code = code(722, Level::Warn, "peer lost");
+/// A peer is heard for the first time, or again.
+pub const PEER_HEARD: Code = code(723, Level::Info, "peer heard");
+/// A snapshot was taken from a peer.
+pub const SNAPSHOT_TAKEN: Code = code(724, Level::Info, "snapshot taken from a peer");
+/// The lease for orders has been taken or lost.
+pub const LEASE: Code = code(725, Level::Info, "lease for orders changed");
+/// A request was refused before any byte of it left.
+pub const REFUSED: Code = code(730, Level::Info, "request refused");
+/// A request was placed at endpoints.
+pub const PLACED: Code = code(731, Level::Info, "request placed");
+/// A call did not come to what was hoped for.
+pub const CALL_FAILED: Code = code(732, Level::Info, "call failed");
+/// A request was answered.
+pub const ANSWERED: Code = code(733, Level::Info, "request answered");
+/// A request failed after a byte of it may have left.
+pub const FAILED: Code = code(734, Level::Warn, "request failed");
+/// The caller left.
+pub const CALLER_LEFT: Code = code(735, Level::Info, "caller left");
+/// A request waits for a place.
+pub const QUEUED: Code = code(736, Level::Info, "request queued");
+/// An engine was ordered to change its stage.
+pub const ORDERED: Code = code(740, Level::Info, "engine ordered to change its stage");
+
+/// Every code, for the catalogue.
+pub const CODES: [Code; 22] = [
+    STARTED,
+    DRAINING,
+    STOPPED,
+    RELOADED,
+    CONFIGURED,
+    CONFIG_REFUSED,
+    LISTED,
+    ENTRY_UNREADABLE,
+    STORE_LOST,
+    STORE_REGAINED,
+    PEER_LOST,
+    PEER_HEARD,
+    SNAPSHOT_TAKEN,
+    LEASE,
+    REFUSED,
+    PLACED,
+    CALL_FAILED,
+    ANSWERED,
+    FAILED,
+    CALLER_LEFT,
+    QUEUED,
+    ORDERED,
+];
+
+/// A log line: what happened, to which request, and the inputs that decided it.
+#[value]
+pub struct Record {
+    /// The kind of event.
+    pub code: Code,
+    /// The caller's identifier of the request.
+    pub request: Option<Name>,
+    /// The inputs and the outcome, by name.
+    pub fields: Vec<(&'static str, Value)>,
+}
+
+impl Record {
+    /// Creates a line without fields.
+    pub fn new(code: Code) -> Record {
+        Record { code, request: None, fields: Vec::new() }
+    }
+
+    /// Names the request.
+    pub fn of(mut self, request: &Name) -> Record {
+        self.request = Some(request.clone());
+        self
+    }
+
+    /// Adds a field.
+    pub fn with(mut self, name: &'static str, value: impl Into<Value>) -> Record {
+        self.fields.push((name, value.into()));
+        self
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,232 @@
+//! The reducer: a gateway's whole control state, and the step from an event to effects.
+//!
+//! `admission` checks route, key and rate of a request. `plain` sends it to an endpoint of a plain
+//! service, `engine` takes it through hold, prefill and run at model engines. `reports` takes what
+//! became of calls, `fleet` what other instances say, `clock` the passing of time.
+
+mod admission;
+mod clock;
+mod engine;
+mod fleet;
+mod plain;
+mod reports;
+mod work;
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use siskinstile_core::error::{Failure, Ran};
+use siskinstile_macros::value;
+
+use crate::{
+    Catalog, Directory, Effect, Event, Instant, Name,
+    budget::{Bound, Budget},
+    call,
+    engine::{Forecast, Queue},
+    health::Book,
+    load::Loads,
+    member,
+    quota::Ledger,
+    record::{self, Record},
+    request,
+};
+
+use work::{Open, Work};
+
+/// What an instance knows of itself and its deployment.
+#[value]
+pub struct Settings {
+    /// Its name.
+    pub name: Name,
+    /// Tells its starts apart.
+    pub incarnation: u64,
+    /// Name of its data centre.
+    pub datacentre: Name,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
+    /// The fleet's bound on retries.
+    pub retries: Bound,
+    /// Longest time for which the holder of a lease for orders may act on it.
+    pub lease: Duration,
+    /// Time after a stop is asked for in which callers still come.
+    pub drain: Duration,
+}
+
+/// What the instance knows of its fleet.
+#[value]
+struct Fleet {
+    members: member::Table,
+    loads: Loads,
+    ledger: Ledger,
+    budgets: IndexMap<Name, Budget>,
+    health: Book,
+    said: IndexMap<Name, (Instant, call::Said)>,
+    forecasts: IndexMap<Name, Forecast>,
+}
+
+/// Times at which something is to be done.
+#[value]
+struct Times {
+    beat: Instant,
+    number: u64,
+    expired: Instant,
+    draining: Option<Instant>,
+}
+
+/// The control state of one gateway.
+#[value]
+pub struct State {
+    settings: Settings,
+    catalog: Option<Arc<Catalog>>,
+    directory: Arc<Directory>,
+    fleet: Fleet,
+    times: Times,
+    queue: Queue,
+    work: IndexMap<request::Id, Work>,
+    calls: IndexMap<call::Id, Open>,
+    next_call: u64,
+    stopped: bool,
+    effects: Vec<Effect>,
+}
+
+impl State {
+    /// Creates the state of an instance that has just started.
+    pub fn new(settings: Settings) -> State {
+        State {
+            settings,
+            catalog: None,
+            directory: Arc::new(Directory::default()),
+            fleet: Fleet {
+                members: member::Table::default(),
+                loads: Loads::default(),
+                ledger: Ledger::default(),
+                budgets: IndexMap::new(),
+                health: Book::default(),
+                said: IndexMap::new(),
+                forecasts: IndexMap::new(),
+            },
+            times: Times {
+                beat: Instant::default(),
+                number: 0,
+                expired: Instant::default(),
+                draining: None,
+            },
+            queue: Queue::default(),
+            work: IndexMap::new(),
+            calls: IndexMap::new(),
+            next_call: 0,
+            stopped: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn step(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => {}
+            Event::Configured(catalog) => self.configured(now, catalog),
+            Event::Listed(directory) => self.listed(directory),
+            Event::Members(listed) => self.fleet.members.set_listed(listed),
+            Event::Arrival(arrival) => self.arrive(now, arrival),
+            Event::Gone(request) => self.caller_gone(now, request),
+            Event::Report(report) => self.report(now, report),
+            Event::Beat(beat) => self.beat_heard(now, beat),
+            Event::Drain => self.drain(now),
+        }
+        self.pass_time(now);
+        self.place_waiting(now);
+        self.beat(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> Option<&Arc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Returns whether the instance is to get new connections.
+    pub fn is_ready(&self) -> bool {
+        self.catalog.is_some() && self.directory.iter().next().is_some() && !self.is_draining()
+    }
+
+    /// Returns whether the instance stops.
+    pub fn is_draining(&self) -> bool {
+        self.times.draining.is_some()
+    }
+
+    /// Returns the number of requests that are not yet answered.
+    pub fn open_requests(&self) -> usize {
+        self.work.len()
+    }
+
+    fn configured(&mut self, now: Instant, catalog: Arc<Catalog>) {
+        let is_older = |it: &Arc<Catalog>| it.version >= catalog.version;
+        if self.catalog.as_ref().is_some_and(is_older) {
+            return;
+        }
+        let full = self.settings.first_start && self.catalog.is_none();
+        self.fleet.ledger.configure(now, catalog.teams(), full);
+        self.log(Record::new(record::CONFIGURED).with("version", catalog.version));
+        self.catalog = Some(catalog);
+    }
+
+    fn listed(&mut self, directory: Arc<Directory>) {
+        let ready = directory.iter().filter(|it| it.is_ready()).count();
+        let line = Record::new(record::LISTED).with("endpoints", directory.iter().count());
+        self.log(line.with("ready", ready));
+        self.fleet.health.retain(|id| directory.get(id).is_some());
+        self.fleet.said.retain(|id, _| directory.get(id).is_some());
+        self.directory = directory;
+    }
+
+    fn drain(&mut self, now: Instant) {
+        if self.times.draining.is_none() {
+            self.times.draining = Some(now);
+            self.log(Record::new(record::DRAINING).with("open", self.work.len()));
+        }
+    }
+
+    fn emit(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    fn log(&mut self, record: Record) {
+        self.emit(Effect::Log(record));
+    }
+
+    /// Ends a request with an error; the only place where one is given to a caller.
+    fn fail(&mut self, now: Instant, id: request::Id, mut failure: Failure, reason: &'static str) {
+        let Some(mut work) = self.work.swap_remove(&id) else { return };
+        if work.may_have_run && failure.ran == Ran::No {
+            failure = Failure::not_run(siskinstile_core::error::Kind::OutcomeUnknown)
+                .with_ran(Ran::Unknown);
+        }
+        self.clean_up(now, &mut work);
+        if failure.ran == Ran::No {
+            self.refund(&work);
+        }
+        let code = if failure.ran == Ran::No { record::REFUSED } else { record::FAILED };
+        let line = work.record(code, now).with("kind", failure.kind.as_str());
+        let after = failure.retry_after.map(|it| it.as_millis() as u64);
+        self.log(line.with("reason", reason).with("retry_after_ms", after));
+        self.emit(Effect::Fail { request: id, failure });
+    }
+
+    /// Gives back what a request that has not run has been charged.
+    fn refund(&mut self, work: &Work) {
+        if let Some(team) = &work.team {
+            self.fleet.ledger.refund(&team.name, work.charged);
+        }
+    }
+
+    /// The caller has left: ends all that is done for it.
+    fn caller_gone(&mut self, now: Instant, id: request::Id) {
+        let Some(mut work) = self.work.swap_remove(&id) else { return };
+        self.clean_up(now, &mut work);
+        if !work.may_have_run {
+            self.refund(&work);
+        }
+        let line = work.record(record::CALLER_LEFT, now);
+        self.log(line);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state/admission.rs
@@ -0,0 +1,128 @@
+//! From an arrival to an admitted request: route, key and rate.
+
+use std::{sync::Arc, time::Duration};
+
+use siskinstile_core::error::{Failure, Kind};
+
+use crate::{
+    Catalog, Effect, Instant,
+    catalog::{Repeat, Route, Team},
+    record::{self, Record},
+    request::Arrival,
+};
+
+use super::{
+    State,
+    work::{Phase, Work},
+};
+
+/// When a caller is to come back that came before a configuration was in force.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+impl State {
+    /// Takes a request that has arrived whole.
+    pub(super) fn arrive(&mut self, now: Instant, arrival: Arrival) {
+        match self.admit(now, &arrival) {
+            Ok(work) => self.begin(now, work),
+            Err((failure, reason)) => self.turn_away(&arrival, failure, reason),
+        }
+    }
+
+    fn turn_away(&mut self, arrival: &Arrival, failure: Failure, reason: &'static str) {
+        let after = failure.retry_after.map(|it| it.as_millis() as u64);
+        let line = Record::new(record::REFUSED)
+            .of(&arrival.trace)
+            .with("kind", failure.kind.as_str())
+            .with("reason", reason)
+            .with("version", self.catalog.as_ref().map(|it| it.version))
+            .with("retry_after_ms", after);
+        self.log(line);
+        self.emit(Effect::Fail { request: arrival.id, failure });
+    }
+
+    fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<Work, (Failure, &'static str)> {
+        let Some(catalog) = self.catalog.clone() else {
+            let failure = Failure::not_run(Kind::NotReady).with_retry_after(NOT_READY_RETRY);
+            return Err((failure, "no configuration"));
+        };
+        let Some(route) = catalog.route(&arrival.host, &arrival.path) else {
+            return Err((Failure::not_run(Kind::NotFound), "no route"));
+        };
+        let team = team_of(&catalog, route, arrival)?;
+        let service = catalog.service(route.service(arrival.id.0)).expect("routes are checked");
+        let charged = self.charge(now, team.as_ref(), arrival)?;
+        let wait = arrival.patience.map_or(route.timeout, |it| it.min(route.timeout));
+        Ok(Work {
+            id: arrival.id,
+            trace: arrival.trace.clone(),
+            route: route.clone(),
+            service: service.clone(),
+            team,
+            tokens: arrival.tokens,
+            charged,
+            arrived: now,
+            deadline: now + wait,
+            phase: Phase::Queued,
+            calls: Vec::new(),
+            sends: 0,
+            misses: 0,
+            avoid: Vec::new(),
+            may_have_run: false,
+            last_event: arrival.last_event.clone(),
+            place: None,
+            prefill: None,
+            prompt: None,
+            relaying: None,
+            spare: None,
+            hedge_at: None,
+            first: None,
+        })
+    }
+
+    fn charge(
+        &mut self,
+        now: Instant,
+        team: Option<&Arc<Team>>,
+        arrival: &Arrival,
+    ) -> Result<u64, (Failure, &'static str)> {
+        let Some(team) = team else { return Ok(0) };
+        let Some(quota) = &team.quota else { return Ok(0) };
+        let cost = quota.cost(arrival.tokens.map(|it| it.total()));
+        match self.fleet.ledger.take(now, &team.name, cost) {
+            Ok(()) => Ok(cost),
+            Err(after) => {
+                let failure = Failure::not_run(Kind::RateLimited).with_retry_after(after);
+                Err((failure, "team over its rate"))
+            }
+        }
+    }
+
+    fn begin(&mut self, now: Instant, work: Work) {
+        let (id, service) = (work.id, work.service.clone());
+        let streams = matches!(work.route.repeat, Repeat::Stream { .. });
+        let generates = streams && service.engine.is_some() && work.tokens.is_some();
+        self.fleet.budgets.entry(service.name.clone()).or_default().request(now);
+        self.work.insert(id, work);
+        match generates {
+            true => self.enqueue(now, id),
+            false => self.send_plain(now, id),
+        }
+    }
+}
+
+fn team_of(
+    catalog: &Catalog,
+    route: &Route,
+    arrival: &Arrival,
+) -> Result<Option<Arc<Team>>, (Failure, &'static str)> {
+    if route.open || !catalog.needs_keys() {
+        return Ok(None);
+    }
+    match &arrival.key {
+        None => Err((Failure::not_run(Kind::Unauthorized), "no key")),
+        Some(key) => match catalog.team_of(key) {
+            Some(team) => Ok(Some(team.clone())),
+            None => Err((Failure::not_run(Kind::Unauthorized), "unknown key")),
+        },
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state/clock.rs
@@ -0,0 +1,49 @@
+//! What is done as time passes, and when the state is to be woken.
+
+use std::time::Duration;
+
+use crate::{
+    Effect, Instant,
+    record::{self, Record},
+};
+
+use super::State;
+
+/// Time between two looks at silent peers.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+
+impl State {
+    /// Does what is due at this moment.
+    pub(super) fn pass_time(&mut self, now: Instant) {
+        if now.since(self.times.expired) >= EXPIRY_INTERVAL {
+            self.times.expired = now;
+            self.expire_peers(now);
+        }
+        self.lose_silent(now);
+        self.time_out(now);
+        self.refuse_overdue(now);
+        self.hedge(now);
+        self.stop_when_idle(now);
+    }
+
+    /// Returns the next moment at which something is due.
+    pub fn wake(&self) -> Instant {
+        let limits = self.calls.values().filter_map(|it| it.limit);
+        let work = self.work.values().flat_map(|it| [Some(it.deadline), it.hedge_at]).flatten();
+        let times = limits.chain(work).chain(self.queue.wake());
+        times.chain([self.beat_due()]).min().unwrap_or_default()
+    }
+
+    fn stop_when_idle(&mut self, now: Instant) {
+        let Some(since) = self.times.draining else { return };
+        let over = now.since(since) >= self.settings.drain && self.work.is_empty();
+        if over && !self.stopped {
+            self.stopped = true;
+            self.times.number += 1;
+            let beat = self.make_beat(true);
+            self.emit(Effect::Beat(beat));
+            self.log(Record::new(record::STOPPED));
+            self.emit(Effect::Stopped);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state/engine.rs
@@ -0,0 +1,330 @@
+//! A request's way through model engines: place, hold, prefill, run.
+
+use std::{sync::Arc, time::Duration};
+
+use siskinstile_core::error::{Failure, Kind as Why, Ran};
+
+use crate::{
+    Instant, Name, call,
+    call::Start,
+    catalog::Repeat,
+    engine::{Placement, View, Waiting, memory},
+    health::Sign,
+    load::Load,
+    record, request,
+};
+
+use super::{
+    State,
+    work::{Phase, Place, Plan, Work},
+};
+
+/// Limit on a call that an endpoint answers at once.
+pub(super) const SHORT_CALL: Duration = Duration::from_millis(400);
+/// Part of a latency target that is left for the steps after the prompt is computed.
+const RUN_START: Duration = Duration::from_millis(120);
+/// Longest wait for a place of a request that is past its target already.
+const LATE_WAIT: Duration = Duration::from_millis(400);
+/// Time without a sign of life after which a stream that can be resumed goes on elsewhere.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
+/// Shortest time after which a refused caller is to come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(200);
+/// Longest time after which a refused caller is to come back.
+const LONGEST_RETRY: Duration = Duration::from_secs(4);
+/// Engines that one request asks for a place before it is refused.
+const MOST_HOLDS: u32 = 6;
+
+impl State {
+    /// Queues a request for a decode place, or refuses it if none can come in time.
+    pub(super) fn enqueue(&mut self, now: Instant, id: request::Id) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        work.phase = Phase::Queued;
+        let (service, rank) = (work.service.name.clone(), work.rank());
+        let until = self.patience(now, id);
+        let wait = self.expected_wait(now, &service, rank);
+        if now + wait > until && !self.has_room(now, id) {
+            return self.refuse_full(now, id, wait, "no place in time");
+        }
+        let Some(work) = self.work.get(&id) else { return };
+        let arrived = work.arrived;
+        self.queue.push(Waiting { request: id, service, rank, arrived, until });
+    }
+
+    /// Returns when a request that waits for a place is refused.
+    fn patience(&self, now: Instant, id: request::Id) -> Instant {
+        let Some(work) = self.work.get(&id) else { return now };
+        let forecast = self.fleet.forecasts.get(&work.service.name).cloned().unwrap_or_default();
+        let prompt = work.tokens.map_or(0, |it| it.prompt);
+        let compute = Duration::from_secs_f64(forecast.prompt_ms(prompt) / 1_000.0);
+        let in_time = work.arrived + work.route.target - compute - RUN_START;
+        let late = now + LATE_WAIT;
+        match in_time > now {
+            true => in_time,
+            false => late.min(work.deadline),
+        }
+    }
+
+    fn expected_wait(&self, now: Instant, service: &str, rank: (u32, u32)) -> Duration {
+        let ahead = self.queue.ahead(service, rank) + self.fleet.members.waiting(now, service);
+        let endpoints = self.directory.of(service);
+        let running = endpoints.iter().map(|it| self.fleet.loads.total(&it.id).runs).sum();
+        let forecast = self.fleet.forecasts.get(service).cloned().unwrap_or_default();
+        forecast.wait(ahead, running)
+    }
+
+    fn has_room(&self, now: Instant, id: request::Id) -> bool {
+        let Some(work) = self.work.get(&id) else { return false };
+        let Some(tokens) = work.tokens else { return false };
+        let behind = self.queue.ahead(&work.service.name, work.rank()) > 0;
+        !behind && self.view(now, work, |view| view.place(tokens, &work.avoid)).is_some()
+    }
+
+    /// Hands what a placement is decided on to `decide`.
+    fn view<T>(
+        &self,
+        now: Instant,
+        work: &Work,
+        decide: impl FnOnce(View) -> Option<T>,
+    ) -> Option<T> {
+        let engine = work.service.engine.as_ref()?;
+        let forecast = self.fleet.forecasts.get(&work.service.name).cloned().unwrap_or_default();
+        let dark = self.dark(now, &work.service.name);
+        decide(View {
+            now,
+            endpoints: self.directory.of(&work.service.name),
+            engine,
+            loads: &self.fleet.loads,
+            health: &self.fleet.health,
+            datacentre: &self.settings.datacentre,
+            dark: &dark,
+            forecast: &forecast,
+        })
+    }
+
+    /// Returns the data centres of a service's endpoints that have instances, none of them heard.
+    pub(super) fn dark(&self, now: Instant, service: &str) -> Vec<Name> {
+        let mut dark: Vec<Name> = Vec::new();
+        for endpoint in self.directory.of(service) {
+            let name = &endpoint.datacentre;
+            let own = **name == *self.settings.datacentre;
+            if !own && !dark.contains(name) && self.fleet.members.is_dark(now, name) {
+                dark.push(name.clone());
+            }
+        }
+        dark
+    }
+
+    /// Places the requests that wait, in their order; one that does not fit holds up those behind it.
+    pub(super) fn place_waiting(&mut self, now: Instant) {
+        let mut stuck: Vec<Name> = Vec::new();
+        let waiting: Vec<(request::Id, Name)> =
+            self.queue.iter().map(|it| (it.request, it.service.clone())).collect();
+        for (id, service) in waiting {
+            if stuck.contains(&service) {
+                continue;
+            }
+            let Some(work) = self.work.get(&id) else { continue };
+            let Some(tokens) = work.tokens else { continue };
+            match self.view(now, work, |view| view.place(tokens, &work.avoid)) {
+                Some(placement) => self.hold(now, id, placement),
+                None => stuck.push(service),
+            }
+        }
+    }
+
+    /// Reserves a place at a decode engine.
+    fn hold(&mut self, now: Instant, id: request::Id, placement: Placement) {
+        self.queue.remove(id);
+        let Some(work) = self.work.get_mut(&id) else { return };
+        let (Some(tokens), Some(engine)) = (work.tokens, work.service.engine.clone()) else {
+            return;
+        };
+        let need = memory(tokens);
+        let load = Load { runs: 1, tokens: need, prompt: 0 };
+        work.phase = Phase::Holding;
+        work.prefill = placement.prefill;
+        work.place =
+            Some(Place { endpoint: placement.decode.clone(), load, since: now, hold: None });
+        self.fleet.loads.add(&placement.decode.id, load);
+        self.call(
+            now,
+            id,
+            Plan {
+                endpoint: placement.decode,
+                step: call::Step::Hold { tokens: need, ttl: engine.hold_limit },
+                limit: Some(SHORT_CALL),
+                load: Load::default(),
+            },
+        );
+    }
+
+    /// A place is reserved: has the prompt computed.
+    pub(super) fn held(&mut self, now: Instant, id: request::Id, hold: Name) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        let Some(place) = &mut work.place else { return };
+        place.hold = Some(hold);
+        let decode = place.endpoint.clone();
+        let prefill = work.prefill.clone().filter(|_| work.may_prefill());
+        let line = work
+            .record(record::PLACED, now)
+            .with("decode", &*decode.id)
+            .with("prefill", prefill.as_ref().map(|it| it.id.to_string()));
+        self.log(line);
+        match prefill {
+            Some(prefill) => self.prefill(now, id, prefill),
+            None => self.run(now, id, None),
+        }
+    }
+
+    fn prefill(
+        &mut self,
+        now: Instant,
+        id: request::Id,
+        endpoint: Arc<crate::directory::Endpoint>,
+    ) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        let prompt = work.tokens.map_or(0, |it| it.prompt);
+        work.phase = Phase::Prefilling;
+        let backlog = self.fleet.loads.total(&endpoint.id).prompt;
+        let forecast = self.fleet.forecasts.entry(work.service.name.clone()).or_default();
+        let limit = forecast.prompt_limit(prompt, backlog);
+        self.call(
+            now,
+            id,
+            Plan {
+                endpoint,
+                step: call::Step::Prefill,
+                limit: Some(limit),
+                load: Load { runs: 1, tokens: 0, prompt },
+            },
+        );
+    }
+
+    /// Sends a request to the decode engine that has a place for it.
+    pub(super) fn run(&mut self, now: Instant, id: request::Id, source: Option<call::Handle>) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        let Some(place) = &mut work.place else { return };
+        let (endpoint, hold) = (place.endpoint.clone(), place.hold.take());
+        let start = work.last_event.clone().map_or(Start::New, Start::After);
+        work.phase = Phase::Running;
+        work.sends += 1;
+        let resumable = work.route.repeat == Repeat::Stream { resumable: true };
+        self.call(
+            now,
+            id,
+            Plan {
+                endpoint,
+                step: call::Step::Run { hold, source, start },
+                limit: resumable.then_some(STREAM_SILENCE),
+                load: Load::default(),
+            },
+        );
+    }
+
+    /// A reservation was refused or got no answer: asks another engine.
+    pub(super) fn hold_failed(&mut self, now: Instant, id: request::Id) {
+        let Some(mut work) = self.work.swap_remove(&id) else { return };
+        self.leave_place(now, &mut work);
+        work.misses += 1;
+        let given_up = work.misses >= MOST_HOLDS;
+        let service = work.service.name.clone();
+        let rank = work.rank();
+        self.work.insert(id, work);
+        match given_up {
+            true => {
+                let wait = self.expected_wait(now, &service, rank);
+                self.refuse_full(now, id, wait, "no engine has a place");
+            }
+            false => self.enqueue(now, id),
+        }
+    }
+
+    /// A prompt was not computed: the decode engine computes it.
+    pub(super) fn prefill_failed(&mut self, now: Instant, id: request::Id) {
+        if let Some(work) = self.work.get_mut(&id) {
+            work.prefill = None;
+        }
+        self.run(now, id, None);
+    }
+
+    /// A run was refused: it is sent once more to the same engine, which computes the prompt.
+    pub(super) fn run_refused(&mut self, now: Instant, id: request::Id) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        let had_prompt = work.prompt.is_some();
+        if let Some(prompt) = work.prompt.take() {
+            self.fleet.health.note(now, &prompt.endpoint.id, Sign::Bad);
+        }
+        let may_again = had_prompt && self.take_retry(now, id);
+        let Some(work) = self.work.get_mut(&id) else { return };
+        match may_again {
+            true => {
+                work.sends -= 1;
+                self.run(now, id, None);
+            }
+            false => {
+                let service = work.service.name.clone();
+                let rank = work.rank();
+                let wait = self.expected_wait(now, &service, rank);
+                self.refuse_full(now, id, wait, "refused by the engine");
+            }
+        }
+    }
+
+    /// A run broke before its answer was whole: a stream that can be resumed goes on elsewhere.
+    pub(super) fn run_broken(&mut self, now: Instant, id: request::Id, endpoint: &Name) {
+        let Some(mut work) = self.work.swap_remove(&id) else { return };
+        self.leave_place(now, &mut work);
+        self.free_prompt(now, &mut work);
+        work.avoid.push(endpoint.clone());
+        let may_send = work.may_send();
+        self.work.insert(id, work);
+        match may_send && self.take_retry(now, id) {
+            true => self.enqueue(now, id),
+            false => self.give_up(now, id, "the answer broke"),
+        }
+    }
+
+    /// Ends a request for which nothing more can be done.
+    pub(super) fn give_up(&mut self, now: Instant, id: request::Id, reason: &'static str) {
+        let ran = self.work.get(&id).is_some_and(|it| it.may_have_run);
+        let failure = match ran {
+            true => Failure::not_run(Why::EndpointFailed).with_ran(Ran::Unknown),
+            false => Failure::not_run(Why::NoEndpoint).with_retry_after(SHORTEST_RETRY),
+        };
+        self.fail(now, id, failure, reason);
+    }
+
+    /// Refuses a request for which no place can be had in time.
+    pub(super) fn refuse_full(
+        &mut self,
+        now: Instant,
+        id: request::Id,
+        wait: Duration,
+        reason: &'static str,
+    ) {
+        let after = wait.clamp(SHORTEST_RETRY, LONGEST_RETRY);
+        let failure = Failure::not_run(Why::TooLate).with_retry_after(after);
+        self.fail(now, id, failure, reason);
+    }
+
+    /// Refuses the requests that have waited for as long as they can.
+    pub(super) fn refuse_overdue(&mut self, now: Instant) {
+        let overdue: Vec<(request::Id, Name, (u32, u32))> = self
+            .queue
+            .iter()
+            .filter(|it| it.until <= now)
+            .map(|it| (it.request, it.service.clone(), it.rank))
+            .collect();
+        for (id, service, rank) in overdue {
+            let wait = self.expected_wait(now, &service, rank);
+            self.refuse_full(now, id, wait, "waited in vain");
+        }
+    }
+}
+
+impl Work {
+    /// Returns whether the prompt may be computed by another engine than the one that decodes.
+    fn may_prefill(&self) -> bool {
+        self.sends == 0 || self.route.attempts > self.sends + 1
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state/fleet.rs
@@ -0,0 +1,132 @@
+//! What instances tell one another by beats.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use siskinstile_wire::message::beat::{Beat, Count, Load as SentLoad};
+
+use crate::{
+    Effect, Instant, Name,
+    load::Load,
+    member::{Change, Peer, SILENCE},
+    record::{self, Record},
+};
+
+use super::State;
+
+/// Longest time between two beats.
+const BEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time between two beats.
+const BEAT_PAUSE: Duration = Duration::from_millis(15);
+
+impl State {
+    /// Takes a beat of another instance.
+    pub(super) fn beat_heard(&mut self, now: Instant, beat: Beat) {
+        let name: Name = beat.name.as_str().into();
+        if *name == *self.settings.name
+            || self.fleet.members.is_stale(&name, beat.incarnation, beat.number)
+        {
+            return;
+        }
+        if beat.leaves {
+            return self.peer_left(&name);
+        }
+        for spent in &beat.spent {
+            let peer = (name.clone(), beat.incarnation);
+            self.fleet.ledger.learn(now, peer, &spent.name.as_str().into(), spent.count);
+        }
+        self.fleet.loads.learn(&name, beat.loads.iter().map(load).collect());
+        let waiting = beat.waiting.iter().map(|it| (Name::from(&*it.name), it.count as u32));
+        let peer = Peer {
+            incarnation: beat.incarnation,
+            number: beat.number,
+            datacentre: beat.datacentre.as_str().into(),
+            heard: now,
+            waiting: waiting.collect(),
+        };
+        let old = self.fleet.members.hear(name.clone(), peer);
+        if let Some(old) = old.as_ref().filter(|it| it.incarnation != beat.incarnation) {
+            self.fleet.ledger.forget(&(name.clone(), old.incarnation));
+        }
+        if old.is_none_or(|it| now.since(it.heard) >= SILENCE) {
+            self.log(Record::new(record::PEER_HEARD).with("peer", &*name));
+        }
+    }
+
+    fn peer_left(&mut self, name: &Name) {
+        self.fleet.loads.forget(name);
+        if let Some(peer) = self.fleet.members.remove(name) {
+            self.fleet.ledger.forget(&(name.clone(), peer.incarnation));
+        }
+    }
+
+    /// Takes notice of peers that have fallen silent.
+    pub(super) fn expire_peers(&mut self, now: Instant) {
+        for change in self.fleet.members.expire(now) {
+            match change {
+                Change::Silent(name) => self.fleet.loads.forget(&name),
+                Change::Gone(name, incarnation) => {
+                    self.fleet.loads.forget(&name);
+                    self.fleet.ledger.forget(&(name.clone(), incarnation));
+                    self.log(Record::new(record::PEER_LOST).with("peer", &*name));
+                }
+            }
+        }
+        let reach = self.fleet.members.reach(now);
+        self.fleet.ledger.set_reach(now, reach);
+    }
+
+    /// Returns when the next beat is due.
+    pub(super) fn beat_due(&self) -> Instant {
+        let pause = if self.fleet.loads.is_changed() { BEAT_PAUSE } else { BEAT_INTERVAL };
+        self.times.beat + pause
+    }
+
+    /// Sends a beat if one is due.
+    pub(super) fn beat(&mut self, now: Instant) {
+        if now < self.beat_due() {
+            return;
+        }
+        self.fleet.loads.take_changed();
+        self.times.beat = now;
+        self.times.number += 1;
+        let beat = self.make_beat(false);
+        self.emit(Effect::Beat(beat));
+    }
+
+    /// Returns a beat with what this instance runs and has spent.
+    pub(super) fn make_beat(&self, leaves: bool) -> Beat {
+        let loads = self.fleet.loads.own().iter().map(|(endpoint, load)| SentLoad {
+            endpoint: endpoint.to_string(),
+            runs: load.runs,
+            tokens: load.tokens,
+            prompt: load.prompt,
+        });
+        let spent = self.fleet.ledger.spent().iter();
+        let mut waiting: IndexMap<&str, u64> = IndexMap::new();
+        for it in self.queue.iter() {
+            *waiting.entry(&it.service).or_default() += 1;
+        }
+        Beat {
+            name: self.settings.name.to_string(),
+            incarnation: self.settings.incarnation,
+            number: self.times.number,
+            datacentre: self.settings.datacentre.to_string(),
+            leaves,
+            configuration: 0,
+            endpoints: 0,
+            loads: loads.collect(),
+            spent: spent.map(|(name, count)| named(name, *count)).collect(),
+            waiting: waiting.into_iter().map(|(name, count)| named(name, count)).collect(),
+        }
+    }
+}
+
+fn load(sent: &SentLoad) -> (Name, Load) {
+    let load = Load { runs: sent.runs, tokens: sent.tokens, prompt: sent.prompt };
+    (sent.endpoint.as_str().into(), load)
+}
+
+fn named(name: &str, count: u64) -> Count {
+    Count { name: name.to_owned(), count }
+}
--- /dev/null
+++ b/crates/gateway/src/state/reports.rs
@@ -0,0 +1,231 @@
+//! What became of calls.
+
+use siskinstile_core::error::{Failure, Kind as Why};
+
+use crate::{
+    Effect, Instant, Name, call,
+    call::{Outcome, Report},
+    health::Sign,
+    record, request,
+};
+
+use super::{
+    State,
+    work::{Kind, Open, Phase, Prompt},
+};
+
+/// Statuses that promise that a request has not run; an endpoint's answer that has run cannot
+/// carry them on.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// First status that tells of an endpoint's own fault.
+const SERVER_ERROR: u16 = 500;
+
+impl State {
+    /// Takes a report on a call.
+    pub(super) fn report(&mut self, now: Instant, report: Report) {
+        let Some(open) = self.calls.get(&report.call).cloned() else { return };
+        if let Some(said) = report.load {
+            self.fleet.said.insert(open.endpoint.id.clone(), (now, said));
+        }
+        let outcome = deny_promise(report.outcome);
+        self.judge(now, &open, &outcome);
+        let lasts = matches!(outcome, Outcome::Head { .. } | Outcome::First);
+        if !lasts {
+            self.close(report.call);
+        }
+        match open.request {
+            Some(id) => self.advance(now, id, report.call, &open, outcome),
+            None => self.abandoned(now, &open, outcome),
+        }
+    }
+
+    /// Notes what an outcome tells of the endpoint.
+    fn judge(&mut self, now: Instant, open: &Open, outcome: &Outcome) {
+        let sign = match outcome {
+            Outcome::Broken { silent: true, .. } => Sign::Silent,
+            Outcome::Broken { .. } => Sign::Bad,
+            Outcome::Refused { .. } => Sign::Full,
+            Outcome::Whole { status } if *status >= SERVER_ERROR => Sign::Bad,
+            Outcome::First | Outcome::Done => return,
+            _ => Sign::Good,
+        };
+        // A lost handle is the fault of the engine that computed it, not of the one that refuses.
+        let blames_other = open.kind == Kind::Run && sign == Sign::Full;
+        if !blames_other {
+            self.fleet.health.note(now, &open.endpoint.id, sign);
+        }
+    }
+
+    /// Takes the outcome of a call whose request is over.
+    fn abandoned(&mut self, now: Instant, open: &Open, outcome: Outcome) {
+        let Outcome::Held { hold } = outcome else { return };
+        self.tell(now, open.endpoint.clone(), call::Step::Drop { hold });
+    }
+
+    fn advance(
+        &mut self,
+        now: Instant,
+        id: request::Id,
+        call: call::Id,
+        open: &Open,
+        outcome: Outcome,
+    ) {
+        self.note_failure(now, id, open, &outcome);
+        match (open.kind, outcome) {
+            (Kind::Hold, Outcome::Held { hold }) => self.held(now, id, hold),
+            (Kind::Hold, _) => self.hold_failed(now, id),
+            (Kind::Prefill, Outcome::Computed { handle, tokens }) => {
+                self.computed(now, id, open, handle, tokens);
+            }
+            (Kind::Prefill, _) => self.prefill_failed(now, id),
+            (Kind::Run, Outcome::Head { .. }) => self.relay(id, call),
+            (Kind::Run, Outcome::First) => self.first_event(now, id),
+            (Kind::Run, Outcome::Ended) => self.ended(now, id),
+            (Kind::Run, Outcome::Whole { status }) => self.whole(now, id, call, status),
+            (Kind::Run, Outcome::Refused { .. }) => self.refused(now, id),
+            (Kind::Run, Outcome::Broken { sent, last_event, .. }) => {
+                self.broken(now, id, &open.endpoint.id, sent, last_event);
+            }
+            _ => {}
+        }
+    }
+
+    /// Logs an outcome that was not hoped for.
+    fn note_failure(&mut self, now: Instant, id: request::Id, open: &Open, outcome: &Outcome) {
+        let (cause, sent) = match outcome {
+            Outcome::Refused { .. } => ("refused", true),
+            Outcome::Broken { cause, sent, .. } => (*cause, *sent),
+            _ => return,
+        };
+        let Some(work) = self.work.get(&id) else { return };
+        let line = work
+            .record(record::CALL_FAILED, now)
+            .with("endpoint", &*open.endpoint.id)
+            .with("step", format!("{:?}", open.kind))
+            .with("cause", cause)
+            .with("sent", sent)
+            .with("took_ms", now.since(open.begun).as_millis() as u64);
+        self.log(line);
+    }
+
+    fn computed(&mut self, now: Instant, id: request::Id, open: &Open, handle: Name, tokens: u64) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        let forecast = self.fleet.forecasts.entry(work.service.name.clone()).or_default();
+        if self.fleet.loads.total(&open.endpoint.id).prompt == 0 {
+            forecast.prompt_seen(tokens, now.since(open.begun));
+        }
+        let handle = call::Handle { at: open.endpoint.address, name: handle };
+        work.prompt = Some(Prompt { endpoint: open.endpoint.clone(), handle: handle.clone() });
+        self.run(now, id, Some(handle));
+    }
+
+    /// A run's streamed answer begins: has it relayed.
+    fn relay(&mut self, id: request::Id, call: call::Id) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        work.phase = Phase::Relaying;
+        work.may_have_run = true;
+        work.prompt = None;
+        work.relaying = Some(call);
+        self.emit(Effect::Relay { request: id, call });
+    }
+
+    fn first_event(&mut self, now: Instant, id: request::Id) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        work.first.get_or_insert(now);
+        let call = work.calls.last().copied();
+        if let Some(open) = call.and_then(|it| self.calls.get_mut(&it)) {
+            open.limit = None;
+        }
+    }
+
+    fn ended(&mut self, now: Instant, id: request::Id) {
+        let Some(mut work) = self.work.swap_remove(&id) else { return };
+        if let Some(place) = &work.place {
+            let forecast = self.fleet.forecasts.entry(work.service.name.clone()).or_default();
+            forecast.stay_seen(now.since(place.since));
+        }
+        self.clean_up(now, &mut work);
+        let first = work.first.map(|it| it.since(work.arrived).as_millis() as u64);
+        let line = work.record(record::ANSWERED, now).with("first_ms", first);
+        self.log(line);
+        self.emit(Effect::Finish(id));
+    }
+
+    fn whole(&mut self, now: Instant, id: request::Id, call: call::Id, status: u16) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        work.may_have_run = true;
+        work.prompt = None;
+        let better = status >= SERVER_ERROR && work.route.repeat.is_repeatable();
+        if !better || work.place.is_some() {
+            return self.answer(now, id, call, Some(status));
+        }
+        if let Some(old) = work.spare.replace(call) {
+            self.emit(Effect::Cancel(old));
+        }
+        self.plain_failed(now, id, "the endpoint failed");
+    }
+
+    fn refused(&mut self, now: Instant, id: request::Id) {
+        let Some(work) = self.work.get(&id) else { return };
+        match work.place.is_some() {
+            true => self.run_refused(now, id),
+            false => self.plain_refused(now, id),
+        }
+    }
+
+    fn plain_refused(&mut self, now: Instant, id: request::Id) {
+        self.plain_failed(now, id, "the endpoint refused");
+    }
+
+    fn broken(
+        &mut self,
+        now: Instant,
+        id: request::Id,
+        endpoint: &Name,
+        sent: bool,
+        last_event: Option<Name>,
+    ) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        work.may_have_run |= sent;
+        if last_event.is_some() {
+            work.last_event = last_event;
+        }
+        match work.place.is_some() {
+            true => self.run_broken(now, id, endpoint),
+            false if !sent => self.plain_missed(now, id),
+            false => self.plain_failed(now, id, "the answer broke"),
+        }
+    }
+
+    /// Ends the requests whose time is over.
+    pub(super) fn time_out(&mut self, now: Instant) {
+        let over: Vec<request::Id> =
+            self.work.values().filter(|it| it.deadline <= now).map(|it| it.id).collect();
+        for id in over {
+            self.fail(now, id, Failure::not_run(Why::TooLate), "time is over");
+        }
+    }
+
+    /// Takes calls for lost that gave no sign of life within their limit.
+    pub(super) fn lose_silent(&mut self, now: Instant) {
+        let over = |it: &Open| it.limit.is_some_and(|limit| limit <= now);
+        let ids: Vec<call::Id> =
+            self.calls.iter().filter(|(_, it)| over(it)).map(|(id, _)| *id).collect();
+        for call in ids {
+            self.emit(Effect::Cancel(call));
+            let outcome =
+                Outcome::Broken { sent: true, silent: true, last_event: None, cause: "silent" };
+            self.report(now, Report { call, outcome, load: None });
+        }
+    }
+}
+
+/// Takes an answer that has run but promises that it has not for a broken one.
+fn deny_promise(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Whole { status } | Outcome::Head { status } if PROMISES.contains(&status) => {
+            Outcome::Broken { sent: true, silent: false, last_event: None, cause: "false promise" }
+        }
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state/work.rs
@@ -0,0 +1,250 @@
+//! A request on its way, and the calls that are open for it.
+
+use std::{sync::Arc, time::Duration};
+
+use siskinstile_core::log::Code;
+use siskinstile_macros::value;
+
+use crate::{
+    Effect, Instant, Name, call,
+    catalog::{Repeat, Route, Service, Team},
+    directory::Endpoint,
+    effect,
+    load::Load,
+    record::Record,
+    request,
+};
+
+use super::{State, engine::SHORT_CALL};
+
+/// Connections to an endpoint that calls outside of requests may open.
+const FEW_CONNECTIONS: u32 = 4;
+
+/// Where a request stands.
+#[value(eq)]
+pub(super) enum Phase {
+    /// It waits for a decode place.
+    Queued,
+    /// A decode place is being reserved.
+    Holding,
+    /// Its prompt is being computed.
+    Prefilling,
+    /// It has been sent to an endpoint.
+    Running,
+    /// Its answer is being relayed.
+    Relaying,
+}
+
+/// A place at a decode engine that counts as taken.
+#[value]
+pub(super) struct Place {
+    pub(super) endpoint: Arc<Endpoint>,
+    pub(super) load: Load,
+    pub(super) since: Instant,
+    /// Name of the reservation, until a run has used it.
+    pub(super) hold: Option<Name>,
+}
+
+/// A computed prompt that no run has fetched yet.
+#[value]
+pub(super) struct Prompt {
+    pub(super) endpoint: Arc<Endpoint>,
+    pub(super) handle: call::Handle,
+}
+
+/// A request that is not yet answered.
+#[value]
+pub(super) struct Work {
+    pub(super) id: request::Id,
+    pub(super) trace: Name,
+    pub(super) route: Arc<Route>,
+    pub(super) service: Arc<Service>,
+    pub(super) team: Option<Arc<Team>>,
+    pub(super) tokens: Option<request::Tokens>,
+    /// What its team has been charged.
+    pub(super) charged: u64,
+    pub(super) arrived: Instant,
+    /// When it is answered at the latest.
+    pub(super) deadline: Instant,
+    pub(super) phase: Phase,
+    pub(super) calls: Vec<call::Id>,
+    /// Endpoints that a run was sent to.
+    pub(super) sends: u32,
+    /// Connections that failed before a byte left.
+    pub(super) misses: u32,
+    /// Endpoints that are not to be asked again.
+    pub(super) avoid: Vec<Name>,
+    pub(super) may_have_run: bool,
+    /// Identifier of the last event that the caller has.
+    pub(super) last_event: Option<Name>,
+    pub(super) place: Option<Place>,
+    pub(super) prefill: Option<Arc<Endpoint>>,
+    pub(super) prompt: Option<Prompt>,
+    /// Whether the answer's head has been given to the caller.
+    pub(super) relaying: Option<call::Id>,
+    /// A whole answer with an error status, in case no better one comes.
+    pub(super) spare: Option<call::Id>,
+    /// When an idempotent request is sent to a second endpoint as well.
+    pub(super) hedge_at: Option<Instant>,
+    /// When its first event or whole answer came.
+    pub(super) first: Option<Instant>,
+}
+
+impl Work {
+    /// Starts a log line on the request.
+    pub(super) fn record(&self, code: Code, now: Instant) -> Record {
+        Record::new(code)
+            .of(&self.trace)
+            .with("route", &*self.route.name)
+            .with("service", &*self.service.name)
+            .with("team", self.team.as_ref().map(|it| it.name.to_string()))
+            .with("age_ms", now.since(self.arrived).as_millis() as u64)
+            .with("sends", self.sends)
+    }
+
+    /// Returns the rank of the request's team, then of its route.
+    pub(super) fn rank(&self) -> (u32, u32) {
+        let team = self.team.as_ref().and_then(|it| it.priority);
+        (team.unwrap_or(self.route.priority), self.route.priority)
+    }
+
+    /// Returns whether another send is allowed by the route and by what has happened so far.
+    pub(super) fn may_send(&self) -> bool {
+        let repeatable = self.route.repeat.is_repeatable() || !self.may_have_run;
+        self.sends < self.route.attempts && repeatable
+    }
+}
+
+/// What kind of step an open call carries out.
+#[value(id)]
+pub(super) enum Kind {
+    Hold,
+    Prefill,
+    Run,
+    Other,
+}
+
+/// A call that has not come to an end.
+#[value]
+pub(super) struct Open {
+    pub(super) request: call::Owner,
+    pub(super) endpoint: Arc<Endpoint>,
+    pub(super) kind: Kind,
+    pub(super) begun: Instant,
+    /// When no sign of life means that it is lost.
+    pub(super) limit: Option<Instant>,
+    /// What it adds to the endpoint's load.
+    pub(super) load: Load,
+}
+
+/// A call that is to be made.
+pub(super) struct Plan {
+    pub(super) endpoint: Arc<Endpoint>,
+    pub(super) step: call::Step,
+    pub(super) limit: Option<Duration>,
+    pub(super) load: Load,
+}
+
+impl State {
+    /// Makes a call for a request.
+    pub(super) fn call(&mut self, now: Instant, id: request::Id, plan: Plan) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        let call = call::Id(self.next_call);
+        self.next_call += 1;
+        work.calls.push(call);
+        let effect = effect::Call {
+            id: call,
+            request: Some(id),
+            endpoint: plan.endpoint.clone(),
+            connections: work.service.connection_limit / self.fleet.members.len() as u32,
+            step: plan.step.clone(),
+            repeat: work.route.repeat,
+            team: work.team.as_ref().map(|it| it.name.clone()),
+            left: work.deadline.since(now),
+        };
+        self.open(now, effect, plan);
+    }
+
+    /// Makes a call that belongs to no request and is answered at once.
+    pub(super) fn tell(&mut self, now: Instant, endpoint: Arc<Endpoint>, step: call::Step) {
+        let call = call::Id(self.next_call);
+        self.next_call += 1;
+        let effect = effect::Call {
+            id: call,
+            request: None,
+            endpoint: endpoint.clone(),
+            connections: FEW_CONNECTIONS,
+            step: step.clone(),
+            repeat: Repeat::Once,
+            team: None,
+            left: SHORT_CALL,
+        };
+        let plan = Plan { endpoint, step, limit: Some(SHORT_CALL), load: Load::default() };
+        self.open(now, effect, plan);
+    }
+
+    fn open(&mut self, now: Instant, call: effect::Call, plan: Plan) {
+        let kind = match plan.step {
+            call::Step::Hold { .. } => Kind::Hold,
+            call::Step::Prefill => Kind::Prefill,
+            call::Step::Run { .. } => Kind::Run,
+            _ => Kind::Other,
+        };
+        self.fleet.loads.add(&plan.endpoint.id, plan.load);
+        let open = Open {
+            request: call.request,
+            endpoint: plan.endpoint,
+            kind,
+            begun: now,
+            limit: plan.limit.map(|it| now + it),
+            load: plan.load,
+        };
+        self.calls.insert(call.id, open);
+        self.emit(Effect::Call(call));
+    }
+
+    /// Ends the record of a call.
+    pub(super) fn close(&mut self, id: call::Id) -> Option<Open> {
+        let open = self.calls.swap_remove(&id)?;
+        self.fleet.loads.remove(&open.endpoint.id, open.load);
+        if let Some(work) = open.request.and_then(|it| self.work.get_mut(&it)) {
+            work.calls.retain(|it| *it != id);
+        }
+        Some(open)
+    }
+
+    /// Ends what is done for a request that has left the table of open ones.
+    pub(super) fn clean_up(&mut self, now: Instant, work: &mut Work) {
+        self.queue.remove(work.id);
+        for call in std::mem::take(&mut work.calls) {
+            match self.calls.get_mut(&call) {
+                // The reservation is given back once its name is known.
+                Some(open) if open.kind == Kind::Hold => open.request = None,
+                _ => {
+                    self.close(call);
+                    self.emit(Effect::Cancel(call));
+                }
+            }
+        }
+        if let Some(spare) = work.spare.take() {
+            self.emit(Effect::Cancel(spare));
+        }
+        self.free_prompt(now, work);
+        self.leave_place(now, work);
+    }
+
+    /// Frees a computed prompt that no run has fetched.
+    pub(super) fn free_prompt(&mut self, now: Instant, work: &mut Work) {
+        let Some(prompt) = work.prompt.take() else { return };
+        self.tell(now, prompt.endpoint, call::Step::Free { handle: prompt.handle.name });
+    }
+
+    /// Gives back a request's place at a decode engine.
+    pub(super) fn leave_place(&mut self, now: Instant, work: &mut Work) {
+        let Some(place) = work.place.take() else { return };
+        self.fleet.loads.remove(&place.endpoint.id, place.load);
+        if let Some(hold) = place.hold {
+            self.tell(now, place.endpoint, call::Step::Drop { hold });
+        }
+    }
+}
--- /dev/null
+++ b/crates/gatewayd/src/door.rs
@@ -0,0 +1,203 @@
+//! Callers' connections.
+
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::{
+    Request, Response,
+    body::{Frame, Incoming, SizeHint},
+    header::{CONNECTION, HOST, HeaderValue},
+    http::request,
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use siskinstile_core::error::{Failure, Kind};
+use siskinstile_gateway::{Catalog, Event, State, catalog::Limits, request as gateway};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time,
+};
+
+use crate::{control::Control, exchange::Body, status};
+
+/// Limits on callers before a configuration is in force.
+const FIRST_LIMITS: Limits = Limits {
+    head_bytes: 16 << 10,
+    body_bytes: 4 << 20,
+    head_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+/// Smallest buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER: usize = 8 << 10;
+/// Longest time for a body to arrive.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Pause after an error on accepting a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Part of the process's descriptors that callers may use, in percent.
+const CALLERS_PERCENT: usize = 60;
+
+/// Takes callers' connections.
+pub async fn serve(control: Rc<Control>, listener: TcpListener, descriptors: usize) {
+    let most = descriptors * CALLERS_PERCENT / 100;
+    let open = Rc::new(Cell::new(0_usize));
+    let next = Rc::new(Cell::new(0_u64));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() >= most {
+            metrics::counter!("siskinstile_connections_refused").increment(1);
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (control, open, next) = (control.clone(), open.clone(), next.clone());
+        spawn_local(async move {
+            serve_connection(control, stream, next).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn serve_connection(control: Rc<Control>, stream: TcpStream, next: Rc<Cell<u64>>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("socket option not set: {error}");
+    }
+    let limits = limits(&control);
+    let service = service_fn(|request: Request<Incoming>| {
+        next.set(next.get() + 1);
+        let id = gateway::Id(next.get());
+        let control = control.clone();
+        async move { Ok::<_, Infallible>(handle(control, id, request).await) }
+    });
+    let mut server = http1::Builder::new();
+    server
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER));
+    if let Err(error) = server.serve_connection(TokioIo::new(stream), service).await {
+        log::debug!("caller's connection ended: {error}");
+    }
+}
+
+fn limits(control: &Control) -> Limits {
+    control.read(|state| {
+        state.catalog().map_or(FIRST_LIMITS, |it: &std::sync::Arc<Catalog>| it.limits.clone())
+    })
+}
+
+async fn handle(
+    control: Rc<Control>,
+    id: gateway::Id,
+    request: Request<Incoming>,
+) -> Response<Guarded> {
+    let begun = Instant::now();
+    let (head, body) = request.into_parts();
+    let caller = control.protocol.caller(&head);
+    let body = match read_body(body, limits(&control).body_bytes).await {
+        Ok(body) => body,
+        Err(kind) => return refuse(&control, &caller.trace, kind).map(Guarded::from),
+    };
+    let arrival = gateway::Arrival {
+        id,
+        trace: caller.trace.clone(),
+        host: host(&head).into(),
+        path: head.uri.path().into(),
+        key: caller.key,
+        tokens: caller.tokens,
+        patience: caller.patience,
+        last_event: caller.last_event,
+    };
+    let answer = control.exchanges.open(id, caller.trace.clone(), (head, body));
+    let guard = Guard { control: control.clone(), id };
+    control.post(Event::Arrival(arrival));
+    let mut response = match answer.await {
+        Ok(response) => response,
+        // The request has been given up without an answer of its own.
+        Err(_) => refuse(&control, &caller.trace, Kind::Internal),
+    };
+    status::note_head(begun.elapsed());
+    if control.read(State::is_draining) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response.map(|body| Guarded { body, _guard: Some(guard) })
+}
+
+fn refuse(control: &Control, trace: &str, kind: Kind) -> Response<Body> {
+    let failure = Failure::not_run(kind);
+    let mut response = control.protocol.refusal(trace, &failure);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response.map(|it| Full::new(it).map_err(|never| match never {}).boxed_unsync())
+}
+
+async fn read_body(body: Incoming, most: usize) -> Result<Bytes, Kind> {
+    match time::timeout(BODY_LIMIT, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Kind::BodyTooLarge),
+        Ok(Err(_)) => Err(Kind::BadRequest),
+        Err(_) => Err(Kind::RequestTimeout),
+    }
+}
+
+/// Returns the host that a caller names, without the port.
+fn host(head: &request::Parts) -> String {
+    let header = head.headers.get(HOST).and_then(|it| it.to_str().ok());
+    let host = header.or_else(|| head.uri.host()).unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
+/// Tells that a caller has left when it is dropped before the answer's end.
+struct Guard {
+    control: Rc<Control>,
+    id: gateway::Id,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.control.exchanges.close(self.id);
+        self.control.post(Event::Gone(self.id));
+    }
+}
+
+/// The body of an answer with the guard of its request.
+struct Guarded {
+    body: Body,
+    _guard: Option<Guard>,
+}
+
+impl From<Body> for Guarded {
+    fn from(body: Body) -> Guarded {
+        Guarded { body, _guard: None }
+    }
+}
+
+impl hyper::body::Body for Guarded {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/gatewayd/src/peers.rs
@@ -0,0 +1,153 @@
+//! Messages between instances: beats as datagrams, snapshots over connections.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{SinkExt as _, StreamExt as _};
+use indexmap::IndexMap;
+use prost::Message as _;
+use siskinstile_gateway::{Event, Name};
+use siskinstile_wire::message::beat::{Beat, Pull, Snapshot};
+use tokio::{
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::mpsc,
+    task::spawn_local,
+    time,
+};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::{control::Control, store::Kind, sync::Follower};
+
+/// Largest beat, in bytes.
+const MOST_BEAT_BYTES: usize = 60 << 10;
+/// Largest snapshot, in bytes.
+const MOST_SNAPSHOT_BYTES: usize = 16 << 20;
+/// Limit on taking a snapshot from a peer.
+const PULL_LIMIT: Duration = Duration::from_millis(600);
+/// Pause after an error on accepting a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Addresses of the peers, by name.
+#[derive(Debug, Default)]
+pub struct Book {
+    known: RefCell<IndexMap<Name, SocketAddr>>,
+    seeds: RefCell<Vec<SocketAddr>>,
+}
+
+impl Book {
+    /// Notes a peer's address.
+    pub fn learn(&self, name: &str, address: SocketAddr) {
+        self.known.borrow_mut().insert(name.into(), address);
+    }
+
+    /// Drops a peer that stops.
+    pub fn forget(&self, name: &str) {
+        self.known.borrow_mut().swap_remove(name);
+    }
+
+    /// Sets addresses at which peers may be found.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.borrow_mut() = seeds;
+    }
+
+    fn addresses(&self, own: SocketAddr) -> Vec<SocketAddr> {
+        let mut all: Vec<SocketAddr> = self.known.borrow().values().copied().collect();
+        all.extend(self.seeds.borrow().iter());
+        all.sort_unstable();
+        all.dedup();
+        all.retain(|it| *it != own);
+        all
+    }
+}
+
+/// Sends this instance's beats to all peers.
+pub async fn send_beats(
+    socket: Rc<UdpSocket>,
+    book: Rc<Book>,
+    own: SocketAddr,
+    follower: Rc<Follower>,
+    mut beats: mpsc::UnboundedReceiver<Beat>,
+) {
+    while let Some(mut beat) = beats.recv().await {
+        beat.configuration = follower.changed(Kind::Configuration);
+        beat.endpoints = follower.changed(Kind::Endpoints);
+        let bytes = beat.encode_to_vec();
+        for address in book.addresses(own) {
+            // A beat that cannot be sent is lost like one that is lost on the way.
+            if let Err(error) = socket.try_send_to(&bytes, address) {
+                log::debug!("beat to {address} not sent: {error}");
+            }
+        }
+    }
+}
+
+/// Takes the beats of peers.
+pub async fn take_beats(
+    control: Rc<Control>,
+    socket: Rc<UdpSocket>,
+    book: Rc<Book>,
+    follower: Rc<Follower>,
+) {
+    let mut buffer = vec![0; MOST_BEAT_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("no beat received: {error}");
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(beat) = Beat::decode(&buffer[..length]) else { continue };
+        match beat.leaves {
+            true => book.forget(&beat.name),
+            false => book.learn(&beat.name, from),
+        }
+        follower.heard(Kind::Configuration, beat.configuration, from);
+        follower.heard(Kind::Endpoints, beat.endpoints, from);
+        control.post(Event::Beat(beat));
+    }
+}
+
+/// Serves snapshots to peers.
+pub async fn serve_snapshots(listener: TcpListener, follower: Rc<Follower>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let follower = follower.clone();
+        spawn_local(async move {
+            if let Err(error) = time::timeout(PULL_LIMIT, serve_snapshot(stream, &follower)).await {
+                log::debug!("snapshot not served: {error}");
+            }
+        });
+    }
+}
+
+async fn serve_snapshot(stream: TcpStream, follower: &Follower) -> io::Result<()> {
+    let mut frames = framed(stream);
+    let Some(frame) = frames.next().await else { return Ok(()) };
+    let pull = Pull::decode(frame?).map_err(io::Error::other)?;
+    let kind =
+        [Kind::Configuration, Kind::Endpoints].into_iter().find(|it| it.as_str() == pull.kind);
+    let snapshot = kind.map(|it| follower.snapshot(it)).unwrap_or_default();
+    frames.send(Bytes::from(snapshot.encode_to_vec())).await
+}
+
+/// Takes a snapshot from a peer.
+pub async fn pull(address: SocketAddr, kind: Kind) -> io::Result<Snapshot> {
+    time::timeout(PULL_LIMIT, async {
+        let mut frames = framed(TcpStream::connect(address).await?);
+        let pull = Pull { kind: kind.as_str().to_owned() };
+        frames.send(Bytes::from(pull.encode_to_vec())).await?;
+        let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+        Snapshot::decode(frame).map_err(io::Error::other)
+    })
+    .await?
+}
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MOST_SNAPSHOT_BYTES).new_codec();
+    Framed::new(stream, codec)
+}
--- /dev/null
+++ b/crates/gatewayd/src/sync.rs
@@ -0,0 +1,362 @@
+//! Following of the platform's store: lists and watches, and snapshots of peers where it is away.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use http_body_util::BodyExt as _;
+use serde_json::{Value, json};
+use siskinstile_gateway::{
+    Directory, Event, Instant, Name,
+    record::{self, Record},
+};
+use siskinstile_wire::message::beat::{Object as SentObject, Snapshot};
+use tokio::time;
+
+use crate::{
+    control::Control,
+    mirror::Mirror,
+    peers,
+    store::{Answer, Call, Fault, Kind, Object},
+};
+
+/// Longest wait of a watch; a connection that has gone silent is found out soon after it.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Limit on an answer beyond the wait that was asked for.
+const ANSWER_LIMIT: Duration = Duration::from_millis(700);
+/// First pause after a call that failed; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after a call that failed.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time for which a peer may know more before a snapshot is taken from it.
+const LAG_LIMIT: Duration = Duration::from_millis(500);
+/// Time between two looks at lags and at objects that lapse.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two lists of the members.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(10);
+/// Connections to the store.
+const MOST_CONNECTIONS: usize = 8;
+
+/// What is known of the objects of one kind, and of who may know more.
+#[derive(Debug, Default)]
+struct Copy {
+    mirror: Mirror,
+    /// A peer that knows a later change, since when, and where it is.
+    ahead: Option<(u64, Instant, SocketAddr)>,
+}
+
+/// Copies of the kinds that are followed.
+#[derive(Debug)]
+pub struct Follower {
+    control: Rc<Control>,
+    store: SocketAddr,
+    configuration: RefCell<Copy>,
+    endpoints: RefCell<Copy>,
+    lost_since: RefCell<Option<Instant>>,
+}
+
+impl Follower {
+    /// Creates copies that know nothing yet.
+    pub fn new(control: Rc<Control>, store: SocketAddr) -> Rc<Follower> {
+        Rc::new(Follower {
+            control,
+            store,
+            configuration: RefCell::default(),
+            endpoints: RefCell::default(),
+            lost_since: RefCell::default(),
+        })
+    }
+
+    fn copy(&self, kind: Kind) -> &RefCell<Copy> {
+        match kind {
+            Kind::Configuration => &self.configuration,
+            _ => &self.endpoints,
+        }
+    }
+
+    /// Returns the revision of the last change of a kind that is known of.
+    pub fn changed(&self, kind: Kind) -> u64 {
+        self.copy(kind).borrow().mirror.changed()
+    }
+
+    /// Notes the revision up to which a peer knows a kind.
+    pub fn heard(&self, kind: Kind, revision: u64, from: SocketAddr) {
+        let mut copy = self.copy(kind).borrow_mut();
+        if revision > copy.mirror.revision() && copy.ahead.is_none_or(|it| it.0 < revision) {
+            let since = copy.ahead.map_or(self.control.now(), |it| it.1);
+            copy.ahead = Some((revision, since, from));
+        }
+    }
+
+    /// Returns a copy of the objects of a kind.
+    pub fn snapshot(&self, kind: Kind) -> Snapshot {
+        let copy = self.copy(kind).borrow();
+        let objects = copy.mirror.objects().map(|it| SentObject {
+            name: it.name.to_string(),
+            revision: it.revision,
+            value: it.value.to_string().into_bytes(),
+        });
+        match copy.mirror.is_known() {
+            true => Snapshot { revision: copy.mirror.changed(), objects: objects.collect() },
+            false => Snapshot::default(),
+        }
+    }
+
+    /// Follows a kind until the process ends.
+    pub async fn follow(self: Rc<Follower>, kind: Kind) {
+        let mut pause = FIRST_PAUSE;
+        let mut listed = false;
+        loop {
+            let result = match listed {
+                true => self.watch(kind).await,
+                false => self.list(kind).await,
+            };
+            match result {
+                Ok(more) => {
+                    listed = more;
+                    pause = FIRST_PAUSE;
+                }
+                Err(_) => {
+                    time::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+
+    async fn list(&self, kind: Kind) -> Result<bool, Fault> {
+        let (objects, revision) = self.list_all(kind, false).await?;
+        let now = self.control.now();
+        let differs = self.copy(kind).borrow_mut().mirror.replace(now, objects, revision);
+        self.adopt(kind, differs);
+        Ok(true)
+    }
+
+    /// Lists all objects of a kind, page by page.
+    async fn list_all(&self, kind: Kind, stale: bool) -> Result<(Vec<Object>, u64), Fault> {
+        let mut objects: Vec<Object> = Vec::new();
+        let mut first = None;
+        loop {
+            let after = objects.last().map(|it| it.name.clone());
+            match self.call(&Call::List { kind, after, stale }).await? {
+                Answer::Page { items, more, revision } => {
+                    let is_last = !more || items.is_empty();
+                    objects.extend(items);
+                    let from = *first.get_or_insert(revision);
+                    if is_last {
+                        return Ok((objects, from));
+                    }
+                }
+                _ => return Err(Fault::Lost),
+            }
+        }
+    }
+
+    /// Waits for changes; returns whether the next watch can go on from there.
+    async fn watch(&self, kind: Kind) -> Result<bool, Fault> {
+        let since = self.copy(kind).borrow().mirror.revision();
+        match self.call(&Call::Watch { kind, since, wait: WATCH_WAIT }).await? {
+            Answer::Events { events, revision } => {
+                let now = self.control.now();
+                let differs = self.copy(kind).borrow_mut().mirror.apply(now, events, revision);
+                self.adopt(kind, differs);
+                Ok(true)
+            }
+            Answer::Compacted => Ok(false),
+            _ => Err(Fault::Lost),
+        }
+    }
+
+    /// Makes a call to the store.
+    pub async fn call(&self, call: &Call) -> Result<Answer, Fault> {
+        let wait = match call {
+            Call::Watch { wait, .. } => *wait,
+            _ => Duration::ZERO,
+        };
+        metrics::counter!("siskinstile_store_calls").increment(1);
+        let result = match time::timeout(wait + ANSWER_LIMIT, self.exchange(call)).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.control.client.forget(self.store);
+                Err(Fault::Lost)
+            }
+        };
+        self.note(&result);
+        result
+    }
+
+    async fn exchange(&self, call: &Call) -> Result<Answer, Fault> {
+        let protocol = &self.control.protocol;
+        let request = protocol.store_call(call);
+        let client = &self.control.client;
+        let reply =
+            client.send(self.store, request, MOST_CONNECTIONS).await.map_err(|_| Fault::Lost)?;
+        let body = reply.body.collect().await.map_err(|_| Fault::Lost)?.to_bytes();
+        let keep = protocol.answer(&reply.head).keep;
+        let status = reply.head.status.as_u16();
+        client.keep(reply.connection, keep);
+        protocol.store_answer(call, status, &body)
+    }
+
+    /// Notes whether the store answers.
+    fn note(&self, result: &Result<Answer, Fault>) {
+        let now = self.control.now();
+        let mut lost = self.lost_since.borrow_mut();
+        match (result, *lost) {
+            (Ok(_), Some(since)) => {
+                *lost = None;
+                let away = now.since(since).as_millis() as u64;
+                self.control
+                    .logger
+                    .write(&Record::new(record::STORE_REGAINED).with("away_ms", away));
+                self.endpoints.borrow_mut().mirror.store_regained(now);
+            }
+            (Err(fault), None) => {
+                *lost = Some(now);
+                let line = Record::new(record::STORE_LOST).with("fault", format!("{fault:?}"));
+                self.control.logger.write(&line);
+            }
+            _ => {}
+        }
+    }
+
+    /// Puts what is known of a kind in force.
+    fn adopt(&self, kind: Kind, differs: bool) {
+        {
+            let mut copy = self.copy(kind).borrow_mut();
+            let revision = copy.mirror.revision();
+            copy.ahead = copy.ahead.filter(|it| it.0 > revision);
+        }
+        match kind {
+            _ if !differs => {}
+            Kind::Configuration => self.adopt_configuration(),
+            _ => self.adopt_endpoints(),
+        }
+    }
+
+    fn adopt_configuration(&self) {
+        let catalog = {
+            let copy = self.configuration.borrow();
+            self.control.protocol.catalog(&mut copy.mirror.objects())
+        };
+        match catalog {
+            Ok(catalog) => self.control.post(Event::Configured(Arc::new(catalog))),
+            Err(error) => {
+                let line =
+                    Record::new(record::CONFIG_REFUSED).with("problem", format!("{error:#}"));
+                self.control.logger.write(&line);
+            }
+        }
+    }
+
+    fn adopt_endpoints(&self) {
+        let mut endpoints = Vec::new();
+        for object in self.endpoints.borrow().mirror.objects() {
+            match self.control.protocol.endpoint(object) {
+                Ok(endpoint) => endpoints.push(endpoint),
+                Err(error) => {
+                    let line = Record::new(record::ENTRY_UNREADABLE)
+                        .with("entry", &*object.name)
+                        .with("revision", object.revision)
+                        .with("problem", format!("{error:#}"));
+                    self.control.logger.write(&line);
+                }
+            }
+        }
+        self.control.post(Event::Listed(Arc::new(Directory::new(endpoints))));
+    }
+
+    /// Takes snapshots from peers that know more, and drops objects that have lapsed.
+    pub async fn watch_lags(self: Rc<Follower>) {
+        loop {
+            time::sleep(LOOK_INTERVAL).await;
+            for kind in [Kind::Configuration, Kind::Endpoints] {
+                self.catch_up(kind).await;
+            }
+            let now = self.control.now();
+            if self.endpoints.borrow_mut().mirror.expire(now) {
+                self.adopt_endpoints();
+            }
+            self.control.client.sweep();
+        }
+    }
+
+    async fn catch_up(&self, kind: Kind) {
+        let now = self.control.now();
+        let ahead = self.copy(kind).borrow().ahead;
+        let Some((_, since, peer)) = ahead else { return };
+        let empty = !self.copy(kind).borrow().mirror.is_known();
+        if now.since(since) < LAG_LIMIT && !empty {
+            return;
+        }
+        self.copy(kind).borrow_mut().ahead = None;
+        match peers::pull(peer, kind).await {
+            Ok(snapshot) if snapshot.revision > 0 => self.take(kind, peer, snapshot),
+            Ok(_) => {}
+            Err(error) => log::debug!("no snapshot from {peer}: {error}"),
+        }
+    }
+
+    fn take(&self, kind: Kind, peer: SocketAddr, snapshot: Snapshot) {
+        if snapshot.revision <= self.copy(kind).borrow().mirror.revision() {
+            return;
+        }
+        let line = Record::new(record::SNAPSHOT_TAKEN)
+            .with("kind", kind.as_str())
+            .with("peer", peer.to_string())
+            .with("revision", snapshot.revision);
+        self.control.logger.write(&line);
+        let objects = snapshot.objects.into_iter().filter_map(|it| {
+            let value = serde_json::from_slice(&it.value).ok()?;
+            Some(Object { name: it.name.as_str().into(), revision: it.revision, value })
+        });
+        let now = self.control.now();
+        let objects = objects.collect();
+        let differs = self.copy(kind).borrow_mut().mirror.replace(now, objects, snapshot.revision);
+        self.adopt(kind, differs);
+    }
+
+    /// Enters this instance in the list of members and follows that list.
+    pub async fn join(self: Rc<Follower>, name: Name, address: SocketAddr, book: Rc<peers::Book>) {
+        let value = json!({ "address": address.to_string() });
+        let mut entered = false;
+        loop {
+            entered = entered || self.enter(&name, &value).await;
+            let listed = self.list_all(Kind::Members, entered).await;
+            if let Ok((members, _)) = &listed {
+                self.learn_members(members, &name, &book);
+            }
+            let done = entered && listed.is_ok();
+            time::sleep(if done { MEMBERS_INTERVAL } else { LONGEST_PAUSE }).await;
+        }
+    }
+
+    async fn enter(&self, name: &Name, value: &Value) -> bool {
+        let (kind, name, value) = (Kind::Members, name.clone(), value.clone());
+        match self.call(&Call::Create { kind, name: name.clone(), value: value.clone() }).await {
+            Ok(Answer::Object(_)) => true,
+            Ok(Answer::Conflict(_)) => {
+                let call = Call::Replace { kind, name, revision: None, value };
+                self.call(&call).await.is_ok()
+            }
+            _ => false,
+        }
+    }
+
+    fn learn_members(&self, members: &[Object], own: &Name, book: &peers::Book) {
+        for member in members.iter().filter(|it| it.name != *own) {
+            match member.value["address"].as_str().and_then(|it| it.parse().ok()) {
+                Some(address) => book.learn(&member.name, address),
+                None => {
+                    let line = Record::new(record::ENTRY_UNREADABLE).with("entry", &*member.name);
+                    self.control.logger.write(&line);
+                }
+            }
+        }
+        self.control.post(Event::Members(members.len()));
+    }
+
+    /// Takes this instance out of the list of members.
+    pub async fn leave(&self, name: Name) {
+        // One that stays listed is taken for silent by its peers.
+        let _ = self.call(&Call::Delete { kind: Kind::Members, name }).await;
+    }
+}
--- /dev/null
+++ b/crates/wire/src/message/beat.rs
@@ -0,0 +1,97 @@
+//! Beats, by which the gateways of a fleet tell one another what they run and know.
+
+/// What an instance says of itself to all peers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Beat {
+    /// Name of the sender.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Tells the sender's starts apart.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the beat, counted by the sender since its start.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Name of the sender's data centre.
+    #[prost(string, tag = "4")]
+    pub datacentre: String,
+    /// Whether the sender stops now and is no member any more.
+    #[prost(bool, tag = "5")]
+    pub leaves: bool,
+    /// Revision of the platform's store up to which the sender knows the configuration.
+    #[prost(uint64, tag = "6")]
+    pub configuration: u64,
+    /// Revision of the platform's store up to which the sender knows the endpoints.
+    #[prost(uint64, tag = "7")]
+    pub endpoints: u64,
+    /// What the sender has at endpoints.
+    #[prost(message, repeated, tag = "8")]
+    pub loads: Vec<Load>,
+    /// What the sender's teams have spent since its start.
+    #[prost(message, repeated, tag = "9")]
+    pub spent: Vec<Count>,
+    /// Requests that wait at the sender, by service.
+    #[prost(message, repeated, tag = "10")]
+    pub waiting: Vec<Count>,
+}
+
+/// What an instance has at one endpoint.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Load {
+    /// Name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Requests.
+    #[prost(uint32, tag = "2")]
+    pub runs: u32,
+    /// Engine memory that is held for them, in tokens.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+    /// Prompt tokens that are still to be computed.
+    #[prost(uint64, tag = "4")]
+    pub prompt: u64,
+}
+
+/// A count under a name.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Count {
+    /// The name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The count.
+    #[prost(uint64, tag = "2")]
+    pub count: u64,
+}
+
+/// The platform's objects of one kind, as an instance knows them.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Snapshot {
+    /// Revision of the store up to which they are known.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// The objects.
+    #[prost(message, repeated, tag = "2")]
+    pub objects: Vec<Object>,
+}
+
+/// An object of the platform.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Object {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Revision of its last change.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Its value, in JSON.
+    #[prost(bytes = "vec", tag = "3")]
+    pub value: Vec<u8>,
+}
+
+/// What an instance asks a peer for.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Pull {
+    /// Kind of objects.
+    #[prost(string, tag = "1")]
+    pub kind: String,
+}
