--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
-use siskinstile_core::error::{Failure, Ran};
+use siskinstile_core::error::{Failure, Kind, Ran};
 use siskinstile_macros::value;
 
 use crate::{
@@ -50,6 +50,8 @@
     pub lease: Duration,
     /// Time after a stop is asked for in which callers still come.
     pub drain: Duration,
+    /// Time between a signal to stop and the end of the process.
+    pub grace: Duration,
 }
 
 /// What the instance knows of its fleet.
@@ -197,9 +199,9 @@
     /// Ends a request with an error; the only place where one is given to a caller.
     fn fail(&mut self, now: Instant, id: request::Id, mut failure: Failure, reason: &'static str) {
         let Some(mut work) = self.work.swap_remove(&id) else { return };
+        work.may_have_run |= self.is_sent(&work);
         if work.may_have_run && failure.ran == Ran::No {
-            failure = Failure::not_run(siskinstile_core::error::Kind::OutcomeUnknown)
-                .with_ran(Ran::Unknown);
+            failure = Failure::not_run(Kind::OutcomeUnknown).with_ran(Ran::Unknown);
         }
         self.clean_up(now, &mut work);
         if failure.ran == Ran::No {
@@ -212,6 +214,13 @@
         self.emit(Effect::Fail { request: id, failure });
     }
 
+    /// Returns whether a run of a request is open, whose bytes may have left.
+    fn is_sent(&self, work: &Work) -> bool {
+        let runs =
+            |it: &call::Id| self.calls.get(it).is_some_and(|open| open.kind == work::Kind::Run);
+        work.calls.iter().any(runs)
+    }
+
     /// Gives back what a request that has not run has been charged.
     fn refund(&mut self, work: &Work) {
         if let Some(team) = &work.team {
@@ -222,6 +231,7 @@
     /// The caller has left: ends all that is done for it.
     fn caller_gone(&mut self, now: Instant, id: request::Id) {
         let Some(mut work) = self.work.swap_remove(&id) else { return };
+        work.may_have_run |= self.is_sent(&work);
         self.clean_up(now, &mut work);
         if !work.may_have_run {
             self.refund(&work);
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -18,6 +18,12 @@
 
 /// When a caller is to come back that came before a configuration was in force.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// When a caller is to come back that came to an instance that stops; others take it at once.
+const DRAINING_RETRY: Duration = Duration::from_millis(50);
+/// Time that a stream is given before the process stops.
+const STREAM_TIME: Duration = Duration::from_millis(4_800);
+/// Time that is left between the last answer and the end of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
 
 impl State {
     /// Takes a request that has arrived whole.
@@ -49,6 +55,7 @@
             return Err((Failure::not_run(Kind::NotFound), "no route"));
         };
         let team = team_of(&catalog, route, arrival)?;
+        self.check_drain(now, route)?;
         let service = catalog.service(route.service(arrival.id.0)).expect("routes are checked");
         let charged = self.charge(now, team.as_ref(), arrival)?;
         let wait = arrival.patience.map_or(route.timeout, |it| it.min(route.timeout));
@@ -79,6 +86,22 @@
         })
     }
 
+    /// Refuses a request that could not end before the process does.
+    fn check_drain(&self, now: Instant, route: &Route) -> Result<(), (Failure, &'static str)> {
+        let Some(since) = self.times.draining else { return Ok(()) };
+        let needs = match route.repeat {
+            Repeat::Stream { .. } => STREAM_TIME,
+            _ => route.timeout + STOP_MARGIN,
+        };
+        match now.since(since) + needs > self.settings.grace {
+            true => {
+                let failure = Failure::not_run(Kind::Draining).with_retry_after(DRAINING_RETRY);
+                Err((failure, "the instance stops"))
+            }
+            false => Ok(()),
+        }
+    }
+
     fn charge(
         &mut self,
         now: Instant,
--- /dev/null
+++ b/crates/gateway/tests/testsuite/drain.rs
@@ -0,0 +1,33 @@
+//! A planned stop.
+
+use rstest::rstest;
+use siskinstile_gateway::{Effect, Event};
+
+use crate::site::Site;
+
+/// A request that could not end before the process does is refused while it can be sent elsewhere.
+#[rstest]
+#[case::stream_early("/review/", 2_000, None)]
+#[case::stream_late("/review/", 6_900, Some(503))]
+#[case::plain_early("/issue/", 6_000, None)]
+#[case::plain_late("/issue/", 7_000, Some(503))]
+fn arrival_draining(#[case] prefix: &str, #[case] after_ms: u64, #[case] status: Option<u16>) {
+    let mut site = Site::open();
+    site.send("/review/");
+    site.post(Event::Drain);
+    site.pass(after_ms);
+    site.calls();
+    let id = site.send(prefix);
+    assert_eq!(site.failure(id).map(|it| it.0), status);
+}
+
+#[test]
+fn stopped_idle() {
+    let mut site = Site::open();
+    site.post(Event::Drain);
+    assert!(!site.state.is_ready());
+    site.pass(3_000);
+    assert!(!site.effects.contains(&Effect::Stopped));
+    site.pass(1_000);
+    assert!(site.effects.contains(&Effect::Stopped));
+}
--- /dev/null
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the gateway's decisions; no clock, no network.
+
+mod drain;
+mod outcome;
+mod site;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -0,0 +1,223 @@
+//! A small deployment with one gateway under test.
+
+use std::{sync::Arc, time::Duration};
+
+use siskinstile_gateway::{
+    Catalog, Directory, Effect, Event, Instant, Name, State,
+    budget::Bound,
+    call::{self, Outcome, Report, Step},
+    catalog::{Draft, Engine, Limits, Quota, Repeat, Route, Service, Split, Team},
+    directory::{Endpoint, Readiness, Stage},
+    effect::Call,
+    request::{Arrival, Id, Tokens},
+    state::Settings,
+};
+
+/// Host of all routes.
+const HOST: &str = "board.example";
+
+/// A gateway with two prefill, two decode and two plain endpoints.
+pub(crate) struct Site {
+    pub(crate) state: State,
+    pub(crate) now: Instant,
+    pub(crate) effects: Vec<Effect>,
+    next: u64,
+}
+
+impl Site {
+    /// Starts the gateway with a configuration and a list of endpoints.
+    pub(crate) fn open() -> Site {
+        let mut site = Site::bare();
+        site.post(Event::Configured(Arc::new(catalog(1))));
+        site.post(Event::Listed(Arc::new(Directory::new(endpoints()))));
+        site
+    }
+
+    /// Starts the gateway without a configuration.
+    pub(crate) fn bare() -> Site {
+        let state = State::new(Settings {
+            name: "one".into(),
+            incarnation: 1,
+            datacentre: "north".into(),
+            first_start: true,
+            retries: Bound { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) },
+            lease: Duration::from_secs(3),
+            drain: Duration::from_millis(3_500),
+            grace: Duration::from_secs(8),
+        });
+        Site { state, now: Instant::from_millis(1_000), effects: Vec::new(), next: 0 }
+    }
+
+    /// Hands an event to the gateway and keeps its effects.
+    pub(crate) fn post(&mut self, event: Event) {
+        self.effects.extend(self.state.step(self.now, event));
+    }
+
+    /// Lets time pass, step by step as the gateway asks for it.
+    pub(crate) fn pass(&mut self, ms: u64) {
+        let end = self.now + Duration::from_millis(ms);
+        while self.state.wake() < end {
+            self.now = self.state.wake().max(self.now);
+            self.post(Event::Tick);
+        }
+        self.now = end;
+        self.post(Event::Tick);
+    }
+
+    /// Sends a request under a route's prefix.
+    pub(crate) fn send(&mut self, prefix: &str) -> Id {
+        self.next += 1;
+        let id = Id(self.next);
+        self.post(Event::Arrival(Arrival {
+            id,
+            trace: format!("request-{}", self.next).into(),
+            host: HOST.into(),
+            path: format!("{prefix}1").into(),
+            key: Some("key-a".into()),
+            tokens: (prefix.contains("review")).then_some(Tokens { prompt: 5_000, output: 200 }),
+            patience: None,
+            last_event: None,
+        }));
+        id
+    }
+
+    /// Returns the calls made since the last look.
+    pub(crate) fn calls(&mut self) -> Vec<Call> {
+        let mut calls = Vec::new();
+        self.effects.retain(|effect| match effect {
+            Effect::Call(call) => {
+                calls.push(call.clone());
+                false
+            }
+            _ => true,
+        });
+        calls
+    }
+
+    /// Returns the only call made since the last look.
+    pub(crate) fn call(&mut self) -> Call {
+        let calls = self.calls();
+        assert_eq!(calls.len(), 1, "{calls:?}");
+        calls[0].clone()
+    }
+
+    /// Reports what became of a call.
+    pub(crate) fn report(&mut self, call: call::Id, outcome: Outcome) {
+        self.post(Event::Report(Report { call, outcome, load: None }));
+    }
+
+    /// Returns the status and the hint on when to come back that a request ended with.
+    pub(crate) fn failure(&self, id: Id) -> Option<(u16, Option<Duration>)> {
+        self.effects.iter().find_map(|effect| match effect {
+            Effect::Fail { request, failure } if *request == id => {
+                Some((failure.kind.row().status, failure.retry_after))
+            }
+            _ => None,
+        })
+    }
+
+    /// Takes a generation as far as the run at the decode engine; returns that call.
+    pub(crate) fn run_generation(&mut self) -> Call {
+        let hold = self.call();
+        assert!(matches!(hold.step, Step::Hold { .. }), "{hold:?}");
+        self.report(hold.id, Outcome::Held { hold: "h1".into() });
+        let prefill = self.call();
+        assert_eq!(prefill.step, Step::Prefill);
+        self.report(prefill.id, Outcome::Computed { handle: "kv1".into(), tokens: 5_000 });
+        self.call()
+    }
+}
+
+/// Returns a broken outcome.
+pub(crate) fn broken(sent: bool) -> Outcome {
+    Outcome::Broken { sent, silent: false, last_event: None, cause: "test" }
+}
+
+/// Returns a configuration.
+pub(crate) fn catalog(version: u64) -> Catalog {
+    Catalog::check(draft(version)).expect("the draft is sound")
+}
+
+/// Returns the draft of a configuration.
+pub(crate) fn draft(version: u64) -> Draft {
+    let stream = |resumable| Repeat::Stream { resumable };
+    Draft {
+        version,
+        routes: vec![
+            route("/review/", stream(false), "model", 1),
+            route("/review-again/", stream(true), "model", 2),
+            route("/issue/", Repeat::Once, "registry", 1),
+            route("/lookup/", Repeat::Idempotent, "registry", 2),
+        ],
+        services: vec![
+            Service {
+                name: "model".into(),
+                connection_limit: 360,
+                engine: Some(Engine {
+                    slots: 64,
+                    memory_tokens: 20_800,
+                    hold_limit: Duration::from_secs(2),
+                    handle_retention: Duration::from_millis(500),
+                    reconfigure: Duration::from_secs(6),
+                }),
+            },
+            Service { name: "registry".into(), connection_limit: 96, engine: None },
+        ],
+        teams: vec![Team {
+            name: "a".into(),
+            keys: vec!["key-a".into()],
+            priority: None,
+            quota: Some(Quota { rate: 60_000, burst: 60_000, in_tokens: true, plain_tokens: 200 }),
+        }],
+        limits: Limits {
+            head_bytes: 16_384,
+            body_bytes: 4 << 20,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+fn route(prefix: &str, repeat: Repeat, service: &str, attempts: u32) -> Route {
+    let streams = matches!(repeat, Repeat::Stream { .. });
+    Route {
+        name: prefix.trim_matches('/').into(),
+        host: HOST.into(),
+        prefix: prefix.into(),
+        repeat,
+        timeout: Duration::from_millis(if streams { 14_000 } else { 800 }),
+        target: Duration::from_millis(if streams { 900 } else { 300 }),
+        gap: streams.then(|| Duration::from_millis(300)),
+        attempts,
+        priority: 1,
+        open: false,
+        splits: vec![Split { service: service.into(), weight: 1 }],
+    }
+}
+
+/// Returns the endpoints.
+pub(crate) fn endpoints() -> Vec<Endpoint> {
+    vec![
+        endpoint("p1", "model", "north", Some(Stage::Prefill)),
+        endpoint("p2", "model", "south", Some(Stage::Prefill)),
+        endpoint("d1", "model", "north", Some(Stage::Decode)),
+        endpoint("d2", "model", "south", Some(Stage::Decode)),
+        endpoint("r1", "registry", "north", None),
+        endpoint("r2", "registry", "south", None),
+    ]
+}
+
+fn endpoint(id: &str, service: &str, datacentre: &str, stage: Option<Stage>) -> Endpoint {
+    let port = id.bytes().map(u16::from).sum::<u16>();
+    Endpoint {
+        id: Name::from(id),
+        service: service.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        datacentre: datacentre.into(),
+        readiness: Readiness::Ready,
+        stage,
+        slots: 6,
+        born: None,
+        orders: 0,
+    }
+}
--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -9,7 +9,7 @@
 use siskinstile_gateway::{Effect, Event, Instant, State};
 use siskinstile_wire::message::beat::Beat;
 use tokio::{
-    sync::{Notify, mpsc},
+    sync::{Notify, mpsc, watch},
     time,
 };
 
@@ -36,6 +36,7 @@
     woken: Notify,
     beats: mpsc::UnboundedSender<Beat>,
     stopped: Notify,
+    draining: watch::Sender<bool>,
 }
 
 impl Control {
@@ -60,6 +61,7 @@
             woken: Notify::new(),
             beats,
             stopped: Notify::new(),
+            draining: watch::Sender::new(false),
         })
     }
 
@@ -101,6 +103,19 @@
         }
     }
 
+    /// Begins to stop: callers' connections close once they are idle.
+    pub fn drain(self: &Rc<Control>) {
+        self.post(Event::Drain);
+        self.draining.send_replace(true);
+    }
+
+    /// Waits until the process stops.
+    pub async fn draining(&self) {
+        let mut draining = self.draining.subscribe();
+        // The sender lives as long as this.
+        let _ = draining.wait_for(|it| *it).await;
+    }
+
     /// Waits until nothing is left to do after a drain.
     pub async fn stopped(&self) {
         self.stopped.notified().await;
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context as _;
 use siskinstile_gateway::{
-    Event, State,
+    State,
     record::{self, Record},
     state,
 };
@@ -56,6 +56,7 @@
             retries: settings.retries.clone(),
             lease: settings.lease,
             drain: DRAIN,
+            grace: settings.grace,
         });
         let (sender, beats) = mpsc::unbounded_channel();
         let control = Control::new(protocol, state, clock, logger, sender);
@@ -124,7 +125,7 @@
 
     /// Stops gracefully: open requests end whole, within the grace period.
     pub async fn drain(&self) {
-        self.control.post(Event::Drain);
+        self.control.drain();
         let limit = self.settings.grace.saturating_sub(STOP_MARGIN);
         if time::timeout(limit, self.control.stopped()).await.is_err() {
             let open = self.control.read(State::open_requests);
--- a/crates/gatewayd/src/door.rs
+++ b/crates/gatewayd/src/door.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::Cell,
     convert::Infallible,
-    pin::Pin,
+    pin::{Pin, pin},
     rc::Rc,
     task::{Context, Poll},
     time::{Duration, Instant},
@@ -74,10 +74,11 @@
         log::debug!("socket option not set: {error}");
     }
     let limits = limits(&control);
-    let service = service_fn(|request: Request<Incoming>| {
+    let shared = control.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         next.set(next.get() + 1);
         let id = gateway::Id(next.get());
-        let control = control.clone();
+        let control = shared.clone();
         async move { Ok::<_, Infallible>(handle(control, id, request).await) }
     });
     let mut server = http1::Builder::new();
@@ -85,7 +86,15 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER));
-    if let Err(error) = server.serve_connection(TokioIo::new(stream), service).await {
+    let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = control.draining() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         log::debug!("caller's connection ended: {error}");
     }
 }
