Foresee a prompt's time by a line over its length

Cause: one rate through the origin took 120 ms of every prompt for work, so backlogs were overrated by 2.4 and work went to other data centres.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -103,7 +103,7 @@
             fit && !self.health.rests(self.now, &it.id) && !avoid.contains(&it.id)
         };
         let cost = |it: &&Arc<Endpoint>| {
-            let backlog = self.forecast.prompt_ms(self.loads.total(&it.id).prompt);
+            let backlog = self.forecast.busy_ms(self.loads.total(&it.id).prompt);
             self.common_cost(it, datacentre) + backlog
         };
         let all = self.endpoints.iter().filter(usable);
--- a/crates/gateway/src/engine/forecast.rs
+++ b/crates/gateway/src/engine/forecast.rs
@@ -6,8 +6,14 @@
 
 /// Weight of a new sample in a mean.
 const SAMPLE: f64 = 0.1;
-/// Prompt tokens that an engine computes in a millisecond, before any was seen.
-const PROMPT_TOKENS_PER_MS: f64 = 50.0;
+/// Weight that older prompts keep with each new one.
+const MEMORY: f64 = 0.98;
+/// Time for each token of a prompt, in milliseconds, before any prompt was seen.
+const FIRST_TOKEN_MS: f64 = 0.02;
+/// Time for any prompt besides, in milliseconds, before any was seen.
+const FIRST_PROMPT_MS: f64 = 50.0;
+/// Prompts of different lengths that have to be seen before the line through them counts.
+const LEAST_PROMPTS: f64 = 6.0;
 /// Time that a request stays at a decode engine, before any was seen.
 const STAY: Duration = Duration::from_secs(3);
 /// Shortest time that is waited for a computed prompt.
@@ -15,29 +21,64 @@
 /// Factor between the time expected for a prompt and the limit on it.
 const PROMPT_LIMIT_FACTOR: f64 = 3.0;
 
-/// Means over the requests that this instance has seen.
+/// The line through the prompts that were seen: time over length.
+#[value(default)]
+struct Line {
+    weight: f64,
+    tokens: f64,
+    ms: f64,
+    tokens_squared: f64,
+    tokens_ms: f64,
+}
+
+impl Line {
+    fn add(&mut self, tokens: f64, ms: f64) {
+        for sum in [
+            &mut self.weight,
+            &mut self.tokens,
+            &mut self.ms,
+            &mut self.tokens_squared,
+            &mut self.tokens_ms,
+        ] {
+            *sum *= MEMORY;
+        }
+        self.weight += 1.0;
+        self.tokens += tokens;
+        self.ms += ms;
+        self.tokens_squared += tokens * tokens;
+        self.tokens_ms += tokens * ms;
+    }
+
+    /// Returns the time for a prompt of no length and for each token, in milliseconds.
+    fn fit(&self) -> (f64, f64) {
+        let spread = self.weight * self.tokens_squared - self.tokens * self.tokens;
+        if self.weight < LEAST_PROMPTS || spread <= 0.0 {
+            return (FIRST_PROMPT_MS, FIRST_TOKEN_MS);
+        }
+        let slope = (self.weight * self.tokens_ms - self.tokens * self.ms) / spread;
+        let slope = slope.clamp(FIRST_TOKEN_MS / 10.0, FIRST_TOKEN_MS * 10.0);
+        let base = (self.ms - slope * self.tokens) / self.weight;
+        (base.max(0.0), slope)
+    }
+}
+
+/// What has been learnt from the requests that this instance has seen.
 #[value]
 pub struct Forecast {
-    prompt_tokens_per_ms: f64,
+    prompts: Line,
     stay_ms: f64,
 }
 
 impl Default for Forecast {
     fn default() -> Forecast {
-        Forecast {
-            prompt_tokens_per_ms: PROMPT_TOKENS_PER_MS,
-            stay_ms: STAY.as_secs_f64() * 1_000.0,
-        }
+        Forecast { prompts: Line::default(), stay_ms: STAY.as_secs_f64() * 1_000.0 }
     }
 }
 
 impl Forecast {
     /// Notes how long a prompt took on an engine that had nothing else to compute.
     pub fn prompt_seen(&mut self, tokens: u64, took: Duration) {
-        let ms = took.as_secs_f64() * 1_000.0;
-        if ms > 0.0 {
-            self.prompt_tokens_per_ms += (tokens as f64 / ms - self.prompt_tokens_per_ms) * SAMPLE;
-        }
+        self.prompts.add(tokens as f64, took.as_secs_f64() * 1_000.0);
     }
 
     /// Notes how long a request stayed at a decode engine.
@@ -45,9 +86,14 @@
         self.stay_ms += (took.as_secs_f64() * 1_000.0 - self.stay_ms) * SAMPLE;
     }
 
-    /// Returns the time that prompt tokens take, in milliseconds.
+    /// Returns the time for which prompt tokens keep an engine busy, in milliseconds.
+    pub fn busy_ms(&self, tokens: u64) -> f64 {
+        tokens as f64 * self.prompts.fit().1
+    }
+
+    /// Returns the time until a prompt is computed by an idle engine, in milliseconds.
     pub fn prompt_ms(&self, tokens: u64) -> f64 {
-        tokens as f64 / self.prompt_tokens_per_ms
+        self.prompts.fit().0 + self.busy_ms(tokens)
     }
 
     /// Returns how long a computed prompt is waited for, behind others that amount to `backlog` tokens.
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -13,7 +13,7 @@
 
 use super::{
     State,
-    work::{Phase, Work},
+    work::{Phase, Times, Work},
 };
 
 /// When a caller is to come back that came before a configuration was in force.
@@ -82,7 +82,7 @@
             relaying: None,
             spare: None,
             hedge_at: None,
-            first: None,
+            times: Times::default(),
         })
     }
 
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -164,6 +164,7 @@
         let Some(place) = &mut work.place else { return };
         place.hold = Some(hold);
         let decode = place.endpoint.clone();
+        work.times.placed = Some(now);
         let prefill = work.prefill.clone().filter(|_| work.may_prefill());
         let line = work
             .record(record::PLACED, now)
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -115,6 +115,7 @@
             forecast.prompt_seen(tokens, now.since(open.begun));
         }
         let handle = call::Handle { at: open.endpoint.address, name: handle };
+        work.times.computed = Some(now);
         work.prompt = Some(Prompt { endpoint: open.endpoint.clone(), handle: handle.clone() });
         self.run(now, id, Some(handle));
     }
@@ -131,7 +132,7 @@
 
     fn first_event(&mut self, now: Instant, id: request::Id) {
         let Some(work) = self.work.get_mut(&id) else { return };
-        work.first.get_or_insert(now);
+        work.times.first.get_or_insert(now);
         let call = work.calls.last().copied();
         if let Some(open) = call.and_then(|it| self.calls.get_mut(&it)) {
             open.limit = None;
@@ -145,8 +146,14 @@
             forecast.stay_seen(now.since(place.since));
         }
         self.clean_up(now, &mut work);
-        let first = work.first.map(|it| it.since(work.arrived).as_millis() as u64);
-        let line = work.record(record::ANSWERED, now).with("first_ms", first);
+        let line = work.record(record::ANSWERED, now);
+        let after = |at: Option<Instant>| at.map(|it| it.since(work.arrived).as_millis() as u64);
+        let line = line
+            .with("prompt_tokens", work.tokens.map(|it| it.prompt))
+            .with("output_tokens", work.tokens.map(|it| it.output))
+            .with("placed_ms", after(work.times.placed))
+            .with("computed_ms", after(work.times.computed))
+            .with("first_ms", after(work.times.first));
         self.log(line);
         self.emit(Effect::Finish(id));
     }
--- a/crates/gateway/src/state/work.rs
+++ b/crates/gateway/src/state/work.rs
@@ -86,7 +86,18 @@
     pub(super) spare: Option<call::Id>,
     /// When an idempotent request is sent to a second endpoint as well.
     pub(super) hedge_at: Option<Instant>,
-    /// When its first event or whole answer came.
+    /// Moments on its way, for the log.
+    pub(super) times: Times,
+}
+
+/// When a request reached the steps of its way.
+#[value(default)]
+pub(super) struct Times {
+    /// It got a place at a decode engine.
+    pub(super) placed: Option<Instant>,
+    /// Its prompt was computed.
+    pub(super) computed: Option<Instant>,
+    /// The first event of its stream was relayed.
     pub(super) first: Option<Instant>,
 }
 
