Change engines' stages by demand, under a lease

The first by name of the instances that hear one another holds a lease on the store and orders one engine at a time, by the demand of what callers ask for.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -78,6 +78,8 @@
         /// Where a stream goes on.
         start: Start,
     },
+    /// Asks an engine what it does.
+    Inspect,
     /// Changes what an engine does.
     Order(Order),
 }
@@ -110,7 +112,19 @@
     /// The first event of a stream has been relayed.
     First,
     /// The whole answer has been relayed.
-    Ended,
+    Ended {
+        /// Number of its events.
+        events: u64,
+    },
+    /// What an engine says that it does.
+    Inspected {
+        /// What it does.
+        stage: Stage,
+        /// Number of orders that it has accepted since its start.
+        orders: u64,
+        /// Whether it is carrying out an order.
+        busy: bool,
+    },
     /// The endpoint has done what was asked, and nothing is to be relayed.
     Done,
     /// The endpoint says that it has not run the request and never will.
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -86,6 +86,8 @@
     pub slots: u32,
     /// Memory of one engine, in tokens.
     pub memory_tokens: u64,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u64,
     /// Longest time for which a place can be held.
     pub hold_limit: Duration,
     /// Time for which a computed prompt is kept.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -44,8 +44,6 @@
     pub slots: u32,
     /// Wall-clock time of its start, in milliseconds; tells incarnations under one name apart.
     pub born: Option<u64>,
-    /// Number of orders that it has accepted, as listed.
-    pub orders: u64,
 }
 
 impl Endpoint {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -2,6 +2,7 @@
 
 mod forecast;
 mod queue;
+mod split;
 
 use std::sync::Arc;
 
@@ -9,6 +10,7 @@
 
 pub use forecast::Forecast;
 pub use queue::{Queue, Waiting};
+pub use split::Demand;
 
 use crate::{
     Instant, Name,
@@ -56,6 +58,8 @@
     pub datacentre: &'a str,
     /// Data centres that have instances, none of which is heard of.
     pub dark: &'a [Name],
+    /// Engines that are changing their stage.
+    pub turning: &'a [Name],
     /// What has been learnt of the engines' speed.
     pub forecast: &'a Forecast,
 }
@@ -85,9 +89,8 @@
         let fits = |it: &&Arc<Endpoint>| {
             let load = self.loads.total(&it.id);
             let room = load.tokens + need <= self.engine.memory_tokens;
-            let usable =
-                !self.health.rests(self.now, &it.id) && !self.health.is_full(self.now, &it.id);
-            room && load.runs < self.engine.slots && usable && !avoid.contains(&it.id)
+            let free = load.runs < self.engine.slots && !self.health.is_full(self.now, &it.id);
+            room && free && self.is_usable(it) && !avoid.contains(&it.id)
         };
         let cost = |it: &&Arc<Endpoint>| self.common_cost(it, self.datacentre) + self.fullness(it);
         self.decodes().filter(fits).min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
@@ -102,7 +105,7 @@
     pub fn prefill(&self, datacentre: &str, avoid: &[Name]) -> Option<Arc<Endpoint>> {
         let usable = |it: &&Arc<Endpoint>| {
             let fit = it.is_ready() && it.stage == Some(Stage::Prefill);
-            fit && !self.health.rests(self.now, &it.id) && !avoid.contains(&it.id)
+            fit && self.is_usable(it) && !avoid.contains(&it.id)
         };
         let cost = |it: &&Arc<Endpoint>| {
             let backlog = self.forecast.busy_ms(self.loads.total(&it.id).prompt);
@@ -112,6 +115,10 @@
         all.min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
     }
 
+    fn is_usable(&self, endpoint: &Endpoint) -> bool {
+        !self.health.rests(self.now, &endpoint.id) && !self.turning.contains(&endpoint.id)
+    }
+
     fn common_cost(&self, endpoint: &Endpoint, near: &str) -> f64 {
         let far = if &*endpoint.datacentre == near { 0.0 } else { FAR_COST_MS };
         let dark = if self.dark.contains(&endpoint.datacentre) { DARK_COST_MS } else { 0.0 };
--- a/crates/gateway/src/engine/forecast.rs
+++ b/crates/gateway/src/engine/forecast.rs
@@ -4,6 +4,9 @@
 
 use siskinstile_macros::value;
 
+use super::split::Demand;
+use crate::request::Tokens;
+
 /// Weight of a new sample in a mean.
 const SAMPLE: f64 = 0.1;
 /// Weight that older prompts keep with each new one.
@@ -13,9 +16,13 @@
 /// Time for any prompt besides, in milliseconds, before any was seen.
 const FIRST_PROMPT_MS: f64 = 50.0;
 /// Prompts of different lengths that have to be seen before the line through them counts.
-const LEAST_PROMPTS: f64 = 6.0;
+const LEAST_PROMPTS: f64 = 8.0;
 /// Time that a request stays at a decode engine, before any was seen.
 const STAY: Duration = Duration::from_secs(3);
+/// Requests that have to arrive before their mean counts.
+const LEAST_ASKED: u32 = 8;
+/// Streams that have to end before their mean counts.
+const LEAST_STREAMS: u32 = 3;
 /// Shortest time that is waited for a computed prompt.
 const PROMPT_LIMIT_FLOOR: Duration = Duration::from_millis(500);
 /// Factor between the time expected for a prompt and the limit on it.
@@ -62,20 +69,53 @@
     }
 }
 
+/// Means over the requests that have arrived; what they ask for does not depend on how they end.
+#[value(default)]
+struct Asked {
+    requests: u32,
+    prompt_tokens: f64,
+    output_tokens: f64,
+}
+
+impl Asked {
+    fn add(&mut self, tokens: Tokens) {
+        self.requests += 1;
+        let weight = SAMPLE.max(1.0 / f64::from(self.requests));
+        let output = tokens.likely() - tokens.prompt;
+        self.prompt_tokens += (tokens.prompt as f64 - self.prompt_tokens) * weight;
+        self.output_tokens += (output as f64 - self.output_tokens) * weight;
+    }
+}
+
 /// What has been learnt from the requests that this instance has seen.
 #[value]
 pub struct Forecast {
     prompts: Line,
+    asked: Asked,
     stay_ms: f64,
+    /// Time for each generated token, in milliseconds, and the number of streams it was seen on.
+    token_ms: f64,
+    streams: u32,
 }
 
 impl Default for Forecast {
     fn default() -> Forecast {
-        Forecast { prompts: Line::default(), stay_ms: STAY.as_secs_f64() * 1_000.0 }
+        Forecast {
+            prompts: Line::default(),
+            asked: Asked::default(),
+            stay_ms: STAY.as_secs_f64() * 1_000.0,
+            token_ms: 0.0,
+            streams: 0,
+        }
     }
 }
 
 impl Forecast {
+    /// Notes what a request asks for.
+    pub fn asked(&mut self, tokens: Tokens) {
+        self.asked.add(tokens);
+    }
+
     /// Notes how long a prompt took on an engine that had nothing else to compute.
     pub fn prompt_seen(&mut self, tokens: u64, took: Duration) {
         self.prompts.add(tokens as f64, took.as_secs_f64() * 1_000.0);
@@ -86,6 +126,30 @@
         self.stay_ms += (took.as_secs_f64() * 1_000.0 - self.stay_ms) * SAMPLE;
     }
 
+    /// Notes how long the tokens of a stream took after its first event.
+    pub fn stream_seen(&mut self, tokens: u64, took: Duration) {
+        if tokens == 0 {
+            return;
+        }
+        self.streams += 1;
+        let weight = SAMPLE.max(1.0 / f64::from(self.streams));
+        let each = took.as_secs_f64() * 1_000.0 / tokens as f64;
+        self.token_ms += (each - self.token_ms) * weight;
+    }
+
+    /// Returns what a mean request takes of engines with the given memory, once enough were seen.
+    pub fn demand(&self, memory_tokens: u64) -> Option<Demand> {
+        let Asked { requests, prompt_tokens, output_tokens } = self.asked;
+        let known = requests >= LEAST_ASKED
+            && self.streams >= LEAST_STREAMS
+            && self.prompts.weight >= LEAST_PROMPTS;
+        known.then(|| Demand {
+            prompt_ms: self.busy_ms(prompt_tokens as u64),
+            stay_ms: self.prompt_ms(prompt_tokens as u64) + output_tokens * self.token_ms,
+            memory: (prompt_tokens + output_tokens) / memory_tokens.max(1) as f64,
+        })
+    }
+
     /// Returns the time for which prompt tokens keep an engine busy, in milliseconds.
     pub fn busy_ms(&self, tokens: u64) -> f64 {
         tokens as f64 * self.prompts.fit().1
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -5,7 +5,7 @@
 use siskinstile_macros::value;
 use siskinstile_wire::message::beat::Beat;
 
-use crate::{Catalog, Directory, call, request};
+use crate::{Catalog, Directory, Instant, call, request};
 
 /// Something that happened.
 #[value]
@@ -26,6 +26,17 @@
     Report(call::Report),
     /// A beat of another instance has arrived.
     Beat(Beat),
+    /// This instance holds the lease for orders, or holds it no more.
+    Lease(Option<Lease>),
     /// The instance is to stop gracefully.
     Drain,
 }
+
+/// The right to give orders.
+#[value(eq)]
+pub struct Lease {
+    /// Fencing token.
+    pub token: u64,
+    /// When the right ends.
+    pub until: Instant,
+}
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -15,6 +15,8 @@
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weight of a new answer in the mean of failures.
 const SAMPLE: f64 = 0.25;
+/// Rest of an endpoint that does not do now what was asked for.
+const UNWILLING_REST: Duration = Duration::from_millis(1_500);
 /// Time for which an endpoint that said it is full gets nothing.
 const FULL_REST: Duration = Duration::from_millis(60);
 
@@ -29,6 +31,8 @@
     Silent,
     /// The endpoint said that it has no room.
     Full,
+    /// The endpoint said that it does not do what was asked for now.
+    Unwilling,
 }
 
 /// The record of one endpoint.
@@ -70,6 +74,7 @@
                 record.sample(now, 0.0);
             }
             Sign::Bad => record.sample(now, 1.0),
+            Sign::Unwilling => record.resting_until = now + UNWILLING_REST,
             Sign::Full => record.full_until = now + FULL_REST,
             Sign::Silent => {
                 record.sample(now, 1.0);
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -27,6 +27,8 @@
     pub heard: Instant,
     /// Requests that wait there, by service.
     pub waiting: IndexMap<Name, u32>,
+    /// Engines that it has ordered to change their stage.
+    pub turning: Vec<Name>,
 }
 
 /// The peers that have been heard of.
@@ -60,7 +62,9 @@
 
     /// Removes a peer that says that it stops.
     pub fn remove(&mut self, name: &str) -> Option<Peer> {
-        self.peers.swap_remove(name)
+        let peer = self.peers.swap_remove(name)?;
+        self.listed = self.listed.saturating_sub(1);
+        Some(peer)
     }
 
     /// Sets the number of members that the platform lists, this instance included.
@@ -78,6 +82,11 @@
         self.peers.is_empty()
     }
 
+    /// Returns the peers that are heard of, by name.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = &Name> {
+        self.peers.iter().filter(move |(_, it)| now.since(it.heard) < SILENCE).map(|(name, _)| name)
+    }
+
     /// Returns the part of the members that is heard of, this instance included.
     pub fn reach(&self, now: Instant) -> f64 {
         let heard = self.peers.values().filter(|it| now.since(it.heard) < SILENCE).count();
@@ -96,6 +105,11 @@
         heard.filter_map(|it| it.waiting.get(service)).sum()
     }
 
+    /// Returns the engines that peers have ordered to change their stage.
+    pub fn turning(&self) -> impl Iterator<Item = &Name> {
+        self.peers.values().flat_map(|it| &it.turning)
+    }
+
     /// Returns what has become of silent peers since the last call, a time `before` ago.
     pub fn expire(&mut self, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod engine;
 mod fleet;
+mod orders;
 mod plain;
 mod reports;
 mod work;
@@ -87,6 +88,7 @@
     work: IndexMap<request::Id, Work>,
     calls: IndexMap<call::Id, Open>,
     next_call: u64,
+    planner: orders::Planner,
     stopped: bool,
     effects: Vec<Effect>,
 }
@@ -117,6 +119,7 @@
             work: IndexMap::new(),
             calls: IndexMap::new(),
             next_call: 0,
+            planner: orders::Planner::default(),
             stopped: false,
             effects: Vec::new(),
         }
@@ -127,12 +130,13 @@
         match event {
             Event::Tick => {}
             Event::Configured(catalog) => self.configured(now, catalog),
-            Event::Listed(directory) => self.listed(directory),
+            Event::Listed(directory) => self.listed(now, directory),
             Event::Members(listed) => self.fleet.members.set_listed(listed),
             Event::Arrival(arrival) => self.arrive(now, arrival),
             Event::Gone(request) => self.caller_gone(now, request),
             Event::Report(report) => self.report(now, report),
             Event::Beat(beat) => self.beat_heard(now, beat),
+            Event::Lease(lease) => self.lease_changed(lease),
             Event::Drain => self.drain(now),
         }
         self.pass_time(now);
@@ -172,12 +176,13 @@
         self.catalog = Some(catalog);
     }
 
-    fn listed(&mut self, directory: Arc<Directory>) {
+    fn listed(&mut self, now: Instant, directory: Arc<Directory>) {
         let ready = directory.iter().filter(|it| it.is_ready()).count();
         let line = Record::new(record::LISTED).with("endpoints", directory.iter().count());
         self.log(line.with("ready", ready));
         self.fleet.health.retain(|id| directory.get(id).is_some());
         self.fleet.said.retain(|id, _| directory.get(id).is_some());
+        self.planner.listed(now, &directory);
         self.directory = directory;
     }
 
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -125,6 +125,9 @@
         let streams = matches!(work.route.repeat, Repeat::Stream { .. });
         let generates = streams && service.engine.is_some() && work.tokens.is_some();
         self.fleet.budgets.entry(service.name.clone()).or_default().request(now);
+        if let Some(tokens) = work.tokens.filter(|_| generates) {
+            self.fleet.forecasts.entry(service.name.clone()).or_default().asked(tokens);
+        }
         self.work.insert(id, work);
         match generates {
             true => self.enqueue(now, id),
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -23,6 +23,7 @@
         self.time_out(now);
         self.refuse_overdue(now);
         self.hedge(now);
+        self.plan_orders(now);
         self.stop_when_idle(now);
     }
 
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -89,6 +89,8 @@
         let engine = work.service.engine.as_ref()?;
         let forecast = self.fleet.forecasts.get(&work.service.name).cloned().unwrap_or_default();
         let dark = self.dark(now, &work.service.name);
+        let turning: Vec<Name> =
+            self.fleet.members.turning().chain(self.planner.turning()).cloned().collect();
         decide(View {
             now,
             endpoints: self.directory.of(&work.service.name),
@@ -97,6 +99,7 @@
             health: &self.fleet.health,
             datacentre: &self.settings.datacentre,
             dark: &dark,
+            turning: &turning,
             forecast: &forecast,
         })
     }
@@ -240,6 +243,18 @@
         }
     }
 
+    /// A prefill engine does not compute prompts now: another one is asked.
+    pub(super) fn prefill_refused(&mut self, now: Instant, id: request::Id) {
+        let Some(work) = self.work.get(&id) else { return };
+        let decode = work.place.as_ref().map(|it| it.endpoint.datacentre.clone());
+        let near = decode.unwrap_or_else(|| self.settings.datacentre.clone());
+        let other = self.view(now, work, |view| view.prefill(&near, &[]));
+        match other {
+            Some(other) if self.take_retry(now, id) => self.prefill(now, id, other),
+            _ => self.prefill_failed(now, id),
+        }
+    }
+
     /// A prompt was not computed: the decode engine computes it.
     pub(super) fn prefill_failed(&mut self, now: Instant, id: request::Id) {
         if let Some(work) = self.work.get_mut(&id) {
@@ -252,8 +267,13 @@
     pub(super) fn run_refused(&mut self, now: Instant, id: request::Id) {
         let Some(work) = self.work.get_mut(&id) else { return };
         let had_prompt = work.prompt.is_some();
-        if let Some(prompt) = work.prompt.take() {
-            self.fleet.health.note(now, &prompt.endpoint.id, Sign::Bad);
+        // The engine that keeps the prompt is to blame first, the one that should run then.
+        match (work.prompt.take(), &work.place) {
+            (Some(prompt), _) => self.fleet.health.note(now, &prompt.endpoint.id, Sign::Bad),
+            (None, Some(place)) => {
+                self.fleet.health.note(now, &place.endpoint.id, Sign::Unwilling);
+            }
+            (None, None) => {}
         }
         let may_again = had_prompt && self.take_retry(now, id);
         let Some(work) = self.work.get_mut(&id) else { return };
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -43,6 +43,7 @@
             datacentre: beat.datacentre.as_str().into(),
             heard: now,
             waiting: waiting.collect(),
+            turning: beat.turning.iter().map(|it| it.as_str().into()).collect(),
         };
         let old = self.fleet.members.hear(name.clone(), peer);
         if let Some(old) = old.as_ref().filter(|it| it.incarnation != beat.incarnation) {
@@ -118,6 +119,7 @@
             loads: loads.collect(),
             spent: spent.map(|(name, count)| named(name, *count)).collect(),
             waiting: waiting.into_iter().map(|(name, count)| named(name, count)).collect(),
+            turning: self.planner.turning().iter().map(|it| it.to_string()).collect(),
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/state/orders.rs
@@ -0,0 +1,184 @@
+//! Orders that change what engines do, given by the holder of a lease, one at a time.
+
+use std::{sync::Arc, time::Duration};
+
+use siskinstile_macros::value;
+
+use crate::{
+    Directory, Instant, Name, call,
+    call::{Order, Outcome, Step},
+    catalog::Service,
+    directory::{Endpoint, Stage},
+    engine::Demand,
+    event::Lease,
+    record::{self, Record},
+};
+
+use super::State;
+
+/// Time between two looks at the division of engines.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which the list of endpoints must have stood before an order is given.
+const SETTLED: Duration = Duration::from_secs(2);
+/// Time after the start in which members are still being heard for the first time.
+const ACQUAINTANCE: Duration = Duration::from_millis(1_500);
+/// Pause after an order that was refused.
+const REFUSED_PAUSE: Duration = Duration::from_secs(5);
+/// Pause after an order without an answer, which may be carried out yet.
+const LOST_PAUSE: Duration = Duration::from_secs(20);
+/// Time beyond an engine's own in which a change of stage shows in the list.
+const LISTING_LAG: Duration = Duration::from_secs(4);
+
+/// An order on its way.
+#[value]
+struct Pending {
+    endpoint: Arc<Endpoint>,
+    stage: Stage,
+    demand: Demand,
+}
+
+/// What the holder of the lease has under way.
+#[value(default)]
+pub(super) struct Planner {
+    lease: Option<Lease>,
+    pending: Option<Pending>,
+    /// An engine that is changing its stage, what it will do, and when that is not believed any more.
+    turning: Option<(Name, Stage, Instant)>,
+    looked: Instant,
+    listed: Instant,
+    quiet_until: Instant,
+}
+
+impl Planner {
+    /// Notes that the list of endpoints has changed.
+    pub(super) fn listed(&mut self, now: Instant, directory: &Directory) {
+        self.listed = now;
+        let done =
+            |id: &Name, stage: Stage| directory.get(id).is_none_or(|it| it.stage == Some(stage));
+        self.turning = self.turning.take().filter(|(id, stage, _)| !done(id, *stage));
+    }
+
+    /// Returns the engine that is changing its stage.
+    pub(super) fn turning(&self) -> Option<&Name> {
+        self.turning.as_ref().map(|(id, ..)| id)
+    }
+
+    fn token(&self, now: Instant) -> Option<u64> {
+        self.lease.as_ref().filter(|it| it.until > now).map(|it| it.token)
+    }
+}
+
+impl State {
+    /// Returns whether this instance should hold the lease for orders: the holder goes on, else the
+    /// first by name of those that are heard.
+    pub fn wants_lease(&self, now: Instant) -> bool {
+        let holds = self.planner.token(now).is_some();
+        let mut others = self.fleet.members.heard(now);
+        let first =
+            now > Instant::default() + ACQUAINTANCE && others.all(|it| *it > self.settings.name);
+        let has_engines =
+            self.catalog.iter().flat_map(|it| it.services()).any(|it| it.engine.is_some());
+        has_engines && !self.is_draining() && (holds || first)
+    }
+
+    /// Takes notice of a lease that was taken, kept or lost.
+    pub(super) fn lease_changed(&mut self, lease: Option<Lease>) {
+        let token = |it: &Option<Lease>| it.as_ref().map(|it| it.token);
+        if token(&lease) != token(&self.planner.lease) {
+            self.log(Record::new(record::LEASE).with("token", token(&lease)));
+        }
+        self.planner.lease = lease;
+    }
+
+    /// Looks whether an engine should do something else.
+    pub(super) fn plan_orders(&mut self, now: Instant) {
+        if now.since(self.planner.looked) < LOOK_INTERVAL {
+            return;
+        }
+        self.planner.looked = now;
+        self.planner.turning = self.planner.turning.take().filter(|(.., until)| *until > now);
+        let may = self.planner.token(now).is_some() && !self.is_draining();
+        let settled = now.since(self.planner.listed) >= SETTLED;
+        if !may || !settled || now < self.planner.quiet_until {
+            return;
+        }
+        self.planner.pending = None;
+        let Some(catalog) = self.catalog.clone() else { return };
+        let Some(pending) = catalog.services().find_map(|it| self.choose_order(now, it)) else {
+            return;
+        };
+        self.planner.quiet_until = now + REFUSED_PAUSE;
+        let endpoint = pending.endpoint.clone();
+        self.planner.pending = Some(pending);
+        self.tell(now, endpoint, Step::Inspect);
+    }
+
+    /// Chooses the engine of a service that should do something else, if one should.
+    fn choose_order(&self, now: Instant, service: &Service) -> Option<Pending> {
+        let engine = service.engine.as_ref()?;
+        let demand = self.fleet.forecasts.get(&service.name)?.demand(engine.memory_tokens)?;
+        let ready: Vec<&Arc<Endpoint>> =
+            self.directory.of(&service.name).iter().filter(|it| it.is_ready()).collect();
+        let count = |stage| ready.iter().filter(|it| it.stage == Some(stage)).count();
+        let stage = demand.turn(count(Stage::Prefill), count(Stage::Decode))?;
+        let usable = |it: &&&Arc<Endpoint>| {
+            it.stage.is_some_and(|its| its != stage) && !self.fleet.health.rests(now, &it.id)
+        };
+        let crowd = |it: &Endpoint| {
+            let same = |other: &&&Arc<Endpoint>| {
+                other.stage == it.stage && other.datacentre == it.datacentre
+            };
+            ready.iter().filter(same).count()
+        };
+        let load = |it: &Endpoint| self.fleet.loads.total(&it.id).runs;
+        let chosen = ready
+            .iter()
+            .filter(usable)
+            .min_by_key(|it| (std::cmp::Reverse(crowd(it)), load(it), it.id.clone()))?;
+        Some(Pending { endpoint: (*chosen).clone(), stage, demand })
+    }
+
+    /// An engine has said what it does: gives it the order if that still makes sense.
+    pub(super) fn inspected(&mut self, now: Instant, outcome: Outcome) {
+        let Some(pending) = self.planner.pending.clone() else { return };
+        let Some(token) = self.planner.token(now) else { return };
+        match outcome {
+            Outcome::Inspected { stage, orders, busy: false } if stage != pending.stage => {
+                let order = Order {
+                    stage: pending.stage,
+                    holder: self.settings.name.clone(),
+                    token,
+                    precondition: orders,
+                };
+                let line = Record::new(record::ORDERED)
+                    .with("endpoint", &*pending.endpoint.id)
+                    .with("stage", format!("{:?}", pending.stage))
+                    .with("prompt_ms", pending.demand.prompt_ms)
+                    .with("stay_ms", pending.demand.stay_ms)
+                    .with("memory", pending.demand.memory)
+                    .with("token", token)
+                    .with("precondition", orders);
+                self.log(line);
+                self.planner.quiet_until = now + LOST_PAUSE;
+                self.tell(now, pending.endpoint, call::Step::Order(order));
+            }
+            _ => self.planner.pending = None,
+        }
+    }
+
+    /// An order was answered.
+    pub(super) fn order_answered(&mut self, now: Instant, outcome: Outcome) {
+        let Some(pending) = self.planner.pending.take() else { return };
+        let service = self.catalog.as_ref().and_then(|it| it.service(&pending.endpoint.service));
+        let engine = service.and_then(|it| it.engine.as_ref());
+        let change = engine.map_or(LOST_PAUSE, |it| it.reconfigure + LISTING_LAG);
+        if outcome == Outcome::Done {
+            self.planner.turning = Some((pending.endpoint.id.clone(), pending.stage, now + change));
+        }
+        self.planner.quiet_until = match outcome {
+            Outcome::Done => now + change,
+            Outcome::Refused { .. } => now + REFUSED_PAUSE,
+            _ => now + LOST_PAUSE,
+        };
+    }
+}
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -44,6 +44,7 @@
         let sign = match outcome {
             Outcome::Broken { silent: true, .. } => Sign::Silent,
             Outcome::Broken { .. } => Sign::Bad,
+            Outcome::Refused { .. } if open.kind == Kind::Prefill => Sign::Unwilling,
             Outcome::Refused { .. } => Sign::Full,
             Outcome::Whole { status } if *status >= SERVER_ERROR => Sign::Bad,
             Outcome::First | Outcome::Done => return,
@@ -56,10 +57,16 @@
         }
     }
 
-    /// Takes the outcome of a call whose request is over.
+    /// Takes the outcome of a call that is for no request, or for one that is over.
     fn abandoned(&mut self, now: Instant, open: &Open, outcome: Outcome) {
-        let Outcome::Held { hold } = outcome else { return };
-        self.tell(now, open.endpoint.clone(), call::Step::Drop { hold });
+        match (open.kind, outcome) {
+            (Kind::Hold, Outcome::Held { hold }) => {
+                self.tell(now, open.endpoint.clone(), call::Step::Drop { hold });
+            }
+            (Kind::Inspect, outcome) => self.inspected(now, outcome),
+            (Kind::Order, outcome) => self.order_answered(now, outcome),
+            _ => {}
+        }
     }
 
     fn advance(
@@ -77,10 +84,11 @@
             (Kind::Prefill, Outcome::Computed { handle, tokens }) => {
                 self.computed(now, id, open, handle, tokens);
             }
+            (Kind::Prefill, Outcome::Refused { .. }) => self.prefill_refused(now, id),
             (Kind::Prefill, _) => self.prefill_failed(now, id),
             (Kind::Run, Outcome::Head { .. }) => self.relay(id, call),
             (Kind::Run, Outcome::First) => self.first_event(now, id),
-            (Kind::Run, Outcome::Ended) => self.ended(now, id),
+            (Kind::Run, Outcome::Ended { events }) => self.ended(now, id, events),
             (Kind::Run, Outcome::Whole { status }) => self.whole(now, id, call, status),
             (Kind::Run, Outcome::Refused { .. }) => self.refused(now, id),
             (Kind::Run, Outcome::Broken { sent, last_event, .. }) => {
@@ -139,11 +147,15 @@
         }
     }
 
-    fn ended(&mut self, now: Instant, id: request::Id) {
+    fn ended(&mut self, now: Instant, id: request::Id, events: u64) {
         let Some(mut work) = self.work.swap_remove(&id) else { return };
-        if let Some(place) = &work.place {
+        if let (Some(place), Some(engine)) = (&work.place, &work.service.engine) {
             let forecast = self.fleet.forecasts.entry(work.service.name.clone()).or_default();
             forecast.stay_seen(now.since(place.since));
+            // The tokens of the first event were generated before it came.
+            let tokens = events.saturating_sub(1) * engine.event_tokens;
+            let first = work.times.first.unwrap_or(now);
+            forecast.stream_seen(tokens, now.since(first));
         }
         self.clean_up(now, &mut work);
         let line = work.record(record::ANSWERED, now);
--- a/crates/gateway/src/state/work.rs
+++ b/crates/gateway/src/state/work.rs
@@ -132,6 +132,8 @@
     Hold,
     Prefill,
     Run,
+    Inspect,
+    Order,
     Other,
 }
 
@@ -199,6 +201,8 @@
             call::Step::Hold { .. } => Kind::Hold,
             call::Step::Prefill => Kind::Prefill,
             call::Step::Run { .. } => Kind::Run,
+            call::Step::Inspect => Kind::Inspect,
+            call::Step::Order(_) => Kind::Order,
             _ => Kind::Other,
         };
         self.fleet.loads.add(&plan.endpoint.id, plan.load);
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -160,6 +160,7 @@
                 engine: Some(Engine {
                     slots: 64,
                     memory_tokens: 20_800,
+                    event_tokens: 6,
                     hold_limit: Duration::from_secs(2),
                     handle_retention: Duration::from_millis(500),
                     reconfigure: Duration::from_secs(6),
@@ -222,6 +223,5 @@
         stage,
         slots: 6,
         born: None,
-        orders: 0,
     }
 }
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -163,6 +163,7 @@
             .computed(&body)
             .map(|(handle, tokens)| Outcome::Computed { handle, tokens })
             .into_or_unreadable(),
+        Step::Inspect => protocol.inspected(&body).into_or_unreadable(),
         _ => Outcome::Done,
     };
     report(control, call, &answer, outcome);
@@ -254,7 +255,7 @@
         None => {
             lent.finish();
             keep(control, connection, &answer);
-            report(control, call, &answer, Outcome::Ended);
+            report(control, call, &answer, Outcome::Ended { events: splitter.events() });
         }
     }
 }
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    Protocol, Settings, clock::Clock, control::Control, door, logger::Logger, peers, status,
+    Protocol, Settings, clock::Clock, control::Control, door, lease, logger::Logger, peers, status,
     store::Kind, sync::Follower,
 };
 
@@ -48,9 +48,10 @@
                 .with("datacentre", &*settings.datacentre)
                 .with("first_start", settings.first_start),
         );
+        let incarnation = rand::random();
         let state = State::new(state::Settings {
             name: settings.name.clone(),
-            incarnation: rand::random(),
+            incarnation,
             datacentre: settings.datacentre.clone(),
             first_start: settings.first_start,
             retries: settings.retries.clone(),
@@ -64,7 +65,7 @@
         let daemon = Daemon { control, follower, book: Rc::default(), settings };
         daemon.set_seeds(&daemon.settings);
         daemon.listen(beats).await?;
-        daemon.follow();
+        daemon.follow(incarnation);
         Ok(daemon)
     }
 
@@ -102,13 +103,14 @@
         Ok(())
     }
 
-    fn follow(&self) {
+    fn follow(&self, incarnation: u64) {
         let follower = &self.follower;
         spawn_local(follower.clone().follow(Kind::Configuration));
         spawn_local(follower.clone().follow(Kind::Endpoints));
         spawn_local(follower.clone().watch_lags());
         let (name, address) = (self.settings.name.clone(), self.settings.listen.peers);
-        spawn_local(follower.clone().join(name, address, self.book.clone()));
+        spawn_local(follower.clone().join(name.clone(), address, self.book.clone()));
+        spawn_local(lease::contend(self.control.clone(), follower.clone(), name, incarnation));
     }
 
     fn set_seeds(&self, settings: &Settings) {
--- a/crates/gatewayd/src/lib.rs
+++ b/crates/gatewayd/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod door;
 pub mod exchange;
+pub mod lease;
 pub mod logger;
 pub mod mirror;
 pub mod peers;
--- a/crates/gatewayd/src/protocol.rs
+++ b/crates/gatewayd/src/protocol.rs
@@ -8,7 +8,11 @@
 use hyper::{Request, Response, http::request, http::response};
 use siskinstile_core::error::Failure;
 use siskinstile_gateway::{
-    Catalog, Name, call::Said, directory::Endpoint, effect, request::Tokens,
+    Catalog, Name,
+    call::{Outcome, Said},
+    directory::Endpoint,
+    effect,
+    request::Tokens,
 };
 use siskinstile_macros::value;
 
@@ -80,6 +84,9 @@
     /// Reads the name and the length of a computed prompt.
     fn computed(&self, body: &[u8]) -> Option<(Name, u64)>;
 
+    /// Reads an engine's report on what it does.
+    fn inspected(&self, body: &[u8]) -> Option<Outcome>;
+
     /// Returns the request that carries out a call to the store.
     fn store_call(&self, call: &store::Call) -> Request<Bytes>;
 
--- a/crates/gatewayd/src/stream.rs
+++ b/crates/gatewayd/src/stream.rs
@@ -15,12 +15,13 @@
 pub struct Splitter {
     partial: BytesMut,
     last: Option<Name>,
+    events: u64,
 }
 
 impl Splitter {
     /// Creates a splitter that drops events up to and including `last`.
     pub fn after(last: Option<Name>) -> Splitter {
-        Splitter { partial: BytesMut::new(), last }
+        Splitter { last, ..Splitter::default() }
     }
 
     /// Takes bytes; returns those of whole events that are to be passed on.
@@ -30,12 +31,18 @@
         while let Some(end) = find(&self.partial, END) {
             let event = self.partial.split_to(end + END.len());
             if self.is_next(&event) {
+                self.events += 1;
                 whole.extend_from_slice(&event);
             }
         }
         whole.freeze()
     }
 
+    /// Returns the number of events that were passed on.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Returns whether an event has begun that is not whole.
     pub fn is_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/wire/src/message/beat.rs
+++ b/crates/wire/src/message/beat.rs
@@ -33,6 +33,9 @@
     /// Requests that wait at the sender, by service.
     #[prost(message, repeated, tag = "10")]
     pub waiting: Vec<Count>,
+    /// Engines that the sender has ordered to change their stage and that have not done so yet.
+    #[prost(string, repeated, tag = "11")]
+    pub turning: Vec<String>,
 }
 
 /// What an instance has at one endpoint.
