--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -26,7 +26,7 @@
 /// Cost of an engine that is completely full, in milliseconds of delay.
 const FULLNESS_COST_MS: f64 = 60.0;
 /// Cost of a hop to another data centre, in milliseconds of delay.
-const FAR_COST_MS: f64 = 15.0;
+const FAR_COST_MS: f64 = 50.0;
 /// Cost of an engine in a data centre that is not heard of.
 const DARK_COST_MS: f64 = 2_000.0;
 /// Cost of an engine whose recent calls have all failed.
