Refuse nothing for what peers spent before they were heard of; fewer beats to other data centres

Test learn_first_heard fails without it. Beats crossed data centres 20 times a second; every change now goes there at most every 120 ms. Ruled out: the lease, the retry budget.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -31,8 +31,13 @@
     },
     /// Ends a request whose whole answer has been relayed.
     Finish(request::Id),
-    /// Sends a beat to all peers.
-    Beat(Beat),
+    /// Sends a beat to the peers of the own data centre.
+    Beat {
+        /// The beat.
+        beat: Beat,
+        /// Whether the peers of other data centres get it too.
+        far: bool,
+    },
     /// Writes a log line.
     Log(Record),
     /// No request is open after a drain: the process may exit.
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -105,15 +105,21 @@
         }
     }
 
-    /// Takes a peer's report of all units that it has spent since it started.
-    pub fn learn(&mut self, now: Instant, peer: (Name, u64), team: &Name, total: u64) {
-        let known = self.reported.entry(peer).or_default().entry(team.clone()).or_default();
-        let more = total.saturating_sub(*known);
-        *known = (*known).max(total);
-        if let Some(bucket) = self.buckets.get_mut(team).filter(|_| more > 0) {
-            bucket.refill(now, self.reach);
-            let floor = -(bucket.quota.burst as f64);
-            bucket.level = (bucket.level - more as f64).max(floor);
+    /// Takes a peer's report of all units that it has spent since it started, by team.
+    ///
+    /// What was spent before the peer was first heard of is past.
+    pub fn learn(&mut self, now: Instant, peer: (Name, u64), totals: &[(Name, u64)]) {
+        let is_new = !self.reported.contains_key(&peer);
+        let known = self.reported.entry(peer).or_default();
+        for (team, total) in totals {
+            let known = known.entry(team.clone()).or_default();
+            let more = if is_new { 0 } else { total.saturating_sub(*known) };
+            *known = (*known).max(*total);
+            if let Some(bucket) = self.buckets.get_mut(team).filter(|_| more > 0) {
+                bucket.refill(now, self.reach);
+                let floor = -(bucket.quota.burst as f64);
+                bucket.level = (bucket.level - more as f64).max(floor);
+            }
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -71,6 +71,9 @@
 #[value]
 struct Times {
     beat: Instant,
+    far_beat: Instant,
+    /// Whether other data centres have not been told of the last change.
+    far_owed: bool,
     number: u64,
     expired: Instant,
     draining: Option<Instant>,
@@ -111,6 +114,8 @@
             },
             times: Times {
                 beat: Instant::default(),
+                far_beat: Instant::default(),
+                far_owed: false,
                 number: 0,
                 expired: Instant::default(),
                 draining: None,
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -42,7 +42,7 @@
             self.stopped = true;
             self.times.number += 1;
             let beat = self.make_beat(true);
-            self.emit(Effect::Beat(beat));
+            self.emit(Effect::Beat { beat, far: true });
             self.log(Record::new(record::STOPPED));
             self.emit(Effect::Stopped);
         }
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -16,8 +16,10 @@
 
 /// Longest time between two beats.
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
-/// Shortest time between two beats.
-const BEAT_PAUSE: Duration = Duration::from_millis(15);
+/// Shortest time between two beats within the data centre.
+const NEAR_PAUSE: Duration = Duration::from_millis(15);
+/// Shortest time between two beats to other data centres.
+const FAR_PAUSE: Duration = Duration::from_millis(120);
 
 impl State {
     /// Takes a beat of another instance.
@@ -31,10 +33,9 @@
         if beat.leaves {
             return self.peer_left(&name);
         }
-        for spent in &beat.spent {
-            let peer = (name.clone(), beat.incarnation);
-            self.fleet.ledger.learn(now, peer, &spent.name.as_str().into(), spent.count);
-        }
+        let spent: Vec<(Name, u64)> =
+            beat.spent.iter().map(|it| (Name::from(&*it.name), it.count)).collect();
+        self.fleet.ledger.learn(now, (name.clone(), beat.incarnation), &spent);
         self.fleet.loads.learn(&name, beat.loads.iter().map(load).collect());
         let waiting = beat.waiting.iter().map(|it| (Name::from(&*it.name), it.count as u32));
         let peer = Peer {
@@ -79,20 +80,32 @@
 
     /// Returns when the next beat is due.
     pub(super) fn beat_due(&self) -> Instant {
-        let pause = if self.fleet.loads.is_changed() { BEAT_PAUSE } else { BEAT_INTERVAL };
-        self.times.beat + pause
+        let near = match self.fleet.loads.is_changed() {
+            true => self.times.beat + NEAR_PAUSE,
+            false => self.times.beat + BEAT_INTERVAL,
+        };
+        near.min(self.far_beat_due())
     }
 
-    /// Sends a beat if one is due.
+    fn far_beat_due(&self) -> Instant {
+        self.times.far_beat + if self.times.far_owed { FAR_PAUSE } else { BEAT_INTERVAL }
+    }
+
+    /// Sends a beat if one is due; other data centres get fewer, since they are told of less use.
     pub(super) fn beat(&mut self, now: Instant) {
         if now < self.beat_due() {
             return;
         }
-        self.fleet.loads.take_changed();
+        self.times.far_owed |= self.fleet.loads.take_changed();
+        let far = now >= self.far_beat_due();
+        if far {
+            self.times.far_beat = now;
+            self.times.far_owed = false;
+        }
         self.times.beat = now;
         self.times.number += 1;
         let beat = self.make_beat(false);
-        self.emit(Effect::Beat(beat));
+        self.emit(Effect::Beat { beat, far });
     }
 
     /// Returns a beat with what this instance runs and has spent.
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod drain;
 mod outcome;
+mod quota;
 mod site;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -0,0 +1,81 @@
+//! Teams' rates over the whole fleet.
+
+use std::{sync::Arc, time::Duration};
+
+use rstest::rstest;
+use siskinstile_gateway::{
+    Instant, Name,
+    catalog::{Quota, Team},
+    quota::Ledger,
+};
+
+const RATE: u64 = 60_000;
+
+fn ledger(full: bool) -> Ledger {
+    let team = Arc::new(Team {
+        name: "a".into(),
+        keys: Vec::new(),
+        priority: None,
+        quota: Some(Quota { rate: RATE, burst: RATE, in_tokens: true, plain_tokens: 200 }),
+    });
+    let mut ledger = Ledger::default();
+    ledger.set_reach(Instant::default(), 1.0);
+    ledger.configure(Instant::default(), [&team].into_iter(), full);
+    ledger
+}
+
+fn team() -> Name {
+    "a".into()
+}
+
+/// Returns the units that are granted within a time, asked for in lumps as fast as they come.
+fn drain(ledger: &mut Ledger, from_ms: u64, to_ms: u64) -> u64 {
+    let lump = 1_000;
+    (from_ms..to_ms)
+        .filter(|ms| ledger.take(Instant::from_millis(*ms), &team(), lump).is_ok())
+        .count() as u64
+        * lump
+}
+
+#[rstest]
+#[case::first_start(true)]
+#[case::restart(false)]
+fn take_bound(#[case] full: bool) {
+    let mut ledger = ledger(full);
+    let granted = drain(&mut ledger, 0, 8_000);
+    assert!(granted <= RATE * 8 + RATE * 3 / 2, "{granted}");
+    assert!(granted >= RATE * 8, "{granted}");
+}
+
+/// What a peer spent before it was first heard of is past: a restart refuses nothing for it.
+#[test]
+fn learn_first_heard() {
+    let mut ledger = ledger(true);
+    let now = Instant::from_millis(10);
+    ledger.learn(now, ("peer".into(), 1), &[("b".into(), 7), (team(), 5_000_000)]);
+    assert!(ledger.take(now, &team(), RATE / 2).is_ok());
+}
+
+#[test]
+fn learn_later() {
+    let mut ledger = ledger(true);
+    let now = Instant::from_millis(10);
+    ledger.learn(now, ("peer".into(), 1), &[(team(), 1_000)]);
+    ledger.learn(now, ("peer".into(), 1), &[(team(), 1_000 + RATE * 3 / 2)]);
+    let after = ledger.take(now, &team(), 1_000).expect_err("the peer has spent all");
+    assert!(after > Duration::from_millis(100), "{after:?}");
+}
+
+/// The parts of a fleet that is cut in two spend no more than the whole.
+#[test]
+fn take_cut_off() {
+    let granted: u64 = [2.0 / 6.0, 4.0 / 6.0]
+        .into_iter()
+        .map(|reach| {
+            let mut ledger = ledger(false);
+            ledger.set_reach(Instant::default(), reach);
+            drain(&mut ledger, 0, 8_000)
+        })
+        .sum();
+    assert!(granted <= RATE * 8 + RATE / 2, "{granted}");
+}
--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -34,7 +34,7 @@
     events: RefCell<VecDeque<Event>>,
     stepping: Cell<bool>,
     woken: Notify,
-    beats: mpsc::UnboundedSender<Beat>,
+    beats: mpsc::UnboundedSender<(Beat, bool)>,
     stopped: Notify,
     draining: watch::Sender<bool>,
 }
@@ -46,7 +46,7 @@
         state: State,
         clock: Clock,
         logger: Logger,
-        beats: mpsc::UnboundedSender<Beat>,
+        beats: mpsc::UnboundedSender<(Beat, bool)>,
     ) -> Rc<Control> {
         Rc::new(Control {
             protocol,
@@ -137,9 +137,9 @@
             }
             // What is relayed ends by itself.
             Effect::Finish(_) => status::count_answer(),
-            Effect::Beat(beat) => {
+            Effect::Beat { beat, far } => {
                 // The receiver lives as long as the process.
-                let _ = self.beats.send(beat);
+                let _ = self.beats.send((beat, far));
             }
             Effect::Log(record) => self.logger.write(&record),
             Effect::Stopped => self.stopped.notify_one(),
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -8,6 +8,7 @@
     record::{self, Record},
     state,
 };
+use siskinstile_wire::message::beat::Beat;
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::mpsc,
@@ -16,8 +17,14 @@
 };
 
 use crate::{
-    Protocol, Settings, clock::Clock, control::Control, door, lease, logger::Logger, peers, status,
-    store::Kind, sync::Follower,
+    Protocol, Settings,
+    clock::Clock,
+    control::Control,
+    door, lease,
+    logger::Logger,
+    peers, status,
+    store::Kind,
+    sync::{Follower, Member},
 };
 
 /// Time after a signal to stop in which callers still come.
@@ -69,10 +76,7 @@
         Ok(daemon)
     }
 
-    async fn listen(
-        &self,
-        beats: mpsc::UnboundedReceiver<siskinstile_wire::message::beat::Beat>,
-    ) -> anyhow::Result<()> {
+    async fn listen(&self, beats: mpsc::UnboundedReceiver<(Beat, bool)>) -> anyhow::Result<()> {
         let listen = &self.settings.listen;
         let front = bind(listen.front).await?;
         let snapshots = bind(listen.peers).await?;
@@ -90,7 +94,7 @@
         spawn_local(peers::send_beats(
             datagrams.clone(),
             self.book.clone(),
-            listen.peers,
+            (listen.peers, self.settings.datacentre.clone()),
             self.follower.clone(),
             beats,
         ));
@@ -108,8 +112,12 @@
         spawn_local(follower.clone().follow(Kind::Configuration));
         spawn_local(follower.clone().follow(Kind::Endpoints));
         spawn_local(follower.clone().watch_lags());
-        let (name, address) = (self.settings.name.clone(), self.settings.listen.peers);
-        spawn_local(follower.clone().join(name.clone(), address, self.book.clone()));
+        let name = self.settings.name.clone();
+        let member = Member {
+            address: self.settings.listen.peers,
+            datacentre: self.settings.datacentre.clone(),
+        };
+        spawn_local(follower.clone().join(name.clone(), member, self.book.clone()));
         spawn_local(lease::contend(self.control.clone(), follower.clone(), name, incarnation));
     }
 
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -30,14 +30,15 @@
 /// Addresses of the peers, by name.
 #[derive(Debug, Default)]
 pub struct Book {
-    known: RefCell<IndexMap<Name, SocketAddr>>,
+    /// Address and data centre of each peer.
+    known: RefCell<IndexMap<Name, (SocketAddr, Name)>>,
     seeds: RefCell<Vec<SocketAddr>>,
 }
 
 impl Book {
     /// Notes a peer's address.
-    pub fn learn(&self, name: &str, address: SocketAddr) {
-        self.known.borrow_mut().insert(name.into(), address);
+    pub fn learn(&self, name: &str, address: SocketAddr, datacentre: &str) {
+        self.known.borrow_mut().insert(name.into(), (address, datacentre.into()));
     }
 
     /// Drops a peer that stops.
@@ -50,9 +51,14 @@
         *self.seeds.borrow_mut() = seeds;
     }
 
-    fn addresses(&self, own: SocketAddr) -> Vec<SocketAddr> {
-        let mut all: Vec<SocketAddr> = self.known.borrow().values().copied().collect();
-        all.extend(self.seeds.borrow().iter());
+    /// Returns the addresses of peers: those of one data centre, or all with the seeds.
+    fn addresses(&self, own: SocketAddr, near: Option<&str>) -> Vec<SocketAddr> {
+        let known = self.known.borrow();
+        let chosen = known.values().filter(|(_, it)| near.is_none_or(|near| **it == *near));
+        let mut all: Vec<SocketAddr> = chosen.map(|(address, _)| *address).collect();
+        if near.is_none() {
+            all.extend(self.seeds.borrow().iter());
+        }
         all.sort_unstable();
         all.dedup();
         all.retain(|it| *it != own);
@@ -64,15 +70,16 @@
 pub async fn send_beats(
     socket: Rc<UdpSocket>,
     book: Rc<Book>,
-    own: SocketAddr,
+    (own, datacentre): (SocketAddr, Name),
     follower: Rc<Follower>,
-    mut beats: mpsc::UnboundedReceiver<Beat>,
+    mut beats: mpsc::UnboundedReceiver<(Beat, bool)>,
 ) {
-    while let Some(mut beat) = beats.recv().await {
+    while let Some((mut beat, far)) = beats.recv().await {
         beat.configuration = follower.changed(Kind::Configuration);
         beat.endpoints = follower.changed(Kind::Endpoints);
         let bytes = beat.encode_to_vec();
-        for address in book.addresses(own) {
+        let near = (!far).then_some(&*datacentre);
+        for address in book.addresses(own, near) {
             // A beat that cannot be sent is lost like one that is lost on the way.
             if let Err(error) = socket.try_send_to(&bytes, address) {
                 log::debug!("beat to {address} not sent: {error}");
@@ -101,7 +108,7 @@
         let Ok(beat) = Beat::decode(&buffer[..length]) else { continue };
         match beat.leaves {
             true => book.forget(&beat.name),
-            false => book.learn(&beat.name, from),
+            false => book.learn(&beat.name, from, &beat.datacentre),
         }
         follower.heard(Kind::Configuration, beat.configuration, from);
         follower.heard(Kind::Endpoints, beat.endpoints, from);
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -43,6 +43,15 @@
     ahead: Option<(u64, Instant, SocketAddr)>,
 }
 
+/// What an instance enters in the list of members.
+#[derive(Debug)]
+pub struct Member {
+    /// Address for messages of other instances.
+    pub address: SocketAddr,
+    /// Name of its data centre.
+    pub datacentre: Name,
+}
+
 /// Copies of the kinds that are followed.
 #[derive(Debug)]
 pub struct Follower {
@@ -315,8 +324,9 @@
     }
 
     /// Enters this instance in the list of members and follows that list.
-    pub async fn join(self: Rc<Follower>, name: Name, address: SocketAddr, book: Rc<peers::Book>) {
-        let value = json!({ "address": address.to_string() });
+    pub async fn join(self: Rc<Follower>, name: Name, member: Member, book: Rc<peers::Book>) {
+        let Member { address, datacentre } = member;
+        let value = json!({ "address": address.to_string(), "datacentre": datacentre });
         let mut entered = false;
         loop {
             entered = entered || self.enter(&name, &value).await;
@@ -344,7 +354,10 @@
     fn learn_members(&self, members: &[Object], own: &Name, book: &peers::Book) {
         for member in members.iter().filter(|it| it.name != *own) {
             match member.value["address"].as_str().and_then(|it| it.parse().ok()) {
-                Some(address) => book.learn(&member.name, address),
+                Some(address) => {
+                    let datacentre = member.value["datacentre"].as_str().unwrap_or_default();
+                    book.learn(&member.name, address, datacentre);
+                }
                 None => {
                     let line = Record::new(record::ENTRY_UNREADABLE).with("entry", &*member.name);
                     self.control.logger.write(&line);
