--- /dev/null
+++ b/crates/gateway/tests/testsuite/generation.rs
@@ -0,0 +1,146 @@
+//! The way of a generation through prefill and decode engines.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use siskinstile_gateway::{
+    Effect, Event,
+    call::{Handle, Outcome, Start, Step},
+};
+
+use crate::site::{Site, broken};
+
+#[test]
+fn run_place_before_prompt() {
+    let mut site = Site::open();
+    site.send("/review/");
+    let run = site.run_generation();
+    assert_eq!(&*run.endpoint.id, "d1");
+    let Step::Run { hold, source, start } = run.step else { panic!("{run:?}") };
+    assert_eq!(hold.as_deref(), Some("h1"));
+    assert!(matches!(source, Some(Handle { name, .. }) if &*name == "kv1"));
+    assert_eq!(start, Start::New);
+}
+
+/// A prompt whose answer is lost is computed by the decode engine; nothing has run yet.
+#[rstest]
+#[case::lost(broken(true))]
+#[case::unreachable(broken(false))]
+fn prefill_failed(#[case] outcome: Outcome) {
+    let mut site = Site::open();
+    site.send("/review/");
+    let hold = site.call();
+    site.report(hold.id, Outcome::Held { hold: "h1".into() });
+    let prefill = site.call();
+    site.report(prefill.id, outcome);
+    let run = site.call();
+    assert!(matches!(run.step, Step::Run { source: None, .. }), "{run:?}");
+}
+
+/// An engine that refuses a prompt is not asked again for a while.
+#[test]
+fn prefill_refused() {
+    let mut site = Site::open();
+    site.send("/review/");
+    let hold = site.call();
+    site.report(hold.id, Outcome::Held { hold: "h1".into() });
+    let first = site.call();
+    site.report(first.id, Outcome::Refused { status: 503 });
+    let second = site.call();
+    assert_eq!(second.step, Step::Prefill);
+    assert_ne!(first.endpoint.id, second.endpoint.id);
+}
+
+/// A run that was refused goes to the same engine once more, which computes the prompt.
+#[test]
+fn run_refused() {
+    let mut site = Site::open();
+    let id = site.send("/review/");
+    let run = site.run_generation();
+    site.report(run.id, Outcome::Refused { status: 503 });
+    let again = site.call();
+    assert_eq!(again.endpoint.id, run.endpoint.id);
+    assert!(matches!(again.step, Step::Run { source: None, .. }), "{again:?}");
+    site.report(again.id, Outcome::Refused { status: 503 });
+    assert_eq!(site.failure(id).map(|it| it.0), Some(503));
+}
+
+/// Only a stream that can be resumed goes on elsewhere, after the last event that was relayed.
+#[rstest]
+#[case::once("/review/", false)]
+#[case::resumable("/review-again/", true)]
+fn stream_cut(#[case] prefix: &str, #[case] goes_on: bool) {
+    let mut site = Site::open();
+    let id = site.send(prefix);
+    let run = site.run_generation();
+    site.report(run.id, Outcome::Head { status: 200 });
+    site.report(run.id, Outcome::First);
+    site.calls();
+    site.report(
+        run.id,
+        Outcome::Broken { sent: true, silent: false, last_event: Some("7".into()), cause: "test" },
+    );
+    assert_eq!(site.failure(id).is_none(), goes_on);
+    if goes_on {
+        let hold = site.call();
+        site.report(hold.id, Outcome::Held { hold: "h2".into() });
+        // A second prompt elsewhere would be one attempt more than the route allows.
+        let again = site.call();
+        assert_ne!(again.endpoint.id, run.endpoint.id);
+        assert!(matches!(again.step, Step::Run { start: Start::After(id), .. } if &*id == "7"));
+    }
+}
+
+/// A caller that leaves gives back its place, frees its prompt and ends its run.
+#[test]
+fn gone_cleans_up() {
+    let mut site = Site::open();
+    let id = site.send("/review/");
+    let hold = site.call();
+    site.report(hold.id, Outcome::Held { hold: "h1".into() });
+    let prefill = site.call();
+    site.post(Event::Gone(id));
+    assert!(site.effects.contains(&Effect::Cancel(prefill.id)));
+    let drop = site.call();
+    assert_eq!(drop.step, Step::Drop { hold: "h1".into() });
+    assert_eq!(site.state.open_requests(), 0);
+}
+
+/// A place that is leased after its caller has left is given back.
+#[test]
+fn gone_while_holding() {
+    let mut site = Site::open();
+    let id = site.send("/review/");
+    let hold = site.call();
+    site.post(Event::Gone(id));
+    site.report(hold.id, Outcome::Held { hold: "h1".into() });
+    assert_eq!(site.call().step, Step::Drop { hold: "h1".into() });
+}
+
+/// An engine that gives no sign of life rests; the request is placed at another.
+#[test]
+fn hold_silent() {
+    let mut site = Site::open();
+    site.send("/review/");
+    let first = site.call();
+    site.pass(450);
+    let second = site.calls().into_iter().find(|it| matches!(it.step, Step::Hold { .. }));
+    let second = second.expect("another engine is asked");
+    assert_ne!(first.endpoint.id, second.endpoint.id);
+}
+
+/// More requests than places: those that fit run, the next wait, the rest is refused at once and
+/// told when to come back.
+#[test]
+fn burst_over_places() {
+    let mut site = Site::open();
+    let ids: Vec<_> = (0..24).map(|_| site.send("/review-again/")).collect();
+    let holds = site.calls().len();
+    assert_eq!(holds, 8, "two engines with room for four each");
+    let refused: Vec<Duration> =
+        ids.iter().filter_map(|id| site.failure(*id)).filter_map(|it| it.1).collect();
+    assert!(!refused.is_empty());
+    assert!(refused.iter().all(|it| *it >= Duration::from_millis(200)), "{refused:?}");
+    let waiting = ids.len() - holds - refused.len();
+    assert!((1..=4).contains(&waiting), "{waiting}");
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the gateway's decisions; no clock, no network.
 
 mod drain;
+mod generation;
+mod orders;
 mod outcome;
 mod quota;
 mod site;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/orders.rs
@@ -0,0 +1,85 @@
+//! Orders that change what engines do.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use siskinstile_gateway::{
+    Event,
+    call::{Outcome, Step},
+    directory::Stage,
+    engine::Demand,
+    event::Lease,
+};
+
+use crate::site::Site;
+
+/// 91 ms of prompt against 3.4 s in a tenth of an engine: a quarter of the engines compute prompts.
+#[rstest]
+#[case::too_many(5, 7, Some(Stage::Decode))]
+#[case::one_too_many(4, 8, Some(Stage::Decode))]
+#[case::settled(3, 9, None)]
+#[case::too_few(2, 10, Some(Stage::Prefill))]
+#[case::few_engines(2, 2, None)]
+fn turn_case(#[case] prefills: usize, #[case] decodes: usize, #[case] turn: Option<Stage>) {
+    let demand = Demand { prompt_ms: 91.0, stay_ms: 3_400.0, memory: 0.1 };
+    assert_eq!(demand.turn(prefills, decodes), turn);
+}
+
+/// A division that an order has just changed is not changed back.
+#[test]
+fn turn_settles() {
+    for tenths in 1..40 {
+        let demand = Demand { prompt_ms: f64::from(tenths) * 20.0, stay_ms: 3_400.0, memory: 0.1 };
+        let (mut prefills, mut decodes) = (6_usize, 12_usize);
+        let mut turns = 0;
+        while let Some(stage) = demand.turn(prefills, decodes) {
+            match stage {
+                Stage::Decode => (prefills, decodes) = (prefills - 1, decodes + 1),
+                Stage::Prefill => (prefills, decodes) = (prefills + 1, decodes - 1),
+            }
+            turns += 1;
+            assert!(turns < 18, "{demand:?}");
+        }
+    }
+}
+
+/// Without the lease no engine is asked or ordered.
+#[rstest]
+#[case::none(None)]
+#[case::over(Some(Lease { token: 3, until: siskinstile_gateway::Instant::from_millis(1) }))]
+fn plan_without_lease(#[case] lease: Option<Lease>) {
+    let mut site = Site::open();
+    site.post(Event::Lease(lease));
+    for _ in 0..20 {
+        site.send("/review/");
+        site.pass(500);
+    }
+    let asks = site.calls().into_iter().any(|it| matches!(it.step, Step::Inspect | Step::Order(_)));
+    assert!(!asks);
+}
+
+#[test]
+fn wants_lease_first_by_name() {
+    let mut site = Site::open();
+    assert!(!site.state.wants_lease(site.now), "peers may not have been heard yet");
+    site.pass(2_000);
+    assert!(site.state.wants_lease(site.now));
+    site.post(Event::Beat(siskinstile_wire::message::beat::Beat {
+        name: "a-peer".into(),
+        incarnation: 1,
+        number: 1,
+        datacentre: "north".into(),
+        ..Default::default()
+    }));
+    assert!(!site.state.wants_lease(site.now));
+    site.pass(Duration::from_secs(2).as_millis() as u64);
+    assert!(site.state.wants_lease(site.now), "the peer has fallen silent");
+}
+
+/// Orders are for engines: a report that is not asked for changes nothing.
+#[test]
+fn inspected_unasked() {
+    let mut site = Site::open();
+    site.report(siskinstile_gateway::call::Id(99), Outcome::Done);
+    assert!(site.calls().is_empty());
+}
