--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -9,6 +9,8 @@
 
 /// Time without a beat after which a peer is not counted on.
 pub const SILENCE: Duration = Duration::from_millis(900);
+/// Time since the store's last answer after which an instance does not follow it any more.
+const STORE_LIMIT: Duration = Duration::from_millis(3_400);
 /// Time without a beat after which what a peer runs is taken to have ended.
 const LOADS_LIMIT: Duration = Duration::from_secs(3);
 /// Time without a beat after which a peer is no member any more.
@@ -25,6 +27,8 @@
     pub number: u64,
     /// When its last beat came.
     pub heard: Instant,
+    /// Time since the platform's store answered it, as of that beat.
+    pub store_age: Duration,
     /// Requests that wait there, by service.
     pub waiting: IndexMap<Name, u32>,
     /// Engines that it has ordered to change their stage.
@@ -105,6 +109,20 @@
         heard.filter_map(|it| it.waiting.get(service)).sum()
     }
 
+    /// Returns whether an instance is to follow the platform's store itself.
+    ///
+    /// In each data centre one does, the first by rank of those that are heard, and hands on what it
+    /// learns. All do where none of the others is in contact with the store.
+    pub fn follows_store(&self, now: Instant, own: &str, datacentre: &str) -> bool {
+        let near = || {
+            let heard = self.peers.iter().filter(|(_, it)| now.since(it.heard) < SILENCE);
+            heard.filter(|(_, it)| &*it.datacentre == datacentre)
+        };
+        let first = near().all(|(name, _)| rank(own) < rank(name));
+        let in_contact = |it: &Peer| it.store_age + now.since(it.heard) < STORE_LIMIT;
+        first || !near().any(|(_, it)| in_contact(it))
+    }
+
     /// Returns the engines that peers have ordered to change their stage.
     pub fn turning(&self) -> impl Iterator<Item = &Name> {
         self.peers.values().flat_map(|it| &it.turning)
@@ -128,3 +146,8 @@
         changes
     }
 }
+
+/// Returns a number that orders instances alike everywhere.
+fn rank(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -72,6 +72,8 @@
 struct Times {
     beat: Instant,
     far_beat: Instant,
+    /// Whether peers are to be told that this instance has learnt something.
+    owed: bool,
     /// Whether other data centres have not been told of the last change.
     far_owed: bool,
     number: u64,
@@ -116,6 +118,7 @@
             times: Times {
                 beat: Instant::default(),
                 far_beat: Instant::default(),
+                owed: false,
                 far_owed: false,
                 number: 0,
                 expired: Instant::default(),
@@ -179,6 +182,7 @@
         }
         let full = self.settings.first_start && self.catalog.is_none();
         self.fleet.ledger.configure(now, catalog.teams(), full);
+        self.times.owed = true;
         self.log(Record::new(record::CONFIGURED).with("version", catalog.version));
         self.catalog = Some(catalog);
     }
@@ -189,6 +193,7 @@
         self.log(line.with("ready", ready));
         self.fleet.health.retain(|id| directory.get(id).is_some());
         self.fleet.said.retain(|id, _| directory.get(id).is_some());
+        self.times.owed = true;
         self.planner.listed(now, &directory);
         self.directory = directory;
     }
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -12,7 +12,7 @@
     record::{self, Record},
 };
 
-use super::State;
+use super::{Settings, State};
 
 /// Longest time between two beats.
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -43,6 +43,7 @@
             number: beat.number,
             datacentre: beat.datacentre.as_str().into(),
             heard: now,
+            store_age: Duration::from_millis(beat.store_age_ms.into()),
             waiting: waiting.collect(),
             turning: beat.turning.iter().map(|it| it.as_str().into()).collect(),
         };
@@ -62,6 +63,12 @@
         }
     }
 
+    /// Returns whether this instance is to follow the platform's store itself.
+    pub fn follows_store(&self, now: Instant) -> bool {
+        let Settings { name, datacentre, .. } = &self.settings;
+        self.fleet.members.follows_store(now, name, datacentre)
+    }
+
     /// Takes notice of peers that have fallen silent.
     pub(super) fn expire_peers(&mut self, now: Instant) {
         for change in self.fleet.members.expire(now) {
@@ -80,7 +87,7 @@
 
     /// Returns when the next beat is due.
     pub(super) fn beat_due(&self) -> Instant {
-        let near = match self.fleet.loads.is_changed() {
+        let near = match self.fleet.loads.is_changed() || self.times.owed {
             true => self.times.beat + NEAR_PAUSE,
             false => self.times.beat + BEAT_INTERVAL,
         };
@@ -96,7 +103,8 @@
         if now < self.beat_due() {
             return;
         }
-        self.times.far_owed |= self.fleet.loads.take_changed();
+        self.times.far_owed |= self.fleet.loads.take_changed() || self.times.owed;
+        self.times.owed = false;
         let far = now >= self.far_beat_due();
         if far {
             self.times.far_beat = now;
@@ -127,8 +135,10 @@
             number: self.times.number,
             datacentre: self.settings.datacentre.to_string(),
             leaves,
+            // Known to those who follow the store.
             configuration: 0,
             endpoints: 0,
+            store_age_ms: 0,
             loads: loads.collect(),
             spent: spent.map(|(name, count)| named(name, *count)).collect(),
             waiting: waiting.into_iter().map(|(name, count)| named(name, count)).collect(),
--- a/crates/gatewayd/src/mirror.rs
+++ b/crates/gatewayd/src/mirror.rs
@@ -73,6 +73,25 @@
         differs
     }
 
+    /// Takes what a peer knows: the objects that have changed and the names of all; returns whether
+    /// anything has changed, or none if objects are missing.
+    pub fn merge(
+        &mut self,
+        now: Instant,
+        changed: Vec<Object>,
+        names: &[Name],
+        revision: u64,
+    ) -> Option<bool> {
+        let mut changed: IndexMap<Name, Object> =
+            changed.into_iter().map(|it| (it.name.clone(), it)).collect();
+        let mut objects = Vec::with_capacity(names.len());
+        for name in names {
+            let object = changed.swap_remove(name).or_else(|| self.objects.get(name).cloned())?;
+            objects.push(object);
+        }
+        Some(self.replace(now, objects, revision))
+    }
+
     /// Takes changes; returns whether anything has changed.
     pub fn apply(&mut self, now: Instant, events: Vec<(Object, bool)>, revision: u64) -> bool {
         let mut differs = false;
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -77,6 +77,7 @@
     while let Some((mut beat, far)) = beats.recv().await {
         beat.configuration = follower.changed(Kind::Configuration);
         beat.endpoints = follower.changed(Kind::Endpoints);
+        beat.store_age_ms = follower.store_age_ms();
         let bytes = beat.encode_to_vec();
         let near = (!far).then_some(&*datacentre);
         for address in book.addresses(own, near) {
@@ -138,15 +139,15 @@
     let pull = Pull::decode(frame?).map_err(io::Error::other)?;
     let kind =
         [Kind::Configuration, Kind::Endpoints].into_iter().find(|it| it.as_str() == pull.kind);
-    let snapshot = kind.map(|it| follower.snapshot(it)).unwrap_or_default();
+    let snapshot = kind.map(|it| follower.snapshot(it, pull.since)).unwrap_or_default();
     frames.send(Bytes::from(snapshot.encode_to_vec())).await
 }
 
-/// Takes a snapshot from a peer.
-pub async fn pull(address: SocketAddr, kind: Kind) -> io::Result<Snapshot> {
+/// Takes from a peer what has changed since a revision.
+pub async fn pull(address: SocketAddr, kind: Kind, since: u64) -> io::Result<Snapshot> {
     time::timeout(PULL_LIMIT, async {
         let mut frames = framed(TcpStream::connect(address).await?);
-        let pull = Pull { kind: kind.as_str().to_owned() };
+        let pull = Pull { kind: kind.as_str().to_owned(), since };
         frames.send(Bytes::from(pull.encode_to_vec())).await?;
         let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
         Snapshot::decode(frame).map_err(io::Error::other)
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -29,9 +29,11 @@
 /// Time for which a peer may know more before a snapshot is taken from it.
 const LAG_LIMIT: Duration = Duration::from_millis(500);
 /// Time between two looks at lags and at objects that lapse.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two lists of the members.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(10);
+/// Time between two lists of the members at an instance that learns the rest from its peers.
+const MEMBERS_INTERVAL_HEARD: Duration = Duration::from_secs(60);
 /// Connections to the store.
 const MOST_CONNECTIONS: usize = 8;
 
@@ -60,6 +62,8 @@
     configuration: RefCell<Copy>,
     endpoints: RefCell<Copy>,
     lost_since: RefCell<Option<Instant>>,
+    /// When the store last answered.
+    answered: RefCell<Option<Instant>>,
 }
 
 impl Follower {
@@ -71,6 +75,7 @@
             configuration: RefCell::default(),
             endpoints: RefCell::default(),
             lost_since: RefCell::default(),
+            answered: RefCell::default(),
         })
     }
 
@@ -95,25 +100,50 @@
         }
     }
 
-    /// Returns a copy of the objects of a kind.
-    pub fn snapshot(&self, kind: Kind) -> Snapshot {
+    /// Returns the objects of a kind that have changed since a revision, and the names of all.
+    pub fn snapshot(&self, kind: Kind, since: u64) -> Snapshot {
         let copy = self.copy(kind).borrow();
-        let objects = copy.mirror.objects().map(|it| SentObject {
+        if !copy.mirror.is_known() {
+            return Snapshot::default();
+        }
+        let changed = copy.mirror.objects().filter(|it| it.revision > since);
+        let objects = changed.map(|it| SentObject {
             name: it.name.to_string(),
             revision: it.revision,
             value: it.value.to_string().into_bytes(),
         });
-        match copy.mirror.is_known() {
-            true => Snapshot { revision: copy.mirror.changed(), objects: objects.collect() },
-            false => Snapshot::default(),
+        Snapshot {
+            revision: copy.mirror.changed(),
+            objects: objects.collect(),
+            names: copy.mirror.objects().map(|it| it.name.to_string()).collect(),
         }
     }
 
+    /// Returns the milliseconds since the store last answered; the most for never.
+    pub fn store_age_ms(&self) -> u32 {
+        let answered = *self.answered.borrow();
+        let age = answered.map(|it| self.control.now().since(it).as_millis());
+        age.and_then(|it| it.try_into().ok()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether this instance is to follow the store itself.
+    fn follows(&self) -> bool {
+        let now = self.control.now();
+        self.control.read(|state| state.follows_store(now))
+    }
+
     /// Follows a kind until the process ends.
     pub async fn follow(self: Rc<Follower>, kind: Kind) {
         let mut pause = FIRST_PAUSE;
         let mut listed = false;
         loop {
+            let known = self.copy(kind).borrow().mirror.is_known();
+            if known && !self.follows() {
+                // Peers hand on what changes, and a watch can go on from there.
+                listed = true;
+                time::sleep(LOOK_INTERVAL).await;
+                continue;
+            }
             let result = match listed {
                 true => self.watch(kind).await,
                 false => self.list(kind).await,
@@ -208,6 +238,9 @@
     /// Notes whether the store answers.
     fn note(&self, result: &Result<Answer, Fault>) {
         let now = self.control.now();
+        if result.is_ok() {
+            *self.answered.borrow_mut() = Some(now);
+        }
         let mut lost = self.lost_since.borrow_mut();
         match (result, *lost) {
             (Ok(_), Some(since)) => {
@@ -292,35 +325,51 @@
         let now = self.control.now();
         let ahead = self.copy(kind).borrow().ahead;
         let Some((_, since, peer)) = ahead else { return };
-        let empty = !self.copy(kind).borrow().mirror.is_known();
-        if now.since(since) < LAG_LIMIT && !empty {
+        let known = self.copy(kind).borrow().mirror.is_known();
+        if known && self.follows() && now.since(since) < LAG_LIMIT {
             return;
         }
         self.copy(kind).borrow_mut().ahead = None;
-        match peers::pull(peer, kind).await {
+        let own = self.changed(kind);
+        if !self.pull(kind, peer, own).await {
+            self.pull(kind, peer, 0).await;
+        }
+    }
+
+    /// Takes from a peer what has changed since a revision; returns whether that was enough.
+    async fn pull(&self, kind: Kind, peer: SocketAddr, since: u64) -> bool {
+        match peers::pull(peer, kind, since).await {
             Ok(snapshot) if snapshot.revision > 0 => self.take(kind, peer, snapshot),
-            Ok(_) => {}
-            Err(error) => log::debug!("no snapshot from {peer}: {error}"),
+            Ok(_) => true,
+            Err(error) => {
+                log::debug!("no snapshot from {peer}: {error}");
+                true
+            }
         }
     }
 
-    fn take(&self, kind: Kind, peer: SocketAddr, snapshot: Snapshot) {
+    fn take(&self, kind: Kind, peer: SocketAddr, snapshot: Snapshot) -> bool {
         if snapshot.revision <= self.copy(kind).borrow().mirror.revision() {
-            return;
+            return true;
         }
-        let line = Record::new(record::SNAPSHOT_TAKEN)
-            .with("kind", kind.as_str())
-            .with("peer", peer.to_string())
-            .with("revision", snapshot.revision);
-        self.control.logger.write(&line);
-        let objects = snapshot.objects.into_iter().filter_map(|it| {
+        let changed = snapshot.objects.into_iter().filter_map(|it| {
             let value = serde_json::from_slice(&it.value).ok()?;
             Some(Object { name: it.name.as_str().into(), revision: it.revision, value })
         });
+        let changed: Vec<Object> = changed.collect();
+        let names: Vec<Name> = snapshot.names.iter().map(|it| it.as_str().into()).collect();
+        let line = Record::new(record::SNAPSHOT_TAKEN)
+            .with("kind", kind.as_str())
+            .with("peer", peer.to_string())
+            .with("revision", snapshot.revision)
+            .with("changed", changed.len());
         let now = self.control.now();
-        let objects = objects.collect();
-        let differs = self.copy(kind).borrow_mut().mirror.replace(now, objects, snapshot.revision);
+        let merged =
+            self.copy(kind).borrow_mut().mirror.merge(now, changed, &names, snapshot.revision);
+        let Some(differs) = merged else { return false };
+        self.control.logger.write(&line);
         self.adopt(kind, differs);
+        true
     }
 
     /// Enters this instance in the list of members and follows that list.
@@ -334,8 +383,12 @@
             if let Ok((members, _)) = &listed {
                 self.learn_members(members, &name, &book);
             }
-            let done = entered && listed.is_ok();
-            time::sleep(if done { MEMBERS_INTERVAL } else { LONGEST_PAUSE }).await;
+            let pause = match entered && listed.is_ok() {
+                false => LONGEST_PAUSE,
+                true if self.follows() => MEMBERS_INTERVAL,
+                true => MEMBERS_INTERVAL_HEARD,
+            };
+            time::sleep(pause).await;
         }
     }
 
--- a/crates/wire/src/message/beat.rs
+++ b/crates/wire/src/message/beat.rs
@@ -36,6 +36,9 @@
     /// Engines that the sender has ordered to change their stage and that have not done so yet.
     #[prost(string, repeated, tag = "11")]
     pub turning: Vec<String>,
+    /// Milliseconds since the platform's store last answered the sender; the most for never.
+    #[prost(uint32, tag = "12")]
+    pub store_age_ms: u32,
 }
 
 /// What an instance has at one endpoint.
@@ -72,9 +75,12 @@
     /// Revision of the store up to which they are known.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    /// The objects.
+    /// The objects that have changed since the revision that was asked for.
     #[prost(message, repeated, tag = "2")]
     pub objects: Vec<Object>,
+    /// Names of all objects.
+    #[prost(string, repeated, tag = "3")]
+    pub names: Vec<String>,
 }
 
 /// An object of the platform.
@@ -97,4 +103,7 @@
     /// Kind of objects.
     #[prost(string, tag = "1")]
     pub kind: String,
+    /// Revision up to which the sender knows them; 0 for not at all.
+    #[prost(uint64, tag = "2")]
+    pub since: u64,
 }
