Send fewer beats to other data centres the larger the fleet

The time between such beats grows with the fleet, to 1.2 s at most, and the limit on silence with it; debt of a team up to 4 bursts makes up for what was not known. Ruled out: bodies (0.02 GB).

--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -7,8 +7,10 @@
 
 use crate::{Instant, Name};
 
-/// Time without a beat after which a peer is not counted on.
+/// Time without a beat after which a peer of the own data centre is not counted on.
 pub const SILENCE: Duration = Duration::from_millis(900);
+/// Beats of another data centre that may be lost before a peer there is not counted on.
+const LOST_BEATS: f64 = 3.5;
 /// Time since the store's last answer after which an instance does not follow it any more.
 const STORE_LIMIT: Duration = Duration::from_millis(3_400);
 /// Time without a beat after which what a peer runs is taken to have ended.
@@ -36,9 +38,12 @@
 }
 
 /// The peers that have been heard of.
-#[value(default)]
+#[value]
 pub struct Table {
+    datacentre: Name,
     peers: IndexMap<Name, Peer>,
+    /// Time between beats of peers in other data centres.
+    far_interval: Duration,
     /// Members that the platform lists, this instance included.
     listed: usize,
 }
@@ -53,6 +58,28 @@
 }
 
 impl Table {
+    /// Creates the table of an instance in a data centre.
+    pub fn new(datacentre: Name) -> Table {
+        Table { datacentre, peers: IndexMap::new(), far_interval: Duration::ZERO, listed: 0 }
+    }
+
+    /// Sets the time between beats of peers in other data centres.
+    pub fn set_far_interval(&mut self, interval: Duration) {
+        self.far_interval = interval;
+    }
+
+    /// Returns the time without a beat after which a peer is not counted on.
+    fn limit(&self, peer: &Peer) -> Duration {
+        match peer.datacentre == self.datacentre {
+            true => SILENCE,
+            false => SILENCE.max(self.far_interval.mul_f64(LOST_BEATS)),
+        }
+    }
+
+    fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
+        now.since(peer.heard) < self.limit(peer)
+    }
+
     /// Takes what a peer says of itself; returns what it replaces.
     pub fn hear(&mut self, name: Name, peer: Peer) -> Option<Peer> {
         self.peers.insert(name, peer)
@@ -88,24 +115,24 @@
 
     /// Returns the peers that are heard of, by name.
     pub fn heard(&self, now: Instant) -> impl Iterator<Item = &Name> {
-        self.peers.iter().filter(move |(_, it)| now.since(it.heard) < SILENCE).map(|(name, _)| name)
+        self.peers.iter().filter(move |(_, it)| self.is_heard(now, it)).map(|(name, _)| name)
     }
 
     /// Returns the part of the members that is heard of, this instance included.
     pub fn reach(&self, now: Instant) -> f64 {
-        let heard = self.peers.values().filter(|it| now.since(it.heard) < SILENCE).count();
+        let heard = self.peers.values().filter(|it| self.is_heard(now, it)).count();
         (heard + 1) as f64 / self.len() as f64
     }
 
     /// Returns whether a data centre has members and none of them is heard of.
     pub fn is_dark(&self, now: Instant, datacentre: &str) -> bool {
         let mut peers = self.peers.values().filter(|it| &*it.datacentre == datacentre).peekable();
-        peers.peek().is_some() && peers.all(|it| now.since(it.heard) >= SILENCE)
+        peers.peek().is_some() && peers.all(|it| !self.is_heard(now, it))
     }
 
     /// Returns the requests that wait for a service at peers.
     pub fn waiting(&self, now: Instant, service: &str) -> u32 {
-        let heard = self.peers.values().filter(|it| now.since(it.heard) < SILENCE);
+        let heard = self.peers.values().filter(|it| self.is_heard(now, it));
         heard.filter_map(|it| it.waiting.get(service)).sum()
     }
 
@@ -115,7 +142,7 @@
     /// learns. All do where none of the others is in contact with the store.
     pub fn follows_store(&self, now: Instant, own: &str, datacentre: &str) -> bool {
         let near = || {
-            let heard = self.peers.iter().filter(|(_, it)| now.since(it.heard) < SILENCE);
+            let heard = self.peers.iter().filter(|(_, it)| self.is_heard(now, it));
             heard.filter(|(_, it)| &*it.datacentre == datacentre)
         };
         let first = near().all(|(name, _)| rank(own) < rank(name));
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -20,6 +20,10 @@
 /// Part of a burst that a copy begins with at a restart, when what was spent before is forgotten.
 const RESTART_LEVEL: f64 = 0.5;
 
+/// Bursts by which peers' spending may take a copy below empty, so that what was spent before it was
+/// known is made up for.
+const MOST_DEBT: f64 = 4.0;
+
 /// A copy of a team's bucket.
 #[value]
 struct Bucket {
@@ -120,7 +124,7 @@
             *known = (*known).max(*total);
             if let Some(bucket) = self.buckets.get_mut(team).filter(|_| more > 0) {
                 bucket.refill(now, self.reach);
-                let floor = -(bucket.quota.burst as f64);
+                let floor = -(bucket.quota.burst as f64) * MOST_DEBT;
                 bucket.level = (bucket.level - more as f64).max(floor);
             }
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -102,12 +102,13 @@
 impl State {
     /// Creates the state of an instance that has just started.
     pub fn new(settings: Settings) -> State {
+        let members = member::Table::new(settings.datacentre.clone());
         State {
             settings,
             catalog: None,
             directory: Arc::new(Directory::default()),
             fleet: Fleet {
-                members: member::Table::default(),
+                members,
                 loads: Loads::default(),
                 ledger: Ledger::default(),
                 budgets: IndexMap::new(),
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -18,8 +18,12 @@
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two beats within the data centre.
 const NEAR_PAUSE: Duration = Duration::from_millis(15);
-/// Shortest time between two beats to other data centres.
+/// Shortest time between two beats to other data centres, in a small fleet.
 const FAR_PAUSE: Duration = Duration::from_millis(120);
+/// Size of a small fleet; in a larger one the time grows with the number of those who get a beat.
+const SMALL_FLEET: f64 = 8.0;
+/// Longest time between two beats to other data centres.
+const LONGEST_FAR_PAUSE: Duration = Duration::from_millis(1_200);
 
 impl State {
     /// Takes a beat of another instance.
@@ -81,6 +85,7 @@
                 }
             }
         }
+        self.fleet.members.set_far_interval(self.far_pause().max(BEAT_INTERVAL));
         let reach = self.fleet.members.reach(now);
         self.fleet.ledger.set_reach(now, reach);
     }
@@ -95,7 +100,13 @@
     }
 
     fn far_beat_due(&self) -> Instant {
-        self.times.far_beat + if self.times.far_owed { FAR_PAUSE } else { BEAT_INTERVAL }
+        let pause = self.far_pause();
+        self.times.far_beat + if self.times.far_owed { pause } else { pause.max(BEAT_INTERVAL) }
+    }
+
+    fn far_pause(&self) -> Duration {
+        let factor = (self.fleet.members.len() as f64 / SMALL_FLEET).max(1.0);
+        FAR_PAUSE.mul_f64(factor).min(LONGEST_FAR_PAUSE)
     }
 
     /// Sends a beat if one is due; other data centres get fewer, since they are told of less use.
