--- a/crates/gatewayd/src/logger.rs
+++ b/crates/gatewayd/src/logger.rs
@@ -28,7 +28,7 @@
     pub fn spawn(instance: &str) -> std::io::Result<Logger> {
         let (lines, written) = channel::bounded::<String>(DEPTH);
         thread::Builder::new().name("log".to_owned()).spawn(move || {
-            let mut out = std::io::stdout().lock();
+            let mut out = std::io::stdout();
             for line in written {
                 // Nobody is left to be told that the log cannot be written.
                 let _ = out.write_all(line.as_bytes());
--- a/crates/gatewayd/src/status.rs
+++ b/crates/gatewayd/src/status.rs
@@ -1,6 +1,12 @@
 //! The balancer's question whether the instance is ready, and the metrics.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,10 +29,17 @@
 const LATENCY_BUCKETS_MS: [f64; 10] =
     [10.0, 30.0, 100.0, 200.0, 300.0, 600.0, 900.0, 2_000.0, 5_000.0, 14_000.0];
 
-/// Installs the recorder of metrics.
+/// Installs the process's recorder of metrics, once.
 pub fn install_metrics() -> anyhow::Result<PrometheusHandle> {
+    static INSTALLED: Mutex<Option<PrometheusHandle>> = Mutex::new(None);
+    let mut installed = INSTALLED.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(handle) = &*installed {
+        return Ok(handle.clone());
+    }
     let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS_MS)?;
-    Ok(builder.install_recorder()?)
+    let handle = builder.install_recorder()?;
+    *installed = Some(handle.clone());
+    Ok(handle)
 }
 
 /// Counts a request that ended with an error of the system's own.
