--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -135,6 +135,11 @@
         self.reported.swap_remove(peer);
     }
 
+    /// Returns what is left in a team's bucket, and the part of the rate by which it is refilled.
+    pub fn level(&self, team: &str) -> Option<(f64, f64)> {
+        self.buckets.get(team).map(|it| (it.level, self.reach))
+    }
+
     /// Returns the units that this instance has spent since it started, by team.
     pub fn spent(&self) -> &IndexMap<Name, u64> {
         &self.spent
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -51,13 +51,11 @@
 pub const FAILED: Code = code(734, Level::Warn, "request failed");
 /// The caller left.
 pub const CALLER_LEFT: Code = code(735, Level::Info, "caller left");
-/// A request waits for a place.
-pub const QUEUED: Code = code(736, Level::Info, "request queued");
 /// An engine was ordered to change its stage.
 pub const ORDERED: Code = code(740, Level::Info, "engine ordered to change its stage");
 
 /// Every code, for the catalogue.
-pub const CODES: [Code; 22] = [
+pub const CODES: [Code; 21] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -78,7 +76,6 @@
     ANSWERED,
     FAILED,
     CALLER_LEFT,
-    QUEUED,
     ORDERED,
 ];
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -182,6 +182,8 @@
             return;
         }
         let full = self.settings.first_start && self.catalog.is_none();
+        let reach = self.fleet.members.reach(now);
+        self.fleet.ledger.set_reach(now, reach);
         self.fleet.ledger.configure(now, catalog.teams(), full);
         self.times.owed = true;
         self.log(Record::new(record::CONFIGURED).with("version", catalog.version));
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -5,7 +5,7 @@
 use siskinstile_core::error::{Failure, Kind};
 
 use crate::{
-    Catalog, Effect, Instant,
+    Catalog, Effect, Instant, Name,
     catalog::{Repeat, Route, Team},
     record::{self, Record},
     request::Arrival,
@@ -36,16 +36,27 @@
 
     fn turn_away(&mut self, arrival: &Arrival, failure: Failure, reason: &'static str) {
         let after = failure.retry_after.map(|it| it.as_millis() as u64);
-        let line = Record::new(record::REFUSED)
+        let mut line = Record::new(record::REFUSED)
             .of(&arrival.trace)
             .with("kind", failure.kind.as_str())
             .with("reason", reason)
             .with("version", self.catalog.as_ref().map(|it| it.version))
             .with("retry_after_ms", after);
+        if failure.kind == Kind::RateLimited
+            && let Some((team, (level, reach))) = self.bucket_of(arrival)
+        {
+            line = line.with("team", &*team).with("level", level.round()).with("reach", reach);
+        }
         self.log(line);
         self.emit(Effect::Fail { request: arrival.id, failure });
     }
 
+    /// Returns the team of a request with what is left of its rate.
+    fn bucket_of(&self, arrival: &Arrival) -> Option<(Name, (f64, f64))> {
+        let team = self.catalog.as_ref()?.team_of(arrival.key.as_ref()?)?;
+        Some((team.name.clone(), self.fleet.ledger.level(&team.name)?))
+    }
+
     fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<Work, (Failure, &'static str)> {
         let Some(catalog) = self.catalog.clone() else {
             let failure = Failure::not_run(Kind::NotReady).with_retry_after(NOT_READY_RETRY);
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -177,7 +177,12 @@
         let line = work
             .record(record::PLACED, now)
             .with("decode", &*decode.id)
-            .with("prefill", prefill.as_ref().map(|it| it.id.to_string()));
+            .with("decode_tokens", self.fleet.loads.total(&decode.id).tokens)
+            .with("prefill", prefill.as_ref().map(|it| it.id.to_string()))
+            .with(
+                "prefill_backlog",
+                prefill.as_ref().map(|it| self.fleet.loads.total(&it.id).prompt),
+            );
         self.log(line);
         match prefill {
             Some(prefill) => self.prefill(now, id, prefill),
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 mod orders;
 mod outcome;
 mod quota;
+mod record;
 mod site;
--- a/crates/gateway/tests/testsuite/quota.rs
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -79,3 +79,20 @@
         .sum();
     assert!(granted <= RATE * 8 + RATE, "{granted}");
 }
+
+/// A caller that is refused in the first moments of a restart is told a true time to come back.
+#[test]
+fn refused_at_restart() {
+    let mut site = crate::site::Site::bare();
+    site.now = Instant::from_millis(20);
+    site.configure();
+    for _ in 0..400 {
+        let id = site.send("/lookup/");
+        if let Some((429, after)) = site.failure(id) {
+            let after = after.expect("a time to come back");
+            assert!(after < Duration::from_secs(5), "{after:?}");
+            return;
+        }
+    }
+    panic!("the team's burst covers 375 of these requests");
+}
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -28,11 +28,16 @@
     /// Starts the gateway with a configuration and a list of endpoints.
     pub(crate) fn open() -> Site {
         let mut site = Site::bare();
-        site.post(Event::Configured(Arc::new(catalog(1))));
-        site.post(Event::Listed(Arc::new(Directory::new(endpoints()))));
+        site.configure();
         site
     }
 
+    /// Hands a configuration and a list of endpoints to the gateway.
+    pub(crate) fn configure(&mut self) {
+        self.post(Event::Configured(Arc::new(catalog(1))));
+        self.post(Event::Listed(Arc::new(Directory::new(endpoints()))));
+    }
+
     /// Starts the gateway without a configuration.
     pub(crate) fn bare() -> Site {
         let state = State::new(Settings {
