Spread the returns of refused callers, and let late requests wait behind those that can be in time

Pattern: a burst over the places. Each refusal at an instance now books a place behind the one before; a caller that comes back late waits behind those who can still be in time.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -2,6 +2,7 @@
 
 mod forecast;
 mod queue;
+mod returns;
 mod split;
 
 use std::sync::Arc;
@@ -9,7 +10,8 @@
 use siskinstile_macros::value;
 
 pub use forecast::Forecast;
-pub use queue::{Queue, Waiting};
+pub use queue::{Queue, Rank, Waiting};
+pub use returns::Returns;
 pub use split::Demand;
 
 use crate::{
--- a/crates/gateway/src/engine/forecast.rs
+++ b/crates/gateway/src/engine/forecast.rs
@@ -171,9 +171,14 @@
         Duration::from_secs_f64(self.stay_ms / 1_000.0)
     }
 
+    /// Returns the time in which one place becomes free, while `running` requests leave one by one.
+    pub fn interval(&self, running: u32) -> Duration {
+        self.stay().div_f64(f64::from(running.max(1)))
+    }
+
     /// Returns how long the request behind `ahead` others waits while `running` requests leave one
     /// by one.
     pub fn wait(&self, ahead: u32, running: u32) -> Duration {
-        self.stay().mul_f64(f64::from(ahead + 1) / f64::from(running.max(1)))
+        self.interval(running).mul_f64(f64::from(ahead + 1))
     }
 }
--- a/crates/gateway/src/engine/queue.rs
+++ b/crates/gateway/src/engine/queue.rs
@@ -4,6 +4,17 @@
 
 use crate::{Instant, Name, request};
 
+/// The order in which requests get places; lower goes first.
+#[value(id)]
+pub struct Rank {
+    /// Rank of the team.
+    pub team: u32,
+    /// Rank of the route.
+    pub route: u32,
+    /// Whether the latency target cannot be met any more.
+    pub late: bool,
+}
+
 /// A request that waits.
 #[value]
 pub struct Waiting {
@@ -11,8 +22,8 @@
     pub request: request::Id,
     /// Name of its service.
     pub service: Name,
-    /// Rank of its team, then of its route; lower goes first.
-    pub rank: (u32, u32),
+    /// Its rank.
+    pub rank: Rank,
     /// When it arrived.
     pub arrived: Instant,
     /// When it is refused.
@@ -44,7 +55,7 @@
     }
 
     /// Returns how many requests wait for a service before one of the given rank.
-    pub fn ahead(&self, service: &str, rank: (u32, u32)) -> u32 {
+    pub fn ahead(&self, service: &str, rank: Rank) -> u32 {
         self.waiting.iter().filter(|it| &*it.service == service && it.rank <= rank).count() as u32
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,7 +23,7 @@
     Catalog, Directory, Effect, Event, Instant, Name,
     budget::{Bound, Budget},
     call,
-    engine::{Forecast, Queue},
+    engine::{Forecast, Queue, Returns},
     health::Book,
     load::Loads,
     member,
@@ -65,6 +65,10 @@
     health: Book,
     said: IndexMap<Name, (Instant, call::Said)>,
     forecasts: IndexMap<Name, Forecast>,
+    /// Times that refused callers were told, by service.
+    returns: IndexMap<Name, Returns>,
+    /// Longest time for which callers have said that they wait, by route.
+    patience: IndexMap<Name, Duration>,
 }
 
 /// Times at which something is to be done.
@@ -115,6 +119,8 @@
                 health: Book::default(),
                 said: IndexMap::new(),
                 forecasts: IndexMap::new(),
+                returns: IndexMap::new(),
+                patience: IndexMap::new(),
             },
             times: Times {
                 beat: Instant::default(),
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -69,6 +69,7 @@
         self.check_drain(now, route)?;
         let service = catalog.service(route.service(arrival.id.0)).expect("routes are checked");
         let charged = self.charge(now, team.as_ref(), arrival)?;
+        let asked = now - self.time_spent(route, arrival.patience);
         let wait = arrival.patience.map_or(route.timeout, |it| it.min(route.timeout));
         Ok(Work {
             id: arrival.id,
@@ -79,6 +80,7 @@
             tokens: arrival.tokens,
             charged,
             arrived: now,
+            asked,
             deadline: now + wait,
             phase: Phase::Queued,
             calls: Vec::new(),
@@ -97,6 +99,15 @@
         })
     }
 
+    /// Returns how long a caller has waited before this attempt: what its patience lacks of the
+    /// longest that callers of the route have shown.
+    fn time_spent(&mut self, route: &Route, patience: Option<Duration>) -> Duration {
+        let Some(patience) = patience else { return Duration::ZERO };
+        let longest = self.fleet.patience.entry(route.name.clone()).or_default();
+        *longest = patience.max(*longest);
+        *longest - patience
+    }
+
     /// Refuses a request that could not end before the process does.
     fn check_drain(&self, now: Instant, route: &Route) -> Result<(), (Failure, &'static str)> {
         let Some(since) = self.times.draining else { return Ok(()) };
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -8,7 +8,7 @@
     Instant, Name, call,
     call::Start,
     catalog::Repeat,
-    engine::{Placement, View, Waiting, memory},
+    engine::{Placement, Rank, View, Waiting, memory},
     health::Sign,
     load::Load,
     record, request,
@@ -29,8 +29,6 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 /// Shortest time after which a refused caller is to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(200);
-/// Longest time after which a refused caller is to come back.
-const LONGEST_RETRY: Duration = Duration::from_secs(4);
 /// Engines that one request asks for a place before it is refused.
 const MOST_HOLDS: u32 = 12;
 
@@ -38,7 +36,7 @@
     /// Queues a request for a decode place, or refuses it if none can come in time.
     pub(super) fn enqueue(&mut self, now: Instant, id: request::Id) {
         let Some(work) = self.work.get(&id) else { return };
-        let (service, rank) = (work.service.name.clone(), work.rank());
+        let (service, rank) = (work.service.name.clone(), work.rank(now));
         let wait = self.expected_wait(now, &service, rank);
         match now + wait > self.patience(now, id) && !self.has_room(now, id) {
             true => self.refuse_full(now, id, wait, "no place in time"),
@@ -50,7 +48,7 @@
         let until = self.patience(now, id);
         let Some(work) = self.work.get_mut(&id) else { return };
         work.phase = Phase::Queued;
-        let (service, rank, arrived) = (work.service.name.clone(), work.rank(), work.arrived);
+        let (service, rank, arrived) = (work.service.name.clone(), work.rank(now), work.arrived);
         self.queue.push(Waiting { request: id, service, rank, arrived, until });
     }
 
@@ -60,7 +58,7 @@
         let forecast = self.fleet.forecasts.get(&work.service.name).cloned().unwrap_or_default();
         let prompt = work.tokens.map_or(0, |it| it.prompt);
         let compute = Duration::from_secs_f64(forecast.prompt_ms(prompt) / 1_000.0);
-        let in_time = work.arrived + work.route.target - compute - RUN_START;
+        let in_time = work.asked + work.route.target - compute - RUN_START;
         let late = now + LATE_WAIT;
         match in_time > now {
             true => in_time,
@@ -68,18 +66,22 @@
         }
     }
 
-    fn expected_wait(&self, now: Instant, service: &str, rank: (u32, u32)) -> Duration {
+    fn expected_wait(&self, now: Instant, service: &str, rank: Rank) -> Duration {
         let ahead = self.queue.ahead(service, rank) + self.fleet.members.waiting(now, service);
-        let endpoints = self.directory.of(service);
-        let running = endpoints.iter().map(|it| self.fleet.loads.total(&it.id).runs).sum();
         let forecast = self.fleet.forecasts.get(service).cloned().unwrap_or_default();
-        forecast.wait(ahead, running)
+        forecast.wait(ahead, self.running(service))
+    }
+
+    /// Returns the requests that run at a service's endpoints.
+    fn running(&self, service: &str) -> u32 {
+        let endpoints = self.directory.of(service);
+        endpoints.iter().map(|it| self.fleet.loads.total(&it.id).runs).sum()
     }
 
     fn has_room(&self, now: Instant, id: request::Id) -> bool {
         let Some(work) = self.work.get(&id) else { return false };
         let Some(tokens) = work.tokens else { return false };
-        let behind = self.queue.ahead(&work.service.name, work.rank()) > 0;
+        let behind = self.queue.ahead(&work.service.name, work.rank(now)) > 0;
         !behind && self.view(now, work, |view| view.place(tokens, &work.avoid)).is_some()
     }
 
@@ -244,7 +246,7 @@
         work.misses += 1;
         let given_up = work.misses >= MOST_HOLDS;
         let service = work.service.name.clone();
-        let rank = work.rank();
+        let rank = work.rank(now);
         self.work.insert(id, work);
         match given_up {
             true => {
@@ -296,7 +298,7 @@
             }
             false => {
                 let service = work.service.name.clone();
-                let rank = work.rank();
+                let rank = work.rank(now);
                 let wait = self.expected_wait(now, &service, rank);
                 self.refuse_full(now, id, wait, "refused by the engine");
             }
@@ -335,14 +337,18 @@
         wait: Duration,
         reason: &'static str,
     ) {
-        let after = wait.clamp(SHORTEST_RETRY, LONGEST_RETRY);
+        let Some(work) = self.work.get(&id) else { return };
+        let service = work.service.name.clone();
+        let forecast = self.fleet.forecasts.get(&service).cloned().unwrap_or_default();
+        let each = forecast.interval(self.running(&service)) * self.fleet.members.len() as u32;
+        let after = self.fleet.returns.entry(service).or_default().book(now, wait, each);
         let failure = Failure::not_run(Why::TooLate).with_retry_after(after);
         self.fail(now, id, failure, reason);
     }
 
     /// Refuses the requests that have waited for as long as they can.
     pub(super) fn refuse_overdue(&mut self, now: Instant) {
-        let overdue: Vec<(request::Id, Name, (u32, u32))> = self
+        let overdue: Vec<(request::Id, Name, Rank)> = self
             .queue
             .iter()
             .filter(|it| it.until <= now)
--- a/crates/gateway/src/state/work.rs
+++ b/crates/gateway/src/state/work.rs
@@ -10,6 +10,7 @@
     catalog::{Repeat, Route, Service, Team},
     directory::Endpoint,
     effect,
+    engine::Rank,
     load::Load,
     record::Record,
     request,
@@ -64,6 +65,8 @@
     /// What its team has been charged.
     pub(super) charged: u64,
     pub(super) arrived: Instant,
+    /// When its caller first asked, as far as the time that it still waits tells.
+    pub(super) asked: Instant,
     /// When it is answered at the latest.
     pub(super) deadline: Instant,
     pub(super) phase: Phase,
@@ -113,10 +116,11 @@
             .with("sends", self.sends)
     }
 
-    /// Returns the rank of the request's team, then of its route.
-    pub(super) fn rank(&self) -> (u32, u32) {
+    /// Returns in which order the request gets a place.
+    pub(super) fn rank(&self, now: Instant) -> Rank {
         let team = self.team.as_ref().and_then(|it| it.priority);
-        (team.unwrap_or(self.route.priority), self.route.priority)
+        let late = self.asked + self.route.target <= now;
+        Rank { team: team.unwrap_or(self.route.priority), route: self.route.priority, late }
     }
 
     /// Returns whether another send is allowed by the route and by what has happened so far.
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -6,4 +6,5 @@
 mod outcome;
 mod quota;
 mod record;
+mod returns;
 mod site;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/returns.rs
@@ -0,0 +1,32 @@
+//! When refused callers are told to come back.
+
+use std::time::Duration;
+
+use siskinstile_gateway::{Instant, engine::Returns};
+
+/// A burst of refusals: the returns are spread over seconds, none before a place can be free.
+#[test]
+fn book_burst() {
+    let mut returns = Returns::default();
+    let now = Instant::from_millis(1_000);
+    let wait = Duration::from_millis(300);
+    let interval = Duration::from_millis(120);
+    let times: Vec<Duration> = (0..40).map(|_| returns.book(now, wait, interval)).collect();
+    assert!(times.iter().all(|it| *it >= wait && *it <= Duration::from_secs(4)), "{times:?}");
+    for second in 0..4 {
+        let within = |it: &&Duration| it.as_secs() == second;
+        let count = times.iter().filter(within).count();
+        assert!((5..=15).contains(&count), "{count} in second {second}");
+    }
+}
+
+/// A refusal on its own: the caller comes back when a place is expected.
+#[test]
+fn book_single() {
+    let mut returns = Returns::default();
+    let wait = Duration::from_millis(700);
+    for second in 1..5 {
+        let now = Instant::from_millis(second * 10_000);
+        assert_eq!(returns.book(now, wait, Duration::from_millis(100)), wait);
+    }
+}
