--- a/crates/gatewayd/src/door.rs
+++ b/crates/gatewayd/src/door.rs
@@ -22,6 +22,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use siskinstile_core::error::{Failure, Kind};
 use siskinstile_gateway::{Catalog, Event, State, catalog::Limits, request as gateway};
+use siskinstile_net::{Place, Places};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -49,27 +50,33 @@
 /// Takes callers' connections.
 pub async fn serve(control: Rc<Control>, listener: TcpListener, descriptors: usize) {
     let most = descriptors * CALLERS_PERCENT / 100;
-    let open = Rc::new(Cell::new(0_usize));
+    let places = Places::new(most);
     let next = Rc::new(Cell::new(0_u64));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if open.get() >= most {
+        let Some(place) = places.take().map(Rc::new) else {
             metrics::counter!("siskinstile_connections_refused").increment(1);
             continue;
-        }
-        open.set(open.get() + 1);
-        let (control, open, next) = (control.clone(), open.clone(), next.clone());
+        };
+        let (control, next) = (control.clone(), next.clone());
         spawn_local(async move {
-            serve_connection(control, stream, next).await;
-            open.set(open.get() - 1);
+            tokio::select! {
+                () = serve_connection(control, stream, next, place.clone()) => {}
+                () = place.yielded() => {}
+            }
         });
     }
 }
 
-async fn serve_connection(control: Rc<Control>, stream: TcpStream, next: Rc<Cell<u64>>) {
+async fn serve_connection(
+    control: Rc<Control>,
+    stream: TcpStream,
+    next: Rc<Cell<u64>>,
+    place: Rc<Place>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("socket option not set: {error}");
     }
@@ -78,8 +85,11 @@
     let service = service_fn(move |request: Request<Incoming>| {
         next.set(next.get() + 1);
         let id = gateway::Id(next.get());
-        let control = shared.clone();
-        async move { Ok::<_, Infallible>(handle(control, id, request).await) }
+        let (control, kept) = (shared.clone(), Kept::new(place.clone()));
+        async move {
+            let answer = handle(control, id, request).await;
+            Ok::<_, Infallible>(answer.map(|body| Guarded { _kept: Some(kept), ..body }))
+        }
     });
     let mut server = http1::Builder::new();
     server
@@ -139,7 +149,7 @@
     if control.read(State::is_draining) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response.map(|body| Guarded { body, _guard: Some(guard) })
+    response.map(|body| Guarded { body, _guard: Some(guard), _kept: None })
 }
 
 fn refuse(control: &Control, trace: &str, kind: Kind) -> Response<Body> {
@@ -183,11 +193,28 @@
 struct Guarded {
     body: Body,
     _guard: Option<Guard>,
+    _kept: Option<Kept>,
+}
+
+/// Keeps the place of a connection while a request is under way.
+struct Kept(Rc<Place>);
+
+impl Kept {
+    fn new(place: Rc<Place>) -> Kept {
+        place.keep();
+        Kept(place)
+    }
+}
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        self.0.wait();
+    }
 }
 
 impl From<Body> for Guarded {
     fn from(body: Body) -> Guarded {
-        Guarded { body, _guard: None }
+        Guarded { body, _guard: None, _kept: None }
     }
 }
 
--- a/crates/siskinstiled/src/door.rs
+++ b/crates/siskinstiled/src/door.rs
@@ -25,6 +25,7 @@
 use siskinstile_core::{
     Event, error::Failure, error::Kind, key, key::Secret, log as events, request,
 };
+use siskinstile_net::{Place, Places};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
@@ -63,21 +64,23 @@
     settings: settings::Door,
     tls: Option<watch::Receiver<TlsAcceptor>>,
 ) {
-    let places = Arc::new(Semaphore::new(settings.max_connections));
+    let places = Places::new(settings.max_connections);
     let lingering = Arc::new(Semaphore::new(MAX_LINGERING));
     let settings = Arc::new(settings);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => match places.clone().try_acquire_owned() {
-                Ok(place) => {
+            Ok((stream, _)) => match places.take().map(Arc::new) {
+                Some(place) => {
                     let (shared, settings) = (shared.clone(), settings.clone());
                     let tls = tls.as_ref().map(|it| it.borrow().clone());
                     tokio::spawn(async move {
-                        secure(stream, tls, shared, settings).await;
-                        drop(place);
+                        tokio::select! {
+                            () = secure(stream, tls, shared, settings, place.clone()) => {}
+                            () = place.yielded() => {}
+                        }
                     });
                 }
-                Err(_) => refuse(stream, &lingering),
+                None => refuse(stream, &lingering),
             },
             Err(error) => {
                 events::Record::new(events::ACCEPT_FAILED, error.to_string()).write();
@@ -106,16 +109,21 @@
     tls: Option<TlsAcceptor>,
     shared: Arc<Shared>,
     settings: Arc<settings::Door>,
+    place: Arc<Place>,
 ) {
     let _ = stream.set_nodelay(true);
-    let Some(tls) = tls else { return connection(stream, shared, settings).await };
+    let Some(tls) = tls else { return connection(stream, shared, settings, place).await };
     if let Ok(Ok(stream)) = time::timeout(settings.head_limit(), tls.accept(stream)).await {
-        connection(stream, shared, settings).await;
+        connection(stream, shared, settings, place).await;
     }
 }
 
-async fn connection<S>(stream: S, shared: Arc<Shared>, settings: Arc<settings::Door>)
-where
+async fn connection<S>(
+    stream: S,
+    shared: Arc<Shared>,
+    settings: Arc<settings::Door>,
+    place: Arc<Place>,
+) where
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let answering = Arc::new(AtomicBool::new(false));
@@ -123,10 +131,11 @@
     let limit = settings.body_limit();
     let service = service_fn(move |request| {
         answering.store(true, Ordering::Release);
-        let (shared, answering) = (shared.clone(), answering.clone());
+        place.keep();
+        let (shared, mark) = (shared.clone(), guard::Mark::new(answering.clone(), place.clone()));
         async move {
             let answer = handle(request, shared, limit).await;
-            Ok::<_, Infallible>(answer.map(|body| guard::Body::new(body, answering)))
+            Ok::<_, Infallible>(answer.map(|body| guard::Body::new(body, mark)))
         }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
--- a/crates/siskinstiled/src/door/guard.rs
+++ b/crates/siskinstiled/src/door/guard.rs
@@ -13,16 +13,36 @@
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use hyper::body::{Frame, SizeHint};
+use siskinstile_net::Place;
 
-/// A body with the mark of its connection, taken back when the body is dropped.
+/// Marks a connection as answering, and its place as kept, until it is dropped.
+pub(super) struct Mark {
+    answering: Arc<AtomicBool>,
+    place: Arc<Place>,
+}
+
+impl Mark {
+    pub(super) fn new(answering: Arc<AtomicBool>, place: Arc<Place>) -> Mark {
+        Mark { answering, place }
+    }
+}
+
+impl Drop for Mark {
+    fn drop(&mut self) {
+        self.answering.store(false, Ordering::Release);
+        self.place.wait();
+    }
+}
+
+/// A body with the mark of its connection.
 pub(super) struct Body {
     inner: BoxBody<Bytes, io::Error>,
-    answering: Arc<AtomicBool>,
+    _mark: Mark,
 }
 
 impl Body {
-    pub(super) fn new(inner: BoxBody<Bytes, io::Error>, answering: Arc<AtomicBool>) -> Body {
-        Body { inner, answering }
+    pub(super) fn new(inner: BoxBody<Bytes, io::Error>, mark: Mark) -> Body {
+        Body { inner, _mark: mark }
     }
 }
 
@@ -45,9 +65,3 @@
         self.inner.size_hint()
     }
 }
-
-impl Drop for Body {
-    fn drop(&mut self) {
-        self.answering.store(false, Ordering::Release);
-    }
-}
