--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -1,9 +1,12 @@
 //! Following of the platform's store: lists and watches, and snapshots of peers where it is away.
 
+mod exchange;
+mod members;
+
+pub use members::Member;
+
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use http_body_util::BodyExt as _;
-use serde_json::{Value, json};
 use siskinstile_gateway::{
     Directory, Event, Instant, Name,
     record::{self, Record},
@@ -20,8 +23,6 @@
 
 /// Longest wait of a watch; a connection that has gone silent is found out soon after it.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-/// Limit on an answer beyond the wait that was asked for.
-const ANSWER_LIMIT: Duration = Duration::from_millis(700);
 /// First pause after a call that failed; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a call that failed.
@@ -30,12 +31,6 @@
 const LAG_LIMIT: Duration = Duration::from_millis(500);
 /// Time between two looks at lags and at objects that lapse.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time between two lists of the members.
-const MEMBERS_INTERVAL: Duration = Duration::from_secs(10);
-/// Time between two lists of the members at an instance that learns the rest from its peers.
-const MEMBERS_INTERVAL_HEARD: Duration = Duration::from_secs(60);
-/// Connections to the store.
-const MOST_CONNECTIONS: usize = 8;
 
 /// What is known of the objects of one kind, and of who may know more.
 #[derive(Debug, Default)]
@@ -45,15 +40,6 @@
     ahead: Option<(u64, Instant, SocketAddr)>,
 }
 
-/// What an instance enters in the list of members.
-#[derive(Debug)]
-pub struct Member {
-    /// Address for messages of other instances.
-    pub address: SocketAddr,
-    /// Name of its data centre.
-    pub datacentre: Name,
-}
-
 /// Copies of the kinds that are followed.
 #[derive(Debug)]
 pub struct Follower {
@@ -204,62 +190,6 @@
         }
     }
 
-    /// Makes a call to the store.
-    pub async fn call(&self, call: &Call) -> Result<Answer, Fault> {
-        let wait = match call {
-            Call::Watch { wait, .. } => *wait,
-            _ => Duration::ZERO,
-        };
-        metrics::counter!("siskinstile_store_calls").increment(1);
-        let result = match time::timeout(wait + ANSWER_LIMIT, self.exchange(call)).await {
-            Ok(result) => result,
-            Err(_) => {
-                self.control.client.forget(self.store);
-                Err(Fault::Lost)
-            }
-        };
-        self.note(&result);
-        result
-    }
-
-    async fn exchange(&self, call: &Call) -> Result<Answer, Fault> {
-        let protocol = &self.control.protocol;
-        let request = protocol.store_call(call);
-        let client = &self.control.client;
-        let reply =
-            client.send(self.store, request, MOST_CONNECTIONS).await.map_err(|_| Fault::Lost)?;
-        let body = reply.body.collect().await.map_err(|_| Fault::Lost)?.to_bytes();
-        let keep = protocol.answer(&reply.head).keep;
-        let status = reply.head.status.as_u16();
-        client.keep(reply.connection, keep);
-        protocol.store_answer(call, status, &body)
-    }
-
-    /// Notes whether the store answers.
-    fn note(&self, result: &Result<Answer, Fault>) {
-        let now = self.control.now();
-        if result.is_ok() {
-            *self.answered.borrow_mut() = Some(now);
-        }
-        let mut lost = self.lost_since.borrow_mut();
-        match (result, *lost) {
-            (Ok(_), Some(since)) => {
-                *lost = None;
-                let away = now.since(since).as_millis() as u64;
-                self.control
-                    .logger
-                    .write(&Record::new(record::STORE_REGAINED).with("away_ms", away));
-                self.endpoints.borrow_mut().mirror.store_regained(now);
-            }
-            (Err(fault), None) => {
-                *lost = Some(now);
-                let line = Record::new(record::STORE_LOST).with("fault", format!("{fault:?}"));
-                self.control.logger.write(&line);
-            }
-            _ => {}
-        }
-    }
-
     /// Puts what is known of a kind in force.
     fn adopt(&self, kind: Kind, differs: bool) {
         {
@@ -371,58 +301,4 @@
         self.adopt(kind, differs);
         true
     }
-
-    /// Enters this instance in the list of members and follows that list.
-    pub async fn join(self: Rc<Follower>, name: Name, member: Member, book: Rc<peers::Book>) {
-        let Member { address, datacentre } = member;
-        let value = json!({ "address": address.to_string(), "datacentre": datacentre });
-        let mut entered = false;
-        loop {
-            entered = entered || self.enter(&name, &value).await;
-            let listed = self.list_all(Kind::Members, entered).await;
-            if let Ok((members, _)) = &listed {
-                self.learn_members(members, &name, &book);
-            }
-            let pause = match entered && listed.is_ok() {
-                false => LONGEST_PAUSE,
-                true if self.follows() => MEMBERS_INTERVAL,
-                true => MEMBERS_INTERVAL_HEARD,
-            };
-            time::sleep(pause).await;
-        }
-    }
-
-    async fn enter(&self, name: &Name, value: &Value) -> bool {
-        let (kind, name, value) = (Kind::Members, name.clone(), value.clone());
-        match self.call(&Call::Create { kind, name: name.clone(), value: value.clone() }).await {
-            Ok(Answer::Object(_)) => true,
-            Ok(Answer::Conflict(_)) => {
-                let call = Call::Replace { kind, name, revision: None, value };
-                self.call(&call).await.is_ok()
-            }
-            _ => false,
-        }
-    }
-
-    fn learn_members(&self, members: &[Object], own: &Name, book: &peers::Book) {
-        for member in members.iter().filter(|it| it.name != *own) {
-            match member.value["address"].as_str().and_then(|it| it.parse().ok()) {
-                Some(address) => {
-                    let datacentre = member.value["datacentre"].as_str().unwrap_or_default();
-                    book.learn(&member.name, address, datacentre);
-                }
-                None => {
-                    let line = Record::new(record::ENTRY_UNREADABLE).with("entry", &*member.name);
-                    self.control.logger.write(&line);
-                }
-            }
-        }
-        self.control.post(Event::Members(members.len()));
-    }
-
-    /// Takes this instance out of the list of members.
-    pub async fn leave(&self, name: Name) {
-        // One that stays listed is taken for silent by its peers.
-        let _ = self.call(&Call::Delete { kind: Kind::Members, name }).await;
-    }
 }
