Change several engines' stages at a time in a large pool

One engine in 24 may change at a time, counted as what it becomes; at least one, and then with a pause as before. The slope of few prompts now counts beside what is assumed, test demand_few_prompts.

--- a/crates/gateway/src/engine/forecast.rs
+++ b/crates/gateway/src/engine/forecast.rs
@@ -17,6 +17,8 @@
 const FIRST_PROMPT_MS: f64 = 50.0;
 /// Prompts of different lengths that have to be seen before the line through them counts.
 const LEAST_PROMPTS: f64 = 8.0;
+/// Weight of the assumed time for each token: that of ten prompts which differ by 2,000 tokens.
+const ASSUMED_SPREAD: f64 = 10.0 * 10.0 * 2_000.0 * 2_000.0;
 /// Time that a request stays at a decode engine, before any was seen.
 const STAY: Duration = Duration::from_secs(3);
 /// Requests that have to arrive before their mean counts.
@@ -58,11 +60,14 @@
 
     /// Returns the time for a prompt of no length and for each token, in milliseconds.
     fn fit(&self) -> (f64, f64) {
-        let spread = self.weight * self.tokens_squared - self.tokens * self.tokens;
-        if self.weight < LEAST_PROMPTS || spread <= 0.0 {
+        if self.weight < LEAST_PROMPTS {
             return (FIRST_PROMPT_MS, FIRST_TOKEN_MS);
         }
-        let slope = (self.weight * self.tokens_ms - self.tokens * self.ms) / spread;
+        // Few prompts, or prompts of like length, say little of the slope: what was assumed before any
+        // was seen counts beside them.
+        let spread = self.weight * self.tokens_squared - self.tokens * self.tokens;
+        let together = self.weight * self.tokens_ms - self.tokens * self.ms;
+        let slope = (together + ASSUMED_SPREAD * FIRST_TOKEN_MS) / (spread + ASSUMED_SPREAD);
         let slope = slope.clamp(FIRST_TOKEN_MS / 10.0, FIRST_TOKEN_MS * 10.0);
         let base = (self.ms - slope * self.tokens) / self.weight;
         (base.max(0.0), slope)
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -153,7 +153,7 @@
             loads: loads.collect(),
             spent: spent.map(|(name, count)| named(name, *count)).collect(),
             waiting: waiting.into_iter().map(|(name, count)| named(name, count)).collect(),
-            turning: self.planner.turning().iter().map(|it| it.to_string()).collect(),
+            turning: self.planner.turning().map(|it| it.to_string()).collect(),
         }
     }
 }
--- a/crates/gateway/src/state/orders.rs
+++ b/crates/gateway/src/state/orders.rs
@@ -1,4 +1,4 @@
-//! Orders that change what engines do, given by the holder of a lease, one at a time.
+//! Orders that change what engines do, given by the holder of a lease, one after the other.
 
 use std::{sync::Arc, time::Duration};
 
@@ -18,6 +18,8 @@
 
 /// Time between two looks at the division of engines.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Engines for each one that may change its stage at a time; in a small pool one may all the same.
+const ENGINES_PER_TURN: usize = 24;
 /// Time for which the list of endpoints must have stood before an order is given.
 const SETTLED: Duration = Duration::from_secs(2);
 /// Time after the start in which members are still being heard for the first time.
@@ -37,13 +39,22 @@
     demand: Demand,
 }
 
+/// An engine that is changing its stage.
+#[value]
+struct Turning {
+    endpoint: Name,
+    service: Name,
+    stage: Stage,
+    /// When it is not believed any more.
+    until: Instant,
+}
+
 /// What the holder of the lease has under way.
 #[value(default)]
 pub(super) struct Planner {
     lease: Option<Lease>,
     pending: Option<Pending>,
-    /// An engine that is changing its stage, what it will do, and when that is not believed any more.
-    turning: Option<(Name, Stage, Instant)>,
+    turning: Vec<Turning>,
     looked: Instant,
     listed: Instant,
     quiet_until: Instant,
@@ -53,14 +64,18 @@
     /// Notes that the list of endpoints has changed.
     pub(super) fn listed(&mut self, now: Instant, directory: &Directory) {
         self.listed = now;
-        let done =
-            |id: &Name, stage: Stage| directory.get(id).is_none_or(|it| it.stage == Some(stage));
-        self.turning = self.turning.take().filter(|(id, stage, _)| !done(id, *stage));
+        let listed = |it: &Turning| directory.get(&it.endpoint).map(|found| found.stage);
+        self.turning.retain(|it| listed(it).is_some_and(|stage| stage != Some(it.stage)));
     }
 
-    /// Returns the engine that is changing its stage.
-    pub(super) fn turning(&self) -> Option<&Name> {
-        self.turning.as_ref().map(|(id, ..)| id)
+    /// Returns the engines that are changing their stage.
+    pub(super) fn turning(&self) -> impl Iterator<Item = &Name> {
+        self.turning.iter().map(|it| &it.endpoint)
+    }
+
+    /// Returns how many engines of a service are becoming engines of a stage.
+    fn becoming(&self, service: &str, stage: Stage) -> usize {
+        self.turning.iter().filter(|it| &*it.service == service && it.stage == stage).count()
     }
 
     fn token(&self, now: Instant) -> Option<u64> {
@@ -96,7 +111,7 @@
             return;
         }
         self.planner.looked = now;
-        self.planner.turning = self.planner.turning.take().filter(|(.., until)| *until > now);
+        self.planner.turning.retain(|it| it.until > now);
         let may = self.planner.token(now).is_some() && !self.is_draining();
         let settled = now.since(self.planner.listed) >= SETTLED;
         if !may || !settled || now < self.planner.quiet_until {
@@ -119,10 +134,19 @@
         let demand = self.fleet.forecasts.get(&service.name)?.demand(engine.memory_tokens)?;
         let ready: Vec<&Arc<Endpoint>> =
             self.directory.of(&service.name).iter().filter(|it| it.is_ready()).collect();
-        let count = |stage| ready.iter().filter(|it| it.stage == Some(stage)).count();
+        let turning = |it: &Endpoint| self.planner.turning().any(|other| *other == it.id);
+        if ready.iter().filter(|it| turning(it)).count() * ENGINES_PER_TURN >= ready.len() {
+            return None;
+        }
+        // Engines that are changing count as what they become.
+        let count = |stage| {
+            let staying = ready.iter().filter(|it| it.stage == Some(stage) && !turning(it));
+            staying.count() + self.planner.becoming(&service.name, stage)
+        };
         let stage = demand.turn(count(Stage::Prefill), count(Stage::Decode))?;
         let usable = |it: &&&Arc<Endpoint>| {
-            it.stage.is_some_and(|its| its != stage) && !self.fleet.health.rests(now, &it.id)
+            let other = it.stage.is_some_and(|its| its != stage);
+            other && !turning(it) && !self.fleet.health.rests(now, &it.id)
         };
         let crowd = |it: &Endpoint| {
             let same = |other: &&&Arc<Endpoint>| {
@@ -172,11 +196,18 @@
         let service = self.catalog.as_ref().and_then(|it| it.service(&pending.endpoint.service));
         let engine = service.and_then(|it| it.engine.as_ref());
         let change = engine.map_or(LOST_PAUSE, |it| it.reconfigure + LISTING_LAG);
+        let engines = self.directory.of(&pending.endpoint.service).len();
+        let at_a_time = (engines as f64 / ENGINES_PER_TURN as f64).max(1.0);
         if outcome == Outcome::Done {
-            self.planner.turning = Some((pending.endpoint.id.clone(), pending.stage, now + change));
+            self.planner.turning.push(Turning {
+                endpoint: pending.endpoint.id.clone(),
+                service: pending.endpoint.service.clone(),
+                stage: pending.stage,
+                until: now + change,
+            });
         }
         self.planner.quiet_until = match outcome {
-            Outcome::Done => now + change,
+            Outcome::Done => now + change.div_f64(at_a_time),
             Outcome::Refused { .. } => now + REFUSED_PAUSE,
             _ => now + LOST_PAUSE,
         };
--- a/crates/gateway/tests/testsuite/orders.rs
+++ b/crates/gateway/tests/testsuite/orders.rs
@@ -83,3 +83,59 @@
     site.report(siskinstile_gateway::call::Id(99), Outcome::Done);
     assert!(site.calls().is_empty());
 }
+
+/// A pool whose division is wrong by far: one engine in 24 changes at a time, and those that do count
+/// as what they become.
+#[rstest]
+#[case::small(12, 1)]
+#[case::large(96, 4)]
+fn order_several(#[case] engines: u32, #[case] most: usize) {
+    let mut site = Site::with_engines(engines);
+    for _ in 0..12 {
+        site.send("/review/");
+        let run = site.run_generation();
+        site.report(run.id, Outcome::Head { status: 200 });
+        site.report(run.id, Outcome::First);
+        site.pass(400);
+        site.report(run.id, Outcome::Ended { events: 10 });
+        site.calls();
+    }
+    let mut ordered = Vec::new();
+    for _ in 0..100 {
+        let until = site.now + Duration::from_secs(1);
+        site.post(Event::Lease(Some(Lease { token: 7, until })));
+        for call in site.calls() {
+            match call.step {
+                Step::Inspect => {
+                    let outcome =
+                        Outcome::Inspected { stage: Stage::Prefill, orders: 0, busy: false };
+                    site.report(call.id, outcome);
+                }
+                Step::Order(order) => {
+                    assert_eq!((order.token, order.precondition), (7, 0));
+                    assert!(!ordered.contains(&call.endpoint.id), "{ordered:?}");
+                    ordered.push(call.endpoint.id.clone());
+                    site.report(call.id, Outcome::Done);
+                }
+                _ => {}
+            }
+        }
+        site.pass(100);
+    }
+    assert_eq!(ordered.len(), most, "{ordered:?}");
+}
+
+/// The line through a few prompts with noise on them is not taken at its word.
+#[test]
+fn demand_few_prompts() {
+    let mut forecast = siskinstile_gateway::engine::Forecast::default();
+    for (tokens, ms) in
+        [(4_000, 205), (4_400, 190), (5_000, 260), (5_300, 210), (5_600, 225), (6_000, 215)]
+    {
+        for _ in 0..2 {
+            forecast.prompt_seen(tokens, Duration::from_millis(ms));
+        }
+    }
+    let busy = forecast.busy_ms(5_000);
+    assert!((70.0..130.0).contains(&busy), "{busy}");
+}
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -38,6 +38,18 @@
         self.post(Event::Listed(Arc::new(Directory::new(endpoints()))));
     }
 
+    /// Starts the gateway with a number of engines, half of which compute prompts.
+    pub(crate) fn with_engines(engines: u32) -> Site {
+        let mut site = Site::bare();
+        site.post(Event::Configured(Arc::new(catalog(1))));
+        let all = (0..engines).map(|number| {
+            let stage = if number % 2 == 0 { Stage::Prefill } else { Stage::Decode };
+            endpoint(&format!("e{number}"), "model", "north", Some(stage))
+        });
+        site.post(Event::Listed(Arc::new(Directory::new(all))));
+        site
+    }
+
     /// Starts the gateway without a configuration.
     pub(crate) fn bare() -> Site {
         let state = State::new(Settings {
