--- a/crates/gateway/src/state/work.rs
+++ b/crates/gateway/src/state/work.rs
@@ -112,6 +112,7 @@
             .with("route", &*self.route.name)
             .with("service", &*self.service.name)
             .with("team", self.team.as_ref().map(|it| it.name.to_string()))
+            .with("phase", format!("{:?}", self.phase))
             .with("age_ms", now.since(self.arrived).as_millis() as u64)
             .with("sends", self.sends)
     }
