Take nothing once the process has said that it stops

Ruled out: the grace period (3 s were left), idle connections (a new one). It is refused now with a time to come back. Test arrival_stopped fails without it; arrival_draining now holds a stream open, since its request had ended before.

--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -115,7 +115,7 @@
             Repeat::Stream { .. } => STREAM_TIME,
             _ => route.timeout + STOP_MARGIN,
         };
-        match now.since(since) + needs > self.settings.grace {
+        match self.stopped || now.since(since) + needs > self.settings.grace {
             true => {
                 let failure = Failure::not_run(Kind::Draining).with_retry_after(DRAINING_RETRY);
                 Err((failure, "the instance stops"))
--- a/crates/gateway/tests/testsuite/drain.rs
+++ b/crates/gateway/tests/testsuite/drain.rs
@@ -1,7 +1,7 @@
 //! A planned stop.
 
 use rstest::rstest;
-use siskinstile_gateway::{Effect, Event};
+use siskinstile_gateway::{Effect, Event, call::Outcome};
 
 use crate::site::Site;
 
@@ -13,7 +13,11 @@
 #[case::plain_late("/issue/", 7_000, Some(503))]
 fn arrival_draining(#[case] prefix: &str, #[case] after_ms: u64, #[case] status: Option<u16>) {
     let mut site = Site::open();
+    // A stream that is open keeps the process from stopping.
     site.send("/review/");
+    let run = site.run_generation();
+    site.report(run.id, Outcome::Head { status: 200 });
+    site.report(run.id, Outcome::First);
     site.post(Event::Drain);
     site.pass(after_ms);
     site.calls();
@@ -31,3 +35,17 @@
     site.pass(1_000);
     assert!(site.effects.contains(&Effect::Stopped));
 }
+
+/// Once it has said that it stops, an instance takes nothing that its end could cut.
+#[rstest]
+#[case::stream("/review/")]
+#[case::plain("/lookup/")]
+fn arrival_stopped(#[case] prefix: &str) {
+    let mut site = Site::open();
+    site.post(Event::Drain);
+    site.pass(4_000);
+    assert!(site.effects.contains(&Effect::Stopped));
+    let id = site.send(prefix);
+    assert!(site.calls().is_empty());
+    assert_eq!(site.failure(id).map(|it| it.0), Some(503));
+}
