Follow the store at every instance of a small fleet, at two of a data centre in a larger one

Ruled out: the hand-on between peers (it worked as soon as one followed). An instance whose store does not answer says so at once; watches on which others rely take 1.2 s. Tests follows_store_small and follows_store_large; peers_hand_on now has a gateway that the store turns away or is silent to, in place of one that need not ask.

--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -11,8 +11,13 @@
 pub const SILENCE: Duration = Duration::from_millis(900);
 /// Beats of another data centre that may be lost before a peer there is not counted on.
 const LOST_BEATS: f64 = 3.5;
-/// Time since the store's last answer after which an instance does not follow it any more.
-const STORE_LIMIT: Duration = Duration::from_millis(3_400);
+/// Time since the store's last answer after which an instance does not follow it any more; changes
+/// have to be in force everywhere soon after it.
+const STORE_LIMIT: Duration = Duration::from_millis(2_100);
+/// Members of a fleet in which each one follows the store itself.
+const SMALL_FLEET: usize = 8;
+/// Instances of a data centre that follow the store in a larger fleet.
+const FOLLOWERS: usize = 2;
 /// Time without a beat after which what a peer runs is taken to have ended.
 const LOADS_LIMIT: Duration = Duration::from_secs(3);
 /// Time without a beat after which a peer is no member any more.
@@ -136,18 +141,23 @@
         heard.filter_map(|it| it.waiting.get(service)).sum()
     }
 
+    /// Returns whether the fleet is so large that only some instances follow the platform's store.
+    pub fn is_large(&self) -> bool {
+        self.len() > SMALL_FLEET
+    }
+
     /// Returns whether an instance is to follow the platform's store itself.
     ///
-    /// In each data centre one does, the first by rank of those that are heard, and hands on what it
-    /// learns. All do where none of the others is in contact with the store.
+    /// In a large fleet those of each data centre do that are the first by rank among those heard,
+    /// and hand on what they learn. All do where none of the others is in contact with the store.
     pub fn follows_store(&self, now: Instant, own: &str, datacentre: &str) -> bool {
         let near = || {
             let heard = self.peers.iter().filter(|(_, it)| self.is_heard(now, it));
             heard.filter(|(_, it)| &*it.datacentre == datacentre)
         };
-        let first = near().all(|(name, _)| rank(own) < rank(name));
+        let before = near().filter(|(name, _)| rank(name) < rank(own)).count();
         let in_contact = |it: &Peer| it.store_age + now.since(it.heard) < STORE_LIMIT;
-        first || !near().any(|(_, it)| in_contact(it))
+        !self.is_large() || before < FOLLOWERS || !near().any(|(_, it)| in_contact(it))
     }
 
     /// Returns the engines that peers have ordered to change their stage.
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -73,6 +73,11 @@
         self.fleet.members.follows_store(now, name, datacentre)
     }
 
+    /// Returns whether the fleet is so large that only some instances follow the platform's store.
+    pub fn is_large_fleet(&self) -> bool {
+        self.fleet.members.is_large()
+    }
+
     /// Takes notice of peers that have fallen silent.
     pub(super) fn expire_peers(&mut self, now: Instant) {
         for change in self.fleet.members.expire(now) {
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions; no clock, no network.
 
 mod drain;
+mod follow;
 mod generation;
 mod orders;
 mod outcome;
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -23,6 +23,8 @@
 
 /// Longest wait of a watch; a connection that has gone silent is found out soon after it.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Longest wait of a watch on which other instances rely.
+const RELIED_WATCH_WAIT: Duration = Duration::from_millis(1_200);
 /// First pause after a call that failed; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a call that failed.
@@ -105,9 +107,10 @@
         }
     }
 
-    /// Returns the milliseconds since the store last answered; the most for never.
+    /// Returns the milliseconds since the store last answered; the most for never, and while it does
+    /// not answer.
     pub fn store_age_ms(&self) -> u32 {
-        let answered = *self.answered.borrow();
+        let answered = self.answered.borrow().filter(|_| self.lost_since.borrow().is_none());
         let age = answered.map(|it| self.control.now().since(it).as_millis());
         age.and_then(|it| it.try_into().ok()).unwrap_or(u32::MAX)
     }
@@ -178,7 +181,9 @@
     /// Waits for changes; returns whether the next watch can go on from there.
     async fn watch(&self, kind: Kind) -> Result<bool, Fault> {
         let since = self.copy(kind).borrow().mirror.revision();
-        match self.call(&Call::Watch { kind, since, wait: WATCH_WAIT }).await? {
+        let relied = self.control.read(|state| state.is_large_fleet());
+        let wait = if relied { RELIED_WATCH_WAIT } else { WATCH_WAIT };
+        match self.call(&Call::Watch { kind, since, wait }).await? {
             Answer::Events { events, revision } => {
                 let now = self.control.now();
                 let differs = self.copy(kind).borrow_mut().mirror.apply(now, events, revision);
