End the start when readiness or metrics cannot be served

Cause, found by reading: a listener for either that could not be bound was told only to a log library without a sink, and the process went on without it. Both are bound before anything runs, so the error ends the start with its address.

--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -79,6 +79,8 @@
     async fn listen(&self, beats: mpsc::UnboundedReceiver<(Beat, bool)>) -> anyhow::Result<()> {
         let listen = &self.settings.listen;
         let front = bind(listen.front).await?;
+        let ready = bind(listen.ready).await?;
+        let metrics_at = bind(listen.metrics).await?;
         let snapshots = bind(listen.peers).await?;
         let datagrams = UdpSocket::bind(listen.peers).await;
         let datagrams =
@@ -88,8 +90,8 @@
         spawn_local(control.clone().run_timer());
         let descriptors = self.settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         spawn_local(door::serve(control.clone(), front, descriptors));
-        spawn_logged("ready", status::serve_ready(control.clone(), listen.ready));
-        spawn_logged("metrics", status::serve_metrics(metrics, listen.metrics));
+        spawn_local(status::serve_ready(control.clone(), ready));
+        spawn_local(status::serve_metrics(metrics, metrics_at));
         spawn_local(peers::serve_snapshots(snapshots, self.follower.clone()));
         spawn_local(peers::send_beats(
             datagrams.clone(),
@@ -152,11 +154,3 @@
 async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address).await.with_context(|| format!("listening at {address}"))
 }
-
-fn spawn_logged(name: &'static str, task: impl Future<Output = anyhow::Result<()>> + 'static) {
-    spawn_local(async move {
-        if let Err(error) = task.await {
-            log::error!("{name}: {error:#}");
-        }
-    });
-}
--- a/crates/gatewayd/src/status.rs
+++ b/crates/gatewayd/src/status.rs
@@ -2,7 +2,6 @@
 
 use std::{
     convert::Infallible,
-    net::SocketAddr,
     rc::Rc,
     sync::{Mutex, PoisonError},
     time::Duration,
@@ -59,26 +58,22 @@
 }
 
 /// Serves readiness: 200 while the instance is to get new connections.
-pub async fn serve_ready(control: Rc<Control>, address: SocketAddr) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+pub async fn serve_ready(control: Rc<Control>, listener: TcpListener) {
     serve(listener, move || {
         let ready = control.read(State::is_ready);
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         (status, Bytes::new())
     })
     .await;
-    Ok(())
 }
 
 /// Serves metrics as text.
-pub async fn serve_metrics(handle: PrometheusHandle, address: SocketAddr) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+pub async fn serve_metrics(handle: PrometheusHandle, listener: TcpListener) {
     serve(listener, move || {
         handle.run_upkeep();
         (StatusCode::OK, handle.render().into())
     })
     .await;
-    Ok(())
 }
 
 async fn serve(listener: TcpListener, answer: impl Fn() -> (StatusCode, Bytes) + 'static) {
