Report refunded units to peers

Cause: a request of a team that is charged and then refused since engines are full gave its units back to the bucket of its own instance only; the five other copies kept them as spent. Ruled out: a reduced reach (1.0 on all instances all the while), restarts (none in that time). Now beats carry what was charged and what was given back, both growing only.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -1,6 +1,8 @@
 //! Teams' rates and bursts, kept by every instance on its own copy of each team's bucket.
 //!
-//! An instance takes from its copy what it spends itself, and what its peers report to have spent.
+//! An instance takes from its copy what it spends itself, and what its peers report to have spent. What
+//! is given back for requests that have not run is reported as well: both sums only grow, so that a report
+//! which comes late or twice does no harm.
 //! While it hears only some of the peers it refills its copy by its part of the rate, so that the
 //! parts of a fleet that is cut in pieces add up to the whole rate.
 
@@ -24,6 +26,26 @@
 /// known is made up for.
 const MOST_DEBT: f64 = 4.0;
 
+/// What an instance has charged a team since it started.
+#[value(id, default)]
+pub struct Account {
+    /// Units that were charged.
+    pub spent: u64,
+    /// Units of these that were given back.
+    pub refunded: u64,
+}
+
+impl Account {
+    /// Takes over a newer report; returns the units by which what was kept has grown.
+    fn advance(&mut self, newer: Account) -> f64 {
+        let spent = newer.spent.saturating_sub(self.spent);
+        let refunded = newer.refunded.saturating_sub(self.refunded);
+        self.spent += spent;
+        self.refunded += refunded;
+        spent as f64 - refunded as f64
+    }
+}
+
 /// A copy of a team's bucket.
 #[value]
 struct Bucket {
@@ -40,6 +62,12 @@
         self.refilled = now;
     }
 
+    /// Takes units that peers have spent, or gives back a negative number of them.
+    fn charge(&mut self, units: f64) {
+        let burst = self.quota.burst as f64;
+        self.level = (self.level - units).clamp(-burst * MOST_DEBT, burst);
+    }
+
     fn overdraft(&self, reach: f64) -> f64 {
         if reach < 1.0 { 0.0 } else { self.quota.burst as f64 * OVERDRAFT }
     }
@@ -49,10 +77,10 @@
 #[value(default)]
 pub struct Ledger {
     buckets: IndexMap<Name, Bucket>,
-    /// Units that this instance has spent since it started.
-    spent: IndexMap<Name, u64>,
-    /// Units that each peer has reported, by its name and incarnation.
-    reported: IndexMap<(Name, u64), IndexMap<Name, u64>>,
+    /// What this instance has charged.
+    accounts: IndexMap<Name, Account>,
+    /// What each peer has reported, by its name and incarnation.
+    reported: IndexMap<(Name, u64), IndexMap<Name, Account>>,
     /// Part of the rate by which copies are refilled.
     reach: f64,
 }
@@ -99,33 +127,30 @@
             return Err(Duration::from_secs_f64(-left / rate));
         }
         bucket.level -= units as f64;
-        *self.spent.entry(team.clone()).or_default() += units;
+        self.accounts.entry(team.clone()).or_default().spent += units;
         Ok(())
     }
 
     /// Gives back units of a request that has not run and never will.
-    ///
-    /// The report to peers only grows, so the units stay spent there.
     pub fn refund(&mut self, team: &Name, units: u64) {
+        self.accounts.entry(team.clone()).or_default().refunded += units;
         if let Some(bucket) = self.buckets.get_mut(team) {
-            bucket.level = (bucket.level + units as f64).min(bucket.quota.burst as f64);
+            bucket.charge(-(units as f64));
         }
     }
 
-    /// Takes a peer's report of all units that it has spent since it started, by team.
+    /// Takes a peer's report of what it has charged teams.
     ///
-    /// What was spent before the peer was first heard of is past.
-    pub fn learn(&mut self, now: Instant, peer: (Name, u64), totals: &[(Name, u64)]) {
+    /// What was charged before the peer was first heard of is past.
+    pub fn learn(&mut self, now: Instant, peer: (Name, u64), accounts: &[(Name, Account)]) {
         let is_new = !self.reported.contains_key(&peer);
         let known = self.reported.entry(peer).or_default();
-        for (team, total) in totals {
-            let known = known.entry(team.clone()).or_default();
-            let more = if is_new { 0 } else { total.saturating_sub(*known) };
-            *known = (*known).max(*total);
-            if let Some(bucket) = self.buckets.get_mut(team).filter(|_| more > 0) {
+        for (team, account) in accounts {
+            let more = known.entry(team.clone()).or_default().advance(*account);
+            let bucket = self.buckets.get_mut(team);
+            if let Some(bucket) = bucket.filter(|_| more != 0.0 && !is_new) {
                 bucket.refill(now, self.reach);
-                let floor = -(bucket.quota.burst as f64) * MOST_DEBT;
-                bucket.level = (bucket.level - more as f64).max(floor);
+                bucket.charge(more);
             }
         }
     }
@@ -140,8 +165,8 @@
         self.buckets.get(team).map(|it| (it.level, self.reach))
     }
 
-    /// Returns the units that this instance has spent since it started, by team.
-    pub fn spent(&self) -> &IndexMap<Name, u64> {
-        &self.spent
+    /// Returns what this instance has charged since it started, by team.
+    pub fn accounts(&self) -> &IndexMap<Name, Account> {
+        &self.accounts
     }
 }
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use siskinstile_wire::message::beat::{Beat, Count, Load as SentLoad};
+use siskinstile_wire::message::beat::{Account as SentAccount, Beat, Count, Load as SentLoad};
 
 use crate::{
     Effect, Instant, Name,
     load::Load,
     member::{Change, Peer, SILENCE},
+    quota::Account,
     record::{self, Record},
 };
 
@@ -37,9 +38,8 @@
         if beat.leaves {
             return self.peer_left(&name);
         }
-        let spent: Vec<(Name, u64)> =
-            beat.spent.iter().map(|it| (Name::from(&*it.name), it.count)).collect();
-        self.fleet.ledger.learn(now, (name.clone(), beat.incarnation), &spent);
+        let accounts: Vec<(Name, Account)> = beat.accounts.iter().map(account).collect();
+        self.fleet.ledger.learn(now, (name.clone(), beat.incarnation), &accounts);
         self.fleet.loads.learn(&name, beat.loads.iter().map(load).collect());
         let waiting = beat.waiting.iter().map(|it| (Name::from(&*it.name), it.count as u32));
         let peer = Peer {
@@ -140,7 +140,11 @@
             tokens: load.tokens,
             prompt: load.prompt,
         });
-        let spent = self.fleet.ledger.spent().iter();
+        let accounts = self.fleet.ledger.accounts().iter().map(|(team, account)| SentAccount {
+            team: team.to_string(),
+            spent: account.spent,
+            refunded: account.refunded,
+        });
         let mut waiting: IndexMap<&str, u64> = IndexMap::new();
         for it in self.queue.iter() {
             *waiting.entry(&it.service).or_default() += 1;
@@ -156,7 +160,7 @@
             endpoints: 0,
             store_age_ms: 0,
             loads: loads.collect(),
-            spent: spent.map(|(name, count)| named(name, *count)).collect(),
+            accounts: accounts.collect(),
             waiting: waiting.into_iter().map(|(name, count)| named(name, count)).collect(),
             turning: self.planner.turning().map(|it| it.to_string()).collect(),
         }
@@ -168,6 +172,11 @@
     (sent.endpoint.as_str().into(), load)
 }
 
+fn account(sent: &SentAccount) -> (Name, Account) {
+    let account = Account { spent: sent.spent, refunded: sent.refunded };
+    (sent.team.as_str().into(), account)
+}
+
 fn named(name: &str, count: u64) -> Count {
     Count { name: name.to_owned(), count }
 }
--- a/crates/gateway/tests/testsuite/quota.rs
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -6,7 +6,7 @@
 use siskinstile_gateway::{
     Instant, Name,
     catalog::{Quota, Team},
-    quota::Ledger,
+    quota::{Account, Ledger},
 };
 
 const RATE: u64 = 60_000;
@@ -28,6 +28,10 @@
     "a".into()
 }
 
+fn spent(units: u64) -> Account {
+    Account { spent: units, refunded: 0 }
+}
+
 /// Returns the units that are granted within a time, asked for in lumps as fast as they come.
 fn drain(ledger: &mut Ledger, from_ms: u64, to_ms: u64) -> u64 {
     let lump = 1_000;
@@ -52,7 +56,7 @@
 fn learn_first_heard() {
     let mut ledger = ledger(true);
     let now = Instant::from_millis(10);
-    ledger.learn(now, ("peer".into(), 1), &[("b".into(), 7), (team(), 5_000_000)]);
+    ledger.learn(now, ("peer".into(), 1), &[("b".into(), spent(7)), (team(), spent(5_000_000))]);
     assert!(ledger.take(now, &team(), RATE / 2).is_ok());
 }
 
@@ -60,12 +64,32 @@
 fn learn_later() {
     let mut ledger = ledger(true);
     let now = Instant::from_millis(10);
-    ledger.learn(now, ("peer".into(), 1), &[(team(), 1_000)]);
-    ledger.learn(now, ("peer".into(), 1), &[(team(), 1_000 + RATE * 3 / 2)]);
+    ledger.learn(now, ("peer".into(), 1), &[(team(), spent(1_000))]);
+    ledger.learn(now, ("peer".into(), 1), &[(team(), spent(1_000 + RATE * 3 / 2))]);
     let after = ledger.take(now, &team(), 1_000).expect_err("the peer has spent all");
     assert!(after > Duration::from_millis(100), "{after:?}");
 }
 
+/// A team's burst in which peers refuse half of what they charged, since engines are full: the team still
+/// gets its whole rate. A report that comes again changes nothing.
+#[test]
+fn learn_refunded() {
+    let mut ledger = ledger(true);
+    let peer = || ("peer".into(), 1);
+    let start = Instant::from_millis(10);
+    ledger.learn(start, peer(), &[(team(), spent(0))]);
+    let reports = [
+        Account { spent: RATE, refunded: 0 },
+        Account { spent: RATE, refunded: RATE / 2 },
+        Account { spent: RATE, refunded: 0 },
+    ];
+    for report in reports {
+        ledger.learn(start, peer(), &[(team(), report)]);
+    }
+    let (level, _) = ledger.level("a").expect("a bucket");
+    assert_eq!(level, RATE as f64 / 2.0);
+}
+
 /// The parts of a fleet that is cut in two spend no more than the team's rate and burst.
 #[test]
 fn take_cut_off() {
--- a/crates/wire/src/message/beat.rs
+++ b/crates/wire/src/message/beat.rs
@@ -27,9 +27,9 @@
     /// What the sender has at endpoints.
     #[prost(message, repeated, tag = "8")]
     pub loads: Vec<Load>,
-    /// What the sender's teams have spent since its start.
+    /// What the sender has charged teams since its start.
     #[prost(message, repeated, tag = "9")]
-    pub spent: Vec<Count>,
+    pub accounts: Vec<Account>,
     /// Requests that wait at the sender, by service.
     #[prost(message, repeated, tag = "10")]
     pub waiting: Vec<Count>,
@@ -58,6 +58,20 @@
     pub prompt: u64,
 }
 
+/// What an instance has charged a team since its start.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Account {
+    /// Name of the team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Units that it was charged.
+    #[prost(uint64, tag = "2")]
+    pub spent: u64,
+    /// Units of these that were given back, since their requests have not run.
+    #[prost(uint64, tag = "3")]
+    pub refunded: u64,
+}
+
 /// A count under a name.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Count {
