--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -46,6 +46,17 @@
     }
 }
 
+/// How a copy of a team's bucket stands.
+#[value]
+pub struct Standing {
+    /// Units that are left; negative where peers have spent more than there was.
+    pub level: f64,
+    /// Units that the team's quota grants in a second.
+    pub rate: u64,
+    /// Part of the rate by which the copy is refilled.
+    pub reach: f64,
+}
+
 /// A copy of a team's bucket.
 #[value]
 struct Bucket {
@@ -160,9 +171,10 @@
         self.reported.swap_remove(peer);
     }
 
-    /// Returns what is left in a team's bucket, and the part of the rate by which it is refilled.
-    pub fn level(&self, team: &str) -> Option<(f64, f64)> {
-        self.buckets.get(team).map(|it| (it.level, self.reach))
+    /// Returns how a team's bucket stands.
+    pub fn standing(&self, team: &str) -> Option<Standing> {
+        let Bucket { quota, level, .. } = self.buckets.get(team)?;
+        Some(Standing { level: *level, rate: quota.rate, reach: self.reach })
     }
 
     /// Returns what this instance has charged since it started, by team.
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -5,10 +5,11 @@
 use siskinstile_core::error::{Failure, Kind};
 
 use crate::{
-    Catalog, Effect, Instant, Name,
+    Catalog, Effect, Instant,
     catalog::{Repeat, Route, Team},
+    quota::Standing,
     record::{self, Record},
-    request::Arrival,
+    request::{Arrival, Tokens},
 };
 
 use super::{
@@ -43,18 +44,26 @@
             .with("version", self.catalog.as_ref().map(|it| it.version))
             .with("retry_after_ms", after);
         if failure.kind == Kind::RateLimited
-            && let Some((team, (level, reach))) = self.bucket_of(arrival)
+            && let Some((team, standing)) = self.bucket_of(arrival)
         {
-            line = line.with("team", &*team).with("level", level.round()).with("reach", reach);
+            line = line
+                .with("team", &*team.name)
+                .with(
+                    "units",
+                    team.quota.as_ref().map(|it| it.cost(arrival.tokens.map(Tokens::total))),
+                )
+                .with("level", standing.level.round())
+                .with("rate", standing.rate)
+                .with("reach", standing.reach);
         }
         self.log(line);
         self.emit(Effect::Fail { request: arrival.id, failure });
     }
 
-    /// Returns the team of a request with what is left of its rate.
-    fn bucket_of(&self, arrival: &Arrival) -> Option<(Name, (f64, f64))> {
+    /// Returns the team of a request with how its bucket stands.
+    fn bucket_of(&self, arrival: &Arrival) -> Option<(&Team, Standing)> {
         let team = self.catalog.as_ref()?.team_of(arrival.key.as_ref()?)?;
-        Some((team.name.clone(), self.fleet.ledger.level(&team.name)?))
+        Some((team, self.fleet.ledger.standing(&team.name)?))
     }
 
     fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<Work, (Failure, &'static str)> {
--- a/crates/gateway/tests/testsuite/quota.rs
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -86,8 +86,8 @@
     for report in reports {
         ledger.learn(start, peer(), &[(team(), report)]);
     }
-    let (level, _) = ledger.level("a").expect("a bucket");
-    assert_eq!(level, RATE as f64 / 2.0);
+    let standing = ledger.standing("a").expect("a bucket");
+    assert_eq!(standing.level, RATE as f64 / 2.0);
 }
 
 /// The parts of a fleet that is cut in two spend no more than the team's rate and burst.
