Fewer calls to the store: one follower a data centre, old first lists, no entry anew

A second follower in each data centre makes a call every 0.6 s besides the first's, each start lists configuration and endpoints in full price, and each restart writes an entry that is there. A large fleet takes its waits from the bound within which a configuration has to be in force: 0.4 of it for a watch, 0.7 until others take over.

--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -11,13 +11,11 @@
 pub const SILENCE: Duration = Duration::from_millis(900);
 /// Beats of another data centre that may be lost before a peer there is not counted on.
 const LOST_BEATS: f64 = 3.5;
-/// Time since the store's last answer after which an instance does not follow it any more; changes
-/// have to be in force everywhere soon after it.
-const STORE_LIMIT: Duration = Duration::from_millis(2_100);
+/// Part of the time in which a configuration is to be in force after which an instance that has no
+/// answer of the store is not relied on any more; the rest is for those who take over.
+const STORE_LIMIT: f64 = 0.7;
 /// Members of a fleet in which each one follows the store itself.
 const SMALL_FLEET: usize = 8;
-/// Instances of a data centre that follow the store in a larger fleet.
-const FOLLOWERS: usize = 2;
 /// Time without a beat after which what a peer runs is taken to have ended.
 const LOADS_LIMIT: Duration = Duration::from_secs(3);
 /// Time without a beat after which a peer is no member any more.
@@ -51,6 +49,8 @@
     far_interval: Duration,
     /// Members that the platform lists, this instance included.
     listed: usize,
+    /// Time since the store's last answer after which an instance is not relied on.
+    store_limit: Duration,
 }
 
 /// What has become of a peer.
@@ -63,9 +63,16 @@
 }
 
 impl Table {
-    /// Creates the table of an instance in a data centre.
-    pub fn new(datacentre: Name) -> Table {
-        Table { datacentre, peers: IndexMap::new(), far_interval: Duration::ZERO, listed: 0 }
+    /// Creates the table of an instance in a data centre, where a new configuration is to be in force
+    /// everywhere within `propagation`.
+    pub fn new(datacentre: Name, propagation: Duration) -> Table {
+        Table {
+            datacentre,
+            peers: IndexMap::new(),
+            far_interval: Duration::ZERO,
+            listed: 0,
+            store_limit: propagation.mul_f64(STORE_LIMIT),
+        }
     }
 
     /// Sets the time between beats of peers in other data centres.
@@ -148,16 +155,16 @@
 
     /// Returns whether an instance is to follow the platform's store itself.
     ///
-    /// In a large fleet those of each data centre do that are the first by rank among those heard,
-    /// and hand on what they learn. All do where none of the others is in contact with the store.
+    /// In a large fleet the first by rank among those heard in each data centre does that, and hands
+    /// on what it learns. All do where none of the others is in contact with the store.
     pub fn follows_store(&self, now: Instant, own: &str, datacentre: &str) -> bool {
         let near = || {
             let heard = self.peers.iter().filter(|(_, it)| self.is_heard(now, it));
             heard.filter(|(_, it)| &*it.datacentre == datacentre)
         };
-        let before = near().filter(|(name, _)| rank(name) < rank(own)).count();
-        let in_contact = |it: &Peer| it.store_age + now.since(it.heard) < STORE_LIMIT;
-        !self.is_large() || before < FOLLOWERS || !near().any(|(_, it)| in_contact(it))
+        let is_first = !near().any(|(name, _)| rank(name) < rank(own));
+        let in_contact = |it: &Peer| it.store_age + now.since(it.heard) < self.store_limit;
+        !self.is_large() || is_first || !near().any(|(_, it)| in_contact(it))
     }
 
     /// Returns the engines that peers have ordered to change their stage.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -49,6 +49,8 @@
     pub retries: Bound,
     /// Longest time for which the holder of a lease for orders may act on it.
     pub lease: Duration,
+    /// Time within which a new configuration is to be in force at all instances.
+    pub propagation: Duration,
     /// Time after a stop is asked for in which callers still come.
     pub drain: Duration,
     /// Time between a signal to stop and the end of the process.
@@ -106,7 +108,7 @@
 impl State {
     /// Creates the state of an instance that has just started.
     pub fn new(settings: Settings) -> State {
-        let members = member::Table::new(settings.datacentre.clone());
+        let members = member::Table::new(settings.datacentre.clone(), settings.propagation);
         State {
             settings,
             catalog: None,
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -26,6 +26,9 @@
 /// Longest time between two beats to other data centres.
 const LONGEST_FAR_PAUSE: Duration = Duration::from_millis(1_200);
 
+/// Part of the time in which a configuration is to be in force for which a relied watch waits.
+const RELIED_WATCH: f64 = 0.4;
+
 impl State {
     /// Takes a beat of another instance.
     pub(super) fn beat_heard(&mut self, now: Instant, beat: Beat) {
@@ -73,9 +76,11 @@
         self.fleet.members.follows_store(now, name, datacentre)
     }
 
-    /// Returns whether the fleet is so large that only some instances follow the platform's store.
-    pub fn is_large_fleet(&self) -> bool {
-        self.fleet.members.is_large()
+    /// Returns the longest wait of a watch on which other instances rely; none in a small fleet, where
+    /// each instance follows the platform's store itself.
+    pub fn relied_watch_wait(&self) -> Option<Duration> {
+        let wait = self.settings.propagation.mul_f64(RELIED_WATCH);
+        self.fleet.members.is_large().then_some(wait)
     }
 
     /// Takes notice of peers that have fallen silent.
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -59,6 +59,7 @@
             first_start: true,
             retries: Bound { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) },
             lease: Duration::from_secs(3),
+            propagation: Duration::from_secs(3),
             drain: Duration::from_millis(3_500),
             grace: Duration::from_secs(8),
         });
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -63,6 +63,7 @@
             first_start: settings.first_start,
             retries: settings.retries.clone(),
             lease: settings.lease,
+            propagation: settings.propagation,
             drain: DRAIN,
             grace: settings.grace,
         });
@@ -118,6 +119,7 @@
         let member = Member {
             address: self.settings.listen.peers,
             datacentre: self.settings.datacentre.clone(),
+            first_start: self.settings.first_start,
         };
         spawn_local(follower.clone().join(name.clone(), member, self.book.clone()));
         spawn_local(lease::contend(self.control.clone(), follower.clone(), name, incarnation));
--- a/crates/gatewayd/src/settings.rs
+++ b/crates/gatewayd/src/settings.rs
@@ -40,6 +40,8 @@
     pub retries: Bound,
     /// Longest time for which the holder of a lease may act on it.
     pub lease: Duration,
+    /// Time within which a new configuration is to be in force at all instances.
+    pub propagation: Duration,
     /// Time between a signal to stop and the end of the process.
     pub grace: Duration,
     /// File descriptors that the process may use.
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -23,8 +23,6 @@
 
 /// Longest wait of a watch; a connection that has gone silent is found out soon after it.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-/// Longest wait of a watch on which other instances rely.
-const RELIED_WATCH_WAIT: Duration = Duration::from_millis(1_200);
 /// First pause after a call that failed; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a call that failed.
@@ -150,8 +148,10 @@
         }
     }
 
+    /// Lists a kind. A first list may be old: the watch that follows it brings what it lacks.
     async fn list(&self, kind: Kind) -> Result<bool, Fault> {
-        let (objects, revision) = self.list_all(kind, false).await?;
+        let first = !self.copy(kind).borrow().mirror.is_known();
+        let (objects, revision) = self.list_all(kind, first).await?;
         let now = self.control.now();
         let differs = self.copy(kind).borrow_mut().mirror.replace(now, objects, revision);
         self.adopt(kind, differs);
@@ -181,8 +181,8 @@
     /// Waits for changes; returns whether the next watch can go on from there.
     async fn watch(&self, kind: Kind) -> Result<bool, Fault> {
         let since = self.copy(kind).borrow().mirror.revision();
-        let relied = self.control.read(|state| state.is_large_fleet());
-        let wait = if relied { RELIED_WATCH_WAIT } else { WATCH_WAIT };
+        let relied = self.control.read(|state| state.relied_watch_wait());
+        let wait = relied.unwrap_or(WATCH_WAIT);
         match self.call(&Call::Watch { kind, since, wait }).await? {
             Answer::Events { events, revision } => {
                 let now = self.control.now();
--- a/crates/gatewayd/src/sync/members.rs
+++ b/crates/gatewayd/src/sync/members.rs
@@ -27,20 +27,24 @@
     pub address: SocketAddr,
     /// Name of its data centre.
     pub datacentre: Name,
+    /// Whether the whole fleet starts for the first time, when nothing is listed.
+    pub first_start: bool,
 }
 
 impl Follower {
     /// Enters this instance in the list of members and follows that list.
     pub async fn join(self: Rc<Follower>, name: Name, member: Member, book: Rc<peers::Book>) {
-        let Member { address, datacentre } = member;
+        let Member { address, datacentre, first_start } = member;
         let value = json!({ "address": address.to_string(), "datacentre": datacentre });
-        let mut entered = false;
+        let mut entered = first_start && self.enter(&name, &value).await;
         loop {
-            entered = entered || self.enter(&name, &value).await;
-            let listed = self.list_all(Kind::Members, entered).await;
+            let listed = self.list_all(Kind::Members, true).await;
             if let Ok((members, _)) = &listed {
+                // After a restart the entry mostly is there as it should be.
+                entered |= members.iter().any(|it| it.name == name && it.value == value);
                 self.learn_members(members, &name, &book);
             }
+            entered = entered || self.enter(&name, &value).await;
             let pause = match entered && listed.is_ok() {
                 false => LONGEST_PAUSE,
                 true if self.follows() => MEMBERS_INTERVAL,
