Instances try the store one after the other where nobody is in contact

Now each waits 200 ms for each one before it and pauses longer the later its turn; endpoints are asked for once the configuration can be had.

--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -153,18 +153,27 @@
         self.len() > SMALL_FLEET
     }
 
-    /// Returns whether an instance is to follow the platform's store itself.
+    /// Returns how many others go before an instance in following the platform's store, or none if it
+    /// need not follow.
     ///
-    /// In a large fleet the first by rank among those heard in each data centre does that, and hands
-    /// on what it learns. All do where none of the others is in contact with the store.
-    pub fn follows_store(&self, now: Instant, own: &str, datacentre: &str) -> bool {
+    /// In a large fleet the first by rank among those heard in each data centre follows, and hands on
+    /// what it learns. Where nobody there is in contact with the store, the others try as well, one
+    /// after the other.
+    pub fn follow_turn(&self, now: Instant, own: &str, datacentre: &str) -> Option<u32> {
+        if !self.is_large() {
+            return Some(0);
+        }
         let near = || {
             let heard = self.peers.iter().filter(|(_, it)| self.is_heard(now, it));
             heard.filter(|(_, it)| &*it.datacentre == datacentre)
         };
-        let is_first = !near().any(|(name, _)| rank(name) < rank(own));
+        let before = near().filter(|(name, _)| rank(name) < rank(own)).count() as u32;
         let in_contact = |it: &Peer| it.store_age + now.since(it.heard) < self.store_limit;
-        !self.is_large() || is_first || !near().any(|(_, it)| in_contact(it))
+        match before {
+            0 => Some(0),
+            _ if near().any(|(_, it)| in_contact(it)) => None,
+            _ => Some(before - 1),
+        }
     }
 
     /// Returns the engines that peers have ordered to change their stage.
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -70,10 +70,11 @@
         }
     }
 
-    /// Returns whether this instance is to follow the platform's store itself.
-    pub fn follows_store(&self, now: Instant) -> bool {
+    /// Returns how many others go before this instance in following the platform's store, or none if
+    /// it need not follow.
+    pub fn follow_turn(&self, now: Instant) -> Option<u32> {
         let Settings { name, datacentre, .. } = &self.settings;
-        self.fleet.members.follows_store(now, name, datacentre)
+        self.fleet.members.follow_turn(now, name, datacentre)
     }
 
     /// Returns the longest wait of a watch on which other instances rely; none in a small fleet, where
--- a/crates/gateway/tests/testsuite/follow.rs
+++ b/crates/gateway/tests/testsuite/follow.rs
@@ -1,7 +1,12 @@
 //! Which instances follow the platform's store.
 
+use std::time::Duration;
+
 use rstest::rstest;
-use siskinstile_gateway::Event;
+use siskinstile_gateway::{
+    Event, Instant,
+    member::{Peer, Table},
+};
 use siskinstile_wire::message::beat::Beat;
 
 use crate::site::Site;
@@ -20,12 +25,25 @@
     }
 }
 
+/// Returns a peer of the data centre `north` that is not in contact with the store.
+fn peer() -> Peer {
+    Peer {
+        incarnation: 1,
+        datacentre: "north".into(),
+        number: 1,
+        heard: Instant::default(),
+        store_age: Duration::MAX / 2,
+        waiting: Default::default(),
+        turning: Vec::new(),
+    }
+}
+
 /// In a small fleet no instance depends on another's contact with the store.
 #[test]
 fn follows_store_small() {
     let mut site = Site::open();
     hear(&mut site, 5, 1, 0);
-    assert!(site.state.follows_store(site.now));
+    assert_eq!(site.state.follow_turn(site.now), Some(0));
 }
 
 /// In a large one the instance relies on those who are in contact, and on nobody who says that the
@@ -38,5 +56,23 @@
     let mut site = Site::open();
     hear(&mut site, 40, 1, age_ms);
     site.pass(pass_ms);
-    assert_eq!(site.state.follows_store(site.now), follows);
+    assert_eq!(site.state.follow_turn(site.now).is_some(), follows);
+}
+
+/// The store turns all away: instances try one after the other, each with a turn of its own.
+#[test]
+fn follow_turn_order() {
+    let peers: Vec<String> = (0..18).map(|it| format!("peer-{it}")).collect();
+    let turn = |own: usize| {
+        let mut table = Table::new("north".into(), Duration::from_secs(3));
+        for name in peers.iter().filter(|it| **it != peers[own]) {
+            table.hear(name.as_str().into(), peer());
+        }
+        table.follow_turn(Instant::default(), &peers[own], "north")
+    };
+    let mut turns: Vec<u32> = (0..18).filter_map(turn).collect();
+    turns.sort_unstable();
+    // The first always follows, the one behind it takes over at once.
+    let wanted: Vec<u32> = [0].into_iter().chain(0..17).collect();
+    assert_eq!(turns, wanted);
 }
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -5,7 +5,13 @@
 
 pub use members::Member;
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use siskinstile_gateway::{
     Directory, Event, Instant, Name,
@@ -25,7 +31,9 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 /// First pause after a call that failed; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after a call that failed.
+/// Time between the turns of two instances to follow the store where nobody is in contact with it.
+const TURN_STEP: Duration = Duration::from_millis(200);
+/// Longest pause after a call that failed, at the instance whose turn is first.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Time for which a peer may know more before a snapshot is taken from it.
 const LAG_LIMIT: Duration = Duration::from_millis(500);
@@ -48,6 +56,8 @@
     configuration: RefCell<Copy>,
     endpoints: RefCell<Copy>,
     lost_since: RefCell<Option<Instant>>,
+    /// Whether the last call for the configuration failed.
+    configuration_fails: Cell<bool>,
     /// When the store last answered.
     answered: RefCell<Option<Instant>>,
 }
@@ -61,6 +71,7 @@
             configuration: RefCell::default(),
             endpoints: RefCell::default(),
             lost_since: RefCell::default(),
+            configuration_fails: Cell::default(),
             answered: RefCell::default(),
         })
     }
@@ -113,41 +124,62 @@
         age.and_then(|it| it.try_into().ok()).unwrap_or(u32::MAX)
     }
 
-    /// Returns whether this instance is to follow the store itself.
-    fn follows(&self) -> bool {
+    /// Returns how many others go before this instance in following the store, or none if it need not
+    /// follow.
+    fn turn(&self) -> Option<u32> {
         let now = self.control.now();
-        self.control.read(|state| state.follows_store(now))
+        self.control.read(|state| state.follow_turn(now))
     }
 
     /// Follows a kind until the process ends.
     pub async fn follow(self: Rc<Follower>, kind: Kind) {
         let mut pause = FIRST_PAUSE;
         let mut listed = false;
+        let mut turn_since = None;
         loop {
-            let known = self.copy(kind).borrow().mirror.is_known();
-            if known && !self.follows() {
+            let turn = match self.copy(kind).borrow().mirror.is_known() {
+                true => self.due_turn(kind, &mut turn_since),
+                false => Some(0),
+            };
+            let Some(turn) = turn else {
                 // Peers hand on what changes, and a watch can go on from there.
                 listed = true;
                 time::sleep(LOOK_INTERVAL).await;
                 continue;
-            }
+            };
             let result = match listed {
                 true => self.watch(kind).await,
                 false => self.list(kind).await,
             };
+            if kind == Kind::Configuration {
+                self.configuration_fails.set(result.is_err());
+            }
             match result {
                 Ok(more) => {
                     listed = more;
                     pause = FIRST_PAUSE;
                 }
                 Err(_) => {
-                    time::sleep(pause).await;
+                    time::sleep(pause * (turn + 1)).await;
                     pause = (pause * 2).min(LONGEST_PAUSE);
                 }
             }
         }
     }
 
+    /// Returns the turn of this instance once it is due: those before it try first, and while the
+    /// configuration cannot be had, endpoints are not asked for.
+    fn due_turn(&self, kind: Kind, since: &mut Option<Instant>) -> Option<u32> {
+        let Some(turn) = self.turn() else {
+            *since = None;
+            return None;
+        };
+        let now = self.control.now();
+        let waited = now.since(*since.get_or_insert(now));
+        let waits_for_other = kind == Kind::Endpoints && self.configuration_fails.get();
+        (waited >= TURN_STEP * turn && !waits_for_other).then_some(turn)
+    }
+
     /// Lists a kind. A first list may be old: the watch that follows it brings what it lacks.
     async fn list(&self, kind: Kind) -> Result<bool, Fault> {
         let first = !self.copy(kind).borrow().mirror.is_known();
@@ -261,7 +293,7 @@
         let ahead = self.copy(kind).borrow().ahead;
         let Some((_, since, peer)) = ahead else { return };
         let known = self.copy(kind).borrow().mirror.is_known();
-        if known && self.follows() && now.since(since) < LAG_LIMIT {
+        if known && self.turn().is_some() && now.since(since) < LAG_LIMIT {
             return;
         }
         self.copy(kind).borrow_mut().ahead = None;
--- a/crates/gatewayd/src/sync/members.rs
+++ b/crates/gatewayd/src/sync/members.rs
@@ -47,7 +47,7 @@
             entered = entered || self.enter(&name, &value).await;
             let pause = match entered && listed.is_ok() {
                 false => LONGEST_PAUSE,
-                true if self.follows() => MEMBERS_INTERVAL,
+                true if self.turn().is_some() => MEMBERS_INTERVAL,
                 true => MEMBERS_INTERVAL_HEARD,
             };
             time::sleep(pause).await;
