--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -132,6 +132,7 @@
     pub fn poll(&mut self, now: Instant, wanted: bool) -> Step {
         match &self.own {
             _ if self.pending.is_some() => Step::Wait,
+            None if !wanted => Step::Wait,
             _ if !self.known => Step::Read,
             _ if !wanted => Step::Wait,
             Some((lease, from)) if now.since(*from) < TERM => match now.since(*from) >= RENEW {
--- a/crates/core/tests/testsuite/order.rs
+++ b/crates/core/tests/testsuite/order.rs
@@ -144,6 +144,13 @@
 }
 
 /// Returns a contender that has taken the lease at 1 s.
+/// An instance that should not hold the lease does not even read it.
+#[test]
+fn poll_unwanted() {
+    let mut holding = contender(0, 1);
+    assert!(matches!(holding.poll(Instant::default(), false), Step::Wait));
+}
+
 fn holder() -> Holding {
     let mut holding = contender(0, 1);
     let now = Instant::from_millis(1_000);
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -29,6 +29,8 @@
 
 /// Longest wait of a watch; a connection that has gone silent is found out soon after it.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Shortest time from one watch of a kind to the next, so that changes in quick succession come together.
+const WATCH_PACE: Duration = Duration::from_millis(200);
 /// First pause after a call that failed; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Time between the turns of two instances to follow the store where nobody is in contact with it.
@@ -215,11 +217,13 @@
         let since = self.copy(kind).borrow().mirror.revision();
         let relied = self.control.read(|state| state.relied_watch_wait());
         let wait = relied.unwrap_or(WATCH_WAIT);
+        let next = time::Instant::now() + WATCH_PACE;
         match self.call(&Call::Watch { kind, since, wait }).await? {
             Answer::Events { events, revision } => {
                 let now = self.control.now();
                 let differs = self.copy(kind).borrow_mut().mirror.apply(now, events, revision);
                 self.adopt(kind, differs);
+                time::sleep_until(next).await;
                 Ok(true)
             }
             Answer::Compacted => Ok(false),
--- a/crates/gatewayd/src/sync/members.rs
+++ b/crates/gatewayd/src/sync/members.rs
@@ -37,8 +37,11 @@
         let Member { address, datacentre, first_start } = member;
         let value = json!({ "address": address.to_string(), "datacentre": datacentre });
         let mut entered = first_start && self.enter(&name, &value).await;
+        // Of two instances that start for the first time the one that lists later has to see the other.
+        let mut stale = !first_start;
         loop {
-            let listed = self.list_all(Kind::Members, true).await;
+            let listed = self.list_all(Kind::Members, stale).await;
+            stale = true;
             if let Ok((members, _)) = &listed {
                 // After a restart the entry mostly is there as it should be.
                 entered |= members.iter().any(|it| it.name == name && it.value == value);
