--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -94,8 +94,8 @@
             let free = load.runs < self.engine.slots && !self.health.is_full(self.now, &it.id);
             room && free && self.is_usable(it) && !avoid.contains(&it.id)
         };
-        let cost = |it: &&Arc<Endpoint>| self.common_cost(it, self.datacentre) + self.fullness(it);
-        self.decodes().filter(fits).min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+        let cost = |it: &Endpoint| self.common_cost(it, self.datacentre) + self.fullness(it);
+        cheapest(self.decodes().filter(fits), cost)
     }
 
     fn fullness(&self, endpoint: &Endpoint) -> f64 {
@@ -109,12 +109,11 @@
             let fit = it.is_ready() && it.stage == Some(Stage::Prefill);
             fit && self.is_usable(it) && !avoid.contains(&it.id)
         };
-        let cost = |it: &&Arc<Endpoint>| {
+        let cost = |it: &Endpoint| {
             let backlog = self.forecast.busy_ms(self.loads.total(&it.id).prompt);
             self.common_cost(it, datacentre) + backlog
         };
-        let all = self.endpoints.iter().filter(usable);
-        all.min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+        cheapest(self.endpoints.iter().filter(usable), cost)
     }
 
     fn is_usable(&self, endpoint: &Endpoint) -> bool {
@@ -127,3 +126,12 @@
         far + dark + self.health.failures(self.now, &endpoint.id) * FAILURE_COST_MS
     }
 }
+
+fn cheapest<'a>(
+    endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
+    cost: impl Fn(&Endpoint) -> f64,
+) -> Option<Arc<Endpoint>> {
+    let costs = endpoints.map(|it| (cost(it), it));
+    let (_, chosen) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+    Some(chosen.clone())
+}
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -40,6 +40,8 @@
 pub struct Loads {
     own: IndexMap<Name, Load>,
     peers: IndexMap<Name, IndexMap<Name, Load>>,
+    /// Sums of own and reported loads; an endpoint without load has none.
+    totals: IndexMap<Name, Load>,
     changed: bool,
 }
 
@@ -48,34 +50,54 @@
     pub fn add(&mut self, endpoint: &Name, load: Load) {
         let own = self.own.entry(endpoint.clone()).or_default();
         *own = own.plus(load);
+        self.increase(endpoint, load);
         self.changed = true;
     }
 
     /// Takes from this instance's own load of an endpoint.
     pub fn remove(&mut self, endpoint: &Name, load: Load) {
         let Some(own) = self.own.get_mut(endpoint) else { return };
-        *own = own.minus(load);
-        if *own == Load::default() {
+        let (before, after) = (*own, own.minus(load));
+        *own = after;
+        if after == Load::default() {
             self.own.swap_remove(endpoint);
         }
+        self.decrease(endpoint, before.minus(after));
         self.changed = true;
     }
 
     /// Replaces what a peer has reported.
     pub fn learn(&mut self, peer: &Name, loads: IndexMap<Name, Load>) {
+        self.forget(peer);
+        for (endpoint, load) in &loads {
+            self.increase(endpoint, *load);
+        }
         self.peers.insert(peer.clone(), loads);
     }
 
     /// Drops what a peer that is gone has reported.
     pub fn forget(&mut self, peer: &str) {
-        self.peers.swap_remove(peer);
+        for (endpoint, load) in self.peers.swap_remove(peer).unwrap_or_default() {
+            self.decrease(&endpoint, load);
+        }
     }
 
     /// Returns the load of an endpoint over all instances.
     pub fn total(&self, endpoint: &str) -> Load {
-        let own = self.own.get(endpoint).copied().unwrap_or_default();
-        let reported = self.peers.values().filter_map(|it| it.get(endpoint));
-        reported.fold(own, |sum, it| sum.plus(*it))
+        self.totals.get(endpoint).copied().unwrap_or_default()
+    }
+
+    fn increase(&mut self, endpoint: &Name, load: Load) {
+        let total = self.totals.entry(endpoint.clone()).or_default();
+        *total = total.plus(load);
+    }
+
+    fn decrease(&mut self, endpoint: &Name, load: Load) {
+        let Some(total) = self.totals.get_mut(endpoint) else { return };
+        *total = total.minus(load);
+        if *total == Load::default() {
+            self.totals.swap_remove(endpoint);
+        }
     }
 
     /// Returns this instance's own loads.
--- /dev/null
+++ b/crates/gateway/tests/testsuite/load.rs
@@ -0,0 +1,52 @@
+//! Loads of endpoints over all instances.
+
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use siskinstile_gateway::{
+    Name,
+    load::{Load, Loads},
+};
+
+fn load(runs: u32) -> Load {
+    Load { runs, tokens: u64::from(runs) * 100, prompt: u64::from(runs) * 7 }
+}
+
+proptest! {
+    /// Reports that come, are replaced and are forgotten in any order: each total is the sum of what is
+    /// kept.
+    #[test]
+    fn total_sum(ops in proptest::collection::vec((0_u8..4, 0_usize..4, 0_usize..5, 0_u8..32), 1..200)) {
+        let names: Vec<Name> = (0..5).map(|it| format!("e{it}").as_str().into()).collect();
+        let mut loads = Loads::default();
+        let mut own = [0_u32; 5];
+        let mut peers: IndexMap<Name, IndexMap<Name, Load>> = IndexMap::new();
+        for (op, peer, endpoint, listed) in ops {
+            let peer: Name = format!("peer-{peer}").as_str().into();
+            match op {
+                0 => {
+                    loads.add(&names[endpoint], load(1));
+                    own[endpoint] += 1;
+                }
+                1 => {
+                    loads.remove(&names[endpoint], load(1));
+                    own[endpoint] = own[endpoint].saturating_sub(1);
+                }
+                2 => {
+                    let listed = names.iter().enumerate().filter(|(at, _)| listed >> at & 1 == 1);
+                    let report: IndexMap<Name, Load> =
+                        listed.map(|(_, it)| (it.clone(), load(3))).collect();
+                    loads.learn(&peer, report.clone());
+                    peers.insert(peer, report);
+                }
+                _ => {
+                    loads.forget(&peer);
+                    peers.swap_remove(&peer);
+                }
+            }
+            for (name, own) in names.iter().zip(own) {
+                let reported = peers.values().filter_map(|it| it.get(name)).map(|it| it.runs);
+                prop_assert_eq!(loads.total(name), load(own + reported.sum::<u32>()));
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod drain;
 mod follow;
 mod generation;
+mod load;
 mod orders;
 mod outcome;
 mod quota;
