--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -115,6 +115,8 @@
     Ended {
         /// Number of its events.
         events: u64,
+        /// Longest time between two of them.
+        pause: Duration,
     },
     /// What an engine says that it does.
     Inspected {
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -1,5 +1,7 @@
 //! What became of calls.
 
+use std::time::Duration;
+
 use siskinstile_core::error::{Failure, Kind as Why};
 
 use crate::{
@@ -88,7 +90,7 @@
             (Kind::Prefill, _) => self.prefill_failed(now, id),
             (Kind::Run, Outcome::Head { .. }) => self.relay(id, call),
             (Kind::Run, Outcome::First) => self.first_event(now, id),
-            (Kind::Run, Outcome::Ended { events }) => self.ended(now, id, events),
+            (Kind::Run, Outcome::Ended { events, pause }) => self.ended(now, id, events, pause),
             (Kind::Run, Outcome::Whole { status }) => self.whole(now, id, call, status),
             (Kind::Run, Outcome::Refused { .. }) => self.refused(now, id),
             (Kind::Run, Outcome::Broken { sent, last_event, .. }) => {
@@ -147,7 +149,7 @@
         }
     }
 
-    fn ended(&mut self, now: Instant, id: request::Id, events: u64) {
+    fn ended(&mut self, now: Instant, id: request::Id, events: u64, pause: Duration) {
         let Some(mut work) = self.work.swap_remove(&id) else { return };
         if let (Some(place), Some(engine)) = (&work.place, &work.service.engine) {
             let forecast = self.fleet.forecasts.entry(work.service.name.clone()).or_default();
@@ -165,7 +167,8 @@
             .with("output_tokens", work.tokens.map(|it| it.output))
             .with("placed_ms", after(work.times.placed))
             .with("computed_ms", after(work.times.computed))
-            .with("first_ms", after(work.times.first));
+            .with("first_ms", after(work.times.first))
+            .with("pause_ms", pause.as_millis() as u64);
         self.log(line);
         self.emit(Effect::Finish(id));
     }
--- a/crates/gateway/tests/testsuite/orders.rs
+++ b/crates/gateway/tests/testsuite/orders.rs
@@ -97,7 +97,7 @@
         site.report(run.id, Outcome::Head { status: 200 });
         site.report(run.id, Outcome::First);
         site.pass(400);
-        site.report(run.id, Outcome::Ended { events: 10 });
+        site.report(run.id, Outcome::Ended { events: 10, pause: Duration::ZERO });
         site.calls();
     }
     let mut ordered = Vec::new();
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -1,6 +1,6 @@
 //! Calls to endpoints: one task each, which reports what becomes of it.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
@@ -13,6 +13,7 @@
 use tokio::{
     sync::oneshot,
     task::{AbortHandle, spawn_local},
+    time,
 };
 
 use crate::{
@@ -226,7 +227,8 @@
     }
     let mut splitter = Splitter::after(lent.last.clone());
     let Reply { mut body, connection, .. } = reply;
-    let mut first = true;
+    let mut last_event: Option<time::Instant> = None;
+    let mut pause = Duration::ZERO;
     let broken = loop {
         let bytes = match body.frame().await {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -242,8 +244,10 @@
             false if !lent.write(events).await => return control.post(Event::Gone(request)),
             false => {}
         }
-        if std::mem::take(&mut first) {
-            report(control, call, &answer, Outcome::First);
+        let now = time::Instant::now();
+        match last_event.replace(now) {
+            None => report(control, call, &answer, Outcome::First),
+            Some(before) => pause = pause.max(now - before),
         }
     };
     match broken {
@@ -255,7 +259,7 @@
         None => {
             lent.finish();
             keep(control, connection, &answer);
-            report(control, call, &answer, Outcome::Ended { events: splitter.events() });
+            report(control, call, &answer, Outcome::Ended { events: splitter.events(), pause });
         }
     }
 }
