Divide large pools sooner: small changes of the list do not hold up orders

The means of what is asked for took requests with a weight of a tenth: their noise decided about orders. Now a list counts as another one where more than one endpoint in 24 has changed, one engine in 12 may turn at a time in a large pool, and the means take requests with a weight of a twentieth.

--- a/crates/gateway/src/engine/forecast.rs
+++ b/crates/gateway/src/engine/forecast.rs
@@ -9,6 +9,8 @@
 
 /// Weight of a new sample in a mean.
 const SAMPLE: f64 = 0.1;
+/// Weight of a new request in the means of what is asked for; sizes differ by far.
+const ASKED_SAMPLE: f64 = 0.05;
 /// Weight that older prompts keep with each new one.
 const MEMORY: f64 = 0.98;
 /// Time for each token of a prompt, in milliseconds, before any prompt was seen.
@@ -85,7 +87,7 @@
 impl Asked {
     fn add(&mut self, tokens: Tokens) {
         self.requests += 1;
-        let weight = SAMPLE.max(1.0 / f64::from(self.requests));
+        let weight = ASKED_SAMPLE.max(1.0 / f64::from(self.requests));
         let output = tokens.likely() - tokens.prompt;
         self.prompt_tokens += (tokens.prompt as f64 - self.prompt_tokens) * weight;
         self.output_tokens += (output as f64 - self.output_tokens) * weight;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -174,7 +174,7 @@
 
     /// Returns whether the instance is to get new connections.
     pub fn is_ready(&self) -> bool {
-        self.catalog.is_some() && self.directory.iter().next().is_some() && !self.is_draining()
+        self.catalog.is_some() && !self.directory.is_empty() && !self.is_draining()
     }
 
     /// Returns whether the instance stops.
@@ -203,12 +203,12 @@
 
     fn listed(&mut self, now: Instant, directory: Arc<Directory>) {
         let ready = directory.iter().filter(|it| it.is_ready()).count();
-        let line = Record::new(record::LISTED).with("endpoints", directory.iter().count());
+        let line = Record::new(record::LISTED).with("endpoints", directory.len());
         self.log(line.with("ready", ready));
         self.fleet.health.retain(|id| directory.get(id).is_some());
         self.fleet.said.retain(|id, _| directory.get(id).is_some());
         self.times.owed = true;
-        self.planner.listed(now, &directory);
+        self.planner.listed(now, &self.directory, &directory);
         self.directory = directory;
     }
 
--- a/crates/gateway/src/state/orders.rs
+++ b/crates/gateway/src/state/orders.rs
@@ -19,7 +19,9 @@
 /// Time between two looks at the division of engines.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Engines for each one that may change its stage at a time; in a small pool one may all the same.
-const ENGINES_PER_TURN: usize = 24;
+const ENGINES_PER_TURN: usize = 12;
+/// Endpoints for each one that may change between two lists that count as the same.
+const ENDPOINTS_PER_CHANGE: usize = 24;
 /// Time for which the list of endpoints must have stood before an order is given.
 const SETTLED: Duration = Duration::from_secs(2);
 /// Time after the start in which members are still being heard for the first time.
@@ -62,8 +64,10 @@
 
 impl Planner {
     /// Notes that the list of endpoints has changed.
-    pub(super) fn listed(&mut self, now: Instant, directory: &Directory) {
-        self.listed = now;
+    pub(super) fn listed(&mut self, now: Instant, old: &Directory, directory: &Directory) {
+        if old.differences(directory) * ENDPOINTS_PER_CHANGE > directory.len() {
+            self.listed = now;
+        }
         let listed = |it: &Turning| directory.get(&it.endpoint).map(|found| found.stage);
         self.turning.retain(|it| listed(it).is_some_and(|stage| stage != Some(it.stage)));
     }
@@ -135,7 +139,7 @@
         let ready: Vec<&Arc<Endpoint>> =
             self.directory.of(&service.name).iter().filter(|it| it.is_ready()).collect();
         let turning = |it: &Endpoint| self.planner.turning().any(|other| *other == it.id);
-        if ready.iter().filter(|it| turning(it)).count() * ENGINES_PER_TURN >= ready.len() {
+        if ready.iter().filter(|it| turning(it)).count() >= at_a_time(ready.len()) {
             return None;
         }
         // Engines that are changing count as what they become.
@@ -197,7 +201,6 @@
         let engine = service.and_then(|it| it.engine.as_ref());
         let change = engine.map_or(LOST_PAUSE, |it| it.reconfigure + LISTING_LAG);
         let engines = self.directory.of(&pending.endpoint.service).len();
-        let at_a_time = (engines as f64 / ENGINES_PER_TURN as f64).max(1.0);
         if outcome == Outcome::Done {
             self.planner.turning.push(Turning {
                 endpoint: pending.endpoint.id.clone(),
@@ -207,9 +210,14 @@
             });
         }
         self.planner.quiet_until = match outcome {
-            Outcome::Done => now + change.div_f64(at_a_time),
+            Outcome::Done => now + change / at_a_time(engines) as u32,
             Outcome::Refused { .. } => now + REFUSED_PAUSE,
             _ => now + LOST_PAUSE,
         };
     }
 }
+
+/// Returns how many engines of a pool may change their stage at a time.
+fn at_a_time(engines: usize) -> usize {
+    (engines / ENGINES_PER_TURN).max(1)
+}
