Learn an engine's own time for a prompt, not that of what else it computes

Now longer samples weigh a tenth, so that the line lies below most of them; the limit on a prompt is four times what is expected in place of three, since the expectation is shorter.

--- a/crates/gateway/src/engine/forecast.rs
+++ b/crates/gateway/src/engine/forecast.rs
@@ -17,8 +17,10 @@
 const FIRST_TOKEN_MS: f64 = 0.02;
 /// Time for any prompt besides, in milliseconds, before any was seen.
 const FIRST_PROMPT_MS: f64 = 50.0;
+/// Weight of a prompt that took longer than the line tells: others may have been computed beside it.
+const LONGER: f64 = 0.1;
 /// Prompts of different lengths that have to be seen before the line through them counts.
-const LEAST_PROMPTS: f64 = 8.0;
+const LEAST_PROMPTS: u32 = 8;
 /// Weight of the assumed time for each token: that of ten prompts which differ by 2,000 tokens.
 const ASSUMED_SPREAD: f64 = 10.0 * 10.0 * 2_000.0 * 2_000.0;
 /// Time that a request stays at a decode engine, before any was seen.
@@ -30,11 +32,16 @@
 /// Shortest time that is waited for a computed prompt.
 const PROMPT_LIMIT_FLOOR: Duration = Duration::from_millis(500);
 /// Factor between the time expected for a prompt and the limit on it.
-const PROMPT_LIMIT_FACTOR: f64 = 3.0;
+const PROMPT_LIMIT_FACTOR: f64 = 4.0;
 
-/// The line through the prompts that were seen: time over length.
+/// The line below most prompts that were seen: time over length.
+///
+/// What an engine does for instances that are not heard yet only lengthens a prompt, so that the shorter
+/// times tell what one takes alone.
 #[value(default)]
 struct Line {
+    /// Prompts that were seen.
+    seen: u32,
     weight: f64,
     tokens: f64,
     ms: f64,
@@ -44,6 +51,8 @@
 
 impl Line {
     fn add(&mut self, tokens: f64, ms: f64) {
+        let (base, slope) = self.fit();
+        let weight = if ms > base + slope * tokens { LONGER } else { 1.0 };
         for sum in [
             &mut self.weight,
             &mut self.tokens,
@@ -53,16 +62,17 @@
         ] {
             *sum *= MEMORY;
         }
-        self.weight += 1.0;
-        self.tokens += tokens;
-        self.ms += ms;
-        self.tokens_squared += tokens * tokens;
-        self.tokens_ms += tokens * ms;
+        self.seen += 1;
+        self.weight += weight;
+        self.tokens += weight * tokens;
+        self.ms += weight * ms;
+        self.tokens_squared += weight * tokens * tokens;
+        self.tokens_ms += weight * tokens * ms;
     }
 
     /// Returns the time for a prompt of no length and for each token, in milliseconds.
     fn fit(&self) -> (f64, f64) {
-        if self.weight < LEAST_PROMPTS {
+        if self.seen < LEAST_PROMPTS {
             return (FIRST_PROMPT_MS, FIRST_TOKEN_MS);
         }
         // Few prompts, or prompts of like length, say little of the slope: what was assumed before any
@@ -149,7 +159,7 @@
         let Asked { requests, prompt_tokens, output_tokens } = self.asked;
         let known = requests >= LEAST_ASKED
             && self.streams >= LEAST_STREAMS
-            && self.prompts.weight >= LEAST_PROMPTS;
+            && self.prompts.seen >= LEAST_PROMPTS;
         known.then(|| Demand {
             prompt_ms: self.busy_ms(prompt_tokens as u64),
             stay_ms: self.prompt_ms(prompt_tokens as u64) + output_tokens * self.token_ms,
--- a/crates/gateway/tests/testsuite/orders.rs
+++ b/crates/gateway/tests/testsuite/orders.rs
@@ -152,6 +152,23 @@
     assert_eq!(asked, orders);
 }
 
+/// Prompts of instances that are not heard yet lengthen half of the samples: the line is that of an engine
+/// which has nothing else to compute.
+#[test]
+fn demand_interference() {
+    let mut forecast = siskinstile_gateway::engine::Forecast::default();
+    for sample in 0_u64..200 {
+        let tokens = 2_000 + sample * 1_237 % 8_000;
+        let alone = 100 + tokens / 55;
+        let other = if sample % 2 == 0 { 0 } else { (1_000 + sample * 787 % 9_000) / 55 };
+        forecast.prompt_seen(tokens, Duration::from_millis(alone + other));
+    }
+    let busy = forecast.busy_ms(5_000);
+    assert!((80.0..105.0).contains(&busy), "{busy}");
+    let whole = forecast.prompt_ms(5_000);
+    assert!((180.0..220.0).contains(&whole), "{whole}");
+}
+
 /// The line through a few prompts with noise on them is not taken at its word.
 #[test]
 fn demand_few_prompts() {
