--- a/crates/gateway/src/engine/forecast.rs
+++ b/crates/gateway/src/engine/forecast.rs
@@ -20,13 +20,13 @@
 /// Weight of a prompt that took longer than the line tells: others may have been computed beside it.
 const LONGER: f64 = 0.1;
 /// Prompts of different lengths that have to be seen before the line through them counts.
-const LEAST_PROMPTS: u32 = 8;
+const LEAST_PROMPTS: u32 = 5;
 /// Weight of the assumed time for each token: that of ten prompts which differ by 2,000 tokens.
 const ASSUMED_SPREAD: f64 = 10.0 * 10.0 * 2_000.0 * 2_000.0;
 /// Time that a request stays at a decode engine, before any was seen.
 const STAY: Duration = Duration::from_secs(3);
 /// Requests that have to arrive before their mean counts.
-const LEAST_ASKED: u32 = 8;
+const LEAST_ASKED: u32 = 5;
 /// Streams that have to end before their mean counts.
 const LEAST_STREAMS: u32 = 3;
 /// Shortest time that is waited for a computed prompt.
--- a/crates/gateway/src/state/orders.rs
+++ b/crates/gateway/src/state/orders.rs
@@ -210,7 +210,8 @@
             });
         }
         self.planner.quiet_until = match outcome {
-            Outcome::Done => now + change / at_a_time(engines) as u32,
+            Outcome::Done if at_a_time(engines) > 1 => now + LOOK_INTERVAL,
+            Outcome::Done => now + change,
             Outcome::Refused { .. } => now + REFUSED_PAUSE,
             _ => now + LOST_PAUSE,
         };
