--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -92,14 +92,6 @@
         self.endpoints.is_empty()
     }
 
-    /// Returns how many endpoints have come or gone or do something else in another list.
-    pub fn differences(&self, other: &Directory) -> usize {
-        let what = |it: &Arc<Endpoint>| (it.readiness, it.stage, it.born);
-        let differs = |it: &&Arc<Endpoint>| other.get(&it.id).map(what) != Some(what(it));
-        let come = other.iter().filter(|it| self.get(&it.id).is_none()).count();
-        come + self.iter().filter(differs).count()
-    }
-
     /// Returns the endpoints of a service.
     pub fn of(&self, service: &str) -> &[Arc<Endpoint>] {
         self.services.get(service).map_or(&[], Vec::as_slice)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -208,7 +208,7 @@
         self.fleet.health.retain(|id| directory.get(id).is_some());
         self.fleet.said.retain(|id, _| directory.get(id).is_some());
         self.times.owed = true;
-        self.planner.listed(now, &self.directory, &directory);
+        self.planner.listed(now, &directory);
         self.directory = directory;
     }
 
--- a/crates/gateway/src/state/orders.rs
+++ b/crates/gateway/src/state/orders.rs
@@ -20,9 +20,7 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Engines for each one that may change its stage at a time; in a small pool one may all the same.
 const ENGINES_PER_TURN: usize = 12;
-/// Endpoints for each one that may change between two lists that count as the same.
-const ENDPOINTS_PER_CHANGE: usize = 24;
-/// Time for which the list of endpoints must have stood before an order is given.
+/// Time for which the list of endpoints must have stood before an order is given in a small pool.
 const SETTLED: Duration = Duration::from_secs(2);
 /// Time after the start in which members are still being heard for the first time.
 const ACQUAINTANCE: Duration = Duration::from_millis(1_500);
@@ -64,10 +62,8 @@
 
 impl Planner {
     /// Notes that the list of endpoints has changed.
-    pub(super) fn listed(&mut self, now: Instant, old: &Directory, directory: &Directory) {
-        if old.differences(directory) * ENDPOINTS_PER_CHANGE > directory.len() {
-            self.listed = now;
-        }
+    pub(super) fn listed(&mut self, now: Instant, directory: &Directory) {
+        self.listed = now;
         let listed = |it: &Turning| directory.get(&it.endpoint).map(|found| found.stage);
         self.turning.retain(|it| listed(it).is_some_and(|stage| stage != Some(it.stage)));
     }
@@ -117,8 +113,7 @@
         self.planner.looked = now;
         self.planner.turning.retain(|it| it.until > now);
         let may = self.planner.token(now).is_some() && !self.is_draining();
-        let settled = now.since(self.planner.listed) >= SETTLED;
-        if !may || !settled || now < self.planner.quiet_until {
+        if !may || now < self.planner.quiet_until {
             return;
         }
         self.planner.pending = None;
@@ -139,7 +134,9 @@
         let ready: Vec<&Arc<Endpoint>> =
             self.directory.of(&service.name).iter().filter(|it| it.is_ready()).collect();
         let turning = |it: &Endpoint| self.planner.turning().any(|other| *other == it.id);
-        if ready.iter().filter(|it| turning(it)).count() >= at_a_time(ready.len()) {
+        let most = at_a_time(ready.len());
+        let settled = most > 1 || now.since(self.planner.listed) >= SETTLED;
+        if !settled || ready.iter().filter(|it| turning(it)).count() >= most {
             return None;
         }
         // Engines that are changing count as what they become.
@@ -210,7 +207,7 @@
             });
         }
         self.planner.quiet_until = match outcome {
-            Outcome::Done if at_a_time(engines) > 1 => now + LOOK_INTERVAL,
+            Outcome::Done if at_a_time(engines) > 1 => now,
             Outcome::Done => now + change,
             Outcome::Refused { .. } => now + REFUSED_PAUSE,
             _ => now + LOST_PAUSE,
