--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -4,8 +4,9 @@
 mod queue;
 mod returns;
 mod split;
+mod spread;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use siskinstile_macros::value;
 
@@ -13,6 +14,7 @@
 pub use queue::{Queue, Rank, Waiting};
 pub use returns::Returns;
 pub use split::Demand;
+pub use spread::Spread;
 
 use crate::{
     Instant, Name,
@@ -64,6 +66,8 @@
     pub turning: &'a [Name],
     /// What has been learnt of the engines' speed.
     pub forecast: &'a Forecast,
+    /// How old loads may be.
+    pub spread: Spread,
 }
 
 /// Returns the memory that a request is expected to need, in tokens.
@@ -94,7 +98,10 @@
             let free = load.runs < self.engine.slots && !self.health.is_full(self.now, &it.id);
             room && free && self.is_usable(it) && !avoid.contains(&it.id)
         };
-        let cost = |it: &Endpoint| self.common_cost(it, self.datacentre) + self.fullness(it);
+        let cost = |it: &Endpoint| {
+            let spread = self.spread_cost(it, self.forecast.stay(), FULLNESS_COST_MS);
+            self.common_cost(it, self.datacentre) + self.fullness(it) + spread
+        };
         cheapest(self.decodes().filter(fits), cost)
     }
 
@@ -109,13 +116,20 @@
             let fit = it.is_ready() && it.stage == Some(Stage::Prefill);
             fit && self.is_usable(it) && !avoid.contains(&it.id)
         };
+        let mean = self.forecast.mean_busy_ms();
         let cost = |it: &Endpoint| {
             let backlog = self.forecast.busy_ms(self.loads.total(&it.id).prompt);
-            self.common_cost(it, datacentre) + backlog
+            let spread = self.spread_cost(it, Duration::from_secs_f64(mean / 1_000.0), mean);
+            self.common_cost(it, datacentre) + backlog + spread
         };
         cheapest(self.endpoints.iter().filter(usable), cost)
     }
 
+    fn spread_cost(&self, endpoint: &Endpoint, turnover: Duration, most: f64) -> f64 {
+        let is_near = &*endpoint.datacentre == self.datacentre;
+        self.spread.cost(&endpoint.id, is_near, turnover, most)
+    }
+
     fn is_usable(&self, endpoint: &Endpoint) -> bool {
         !self.health.rests(self.now, &endpoint.id) && !self.turning.contains(&endpoint.id)
     }
--- a/crates/gateway/src/engine/forecast.rs
+++ b/crates/gateway/src/engine/forecast.rs
@@ -172,6 +172,11 @@
         tokens as f64 * self.prompts.fit().1
     }
 
+    /// Returns the time for which a mean prompt keeps an engine busy, in milliseconds.
+    pub fn mean_busy_ms(&self) -> f64 {
+        self.busy_ms(self.asked.prompt_tokens as u64)
+    }
+
     /// Returns the time until a prompt is computed by an idle engine, in milliseconds.
     pub fn prompt_ms(&self, tokens: u64) -> f64 {
         self.prompts.fit().0 + self.busy_ms(tokens)
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -8,7 +8,7 @@
     Instant, Name, call,
     call::Start,
     catalog::Repeat,
-    engine::{Placement, Rank, View, Waiting, memory},
+    engine::{Placement, Rank, Spread, View, Waiting, memory},
     health::Sign,
     load::Load,
     record, request,
@@ -16,6 +16,7 @@
 
 use super::{
     State,
+    fleet::NEAR_PAUSE,
     work::{Phase, Place, Plan, Work},
 };
 
@@ -107,9 +108,18 @@
             dark: &dark,
             turning: &turning,
             forecast: &forecast,
+            spread: self.spread(work),
         })
     }
 
+    fn spread(&self, work: &Work) -> Spread {
+        Spread {
+            seed: self.settings.incarnation ^ work.id.0,
+            near: NEAR_PAUSE,
+            far: self.far_pause(),
+        }
+    }
+
     /// Returns the data centres of a service's endpoints that have instances, none of them heard.
     pub(super) fn dark(&self, now: Instant, service: &str) -> Vec<Name> {
         let mut dark: Vec<Name> = Vec::new();
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -19,7 +19,7 @@
 /// Longest time between two beats.
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two beats within the data centre.
-const NEAR_PAUSE: Duration = Duration::from_millis(15);
+pub(super) const NEAR_PAUSE: Duration = Duration::from_millis(15);
 /// Shortest time between two beats to other data centres, in a small fleet.
 const FAR_PAUSE: Duration = Duration::from_millis(120);
 /// Size of a small fleet; in a larger one the time grows with the number of those who get a beat.
@@ -121,7 +121,7 @@
         self.times.far_beat + if self.times.far_owed { pause } else { pause.max(BEAT_INTERVAL) }
     }
 
-    fn far_pause(&self) -> Duration {
+    pub(super) fn far_pause(&self) -> Duration {
         let factor = (self.fleet.members.len() as f64 / SMALL_FLEET).max(1.0);
         FAR_PAUSE.mul_f64(factor).min(LONGEST_FAR_PAUSE)
     }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -10,3 +10,4 @@
 mod record;
 mod returns;
 mod site;
+mod spread;
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -177,18 +177,7 @@
             route("/lookup/", Repeat::Idempotent, "registry", 2),
         ],
         services: vec![
-            Service {
-                name: "model".into(),
-                connection_limit: 360,
-                engine: Some(Engine {
-                    slots: 64,
-                    memory_tokens: 20_800,
-                    event_tokens: 6,
-                    hold_limit: Duration::from_secs(2),
-                    handle_retention: Duration::from_millis(500),
-                    reconfigure: Duration::from_secs(6),
-                }),
-            },
+            Service { name: "model".into(), connection_limit: 360, engine: Some(engine()) },
             Service { name: "registry".into(), connection_limit: 96, engine: None },
         ],
         teams: vec![Team {
@@ -248,3 +237,15 @@
         born: None,
     }
 }
+
+/// Returns the properties of an engine.
+pub(crate) fn engine() -> Engine {
+    Engine {
+        slots: 64,
+        memory_tokens: 20_800,
+        event_tokens: 6,
+        hold_limit: Duration::from_secs(2),
+        handle_retention: Duration::from_millis(500),
+        reconfigure: Duration::from_secs(6),
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/testsuite/spread.rs
@@ -0,0 +1,62 @@
+//! Choices of many instances on the same old loads.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use siskinstile_gateway::{
+    Instant, Name,
+    directory::{Endpoint, Readiness, Stage},
+    engine::{Forecast, Spread, View},
+    health::Book,
+    load::{Load, Loads},
+    request::Tokens,
+};
+
+fn engine(number: u16, datacentre: &str) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        id: format!("e{number}").as_str().into(),
+        service: "model".into(),
+        address: ([127, 0, 0, 1], 9_000 + number).into(),
+        datacentre: datacentre.into(),
+        readiness: Readiness::Ready,
+        stage: Some(Stage::Prefill),
+        slots: 64,
+        born: None,
+    })
+}
+
+/// Sixty instances choose a prefill engine in another data centre on what all heard a second ago: engines
+/// differ a little, and not all choose the one that had least.
+#[test]
+fn prefill_herd() {
+    let endpoints: Vec<Arc<Endpoint>> = (0..10).map(|it| engine(it, "south")).collect();
+    let mut loads = Loads::default();
+    for (number, endpoint) in endpoints.iter().enumerate() {
+        loads.add(&endpoint.id, Load { runs: 1, tokens: 0, prompt: number as u64 * 100 });
+    }
+    let mut forecast = Forecast::default();
+    forecast.asked(Tokens { prompt: 5_000, output: 400, expected: None });
+    let mut chosen: IndexMap<Name, u32> = IndexMap::new();
+    for seed in 0..60 {
+        let view = View {
+            now: Instant::default(),
+            endpoints: &endpoints,
+            engine: &crate::site::engine(),
+            loads: &loads,
+            health: &Book::default(),
+            datacentre: "north",
+            dark: &[],
+            turning: &[],
+            forecast: &forecast,
+            spread: Spread {
+                seed,
+                near: Duration::from_millis(15),
+                far: Duration::from_millis(1_200),
+            },
+        };
+        let engine = view.prefill("south", &[]).expect("all are ready");
+        *chosen.entry(engine.id.clone()).or_default() += 1;
+    }
+    let most = chosen.values().max().expect("some were chosen");
+    assert!(chosen.len() >= 8 && *most <= 15, "{chosen:?}");
+}
