--- a/crates/gateway/src/engine/split.rs
+++ b/crates/gateway/src/engine/split.rs
@@ -5,7 +5,7 @@
 use crate::directory::Stage;
 
 /// Part of the time that prefill engines may be busy when all decode engines are full.
-const PREFILL_USE: f64 = 0.75;
+const PREFILL_USE: f64 = 0.65;
 /// Part of an engine by which prefill engines may be fewer than wanted after one has turned.
 const MARGIN: f64 = 0.2;
 /// Prefill engines that are left at least.
