--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -53,9 +53,11 @@
 pub const CALLER_LEFT: Code = code(735, Level::Info, "caller left");
 /// An engine was ordered to change its stage.
 pub const ORDERED: Code = code(740, Level::Info, "engine ordered to change its stage");
+/// Something beside requests and beliefs went wrong, or is told for those who look for a fault.
+pub const DIAGNOSTIC: Code = code(750, Level::Warn, "diagnostic");
 
 /// Every code, for the catalogue.
-pub const CODES: [Code; 21] = [
+pub const CODES: [Code; 22] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -77,6 +79,7 @@
     FAILED,
     CALLER_LEFT,
     ORDERED,
+    DIAGNOSTIC,
 ];
 
 /// A log line: what happened, to which request, and the inputs that decided it.
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -50,6 +50,7 @@
     pub async fn spawn(settings: Settings, protocol: Box<dyn Protocol>) -> anyhow::Result<Daemon> {
         let clock = Clock::start();
         let logger = Logger::spawn(&settings.name)?;
+        logger.install(settings.log_level);
         logger.write(
             &Record::new(record::STARTED)
                 .with("datacentre", &*settings.datacentre)
--- a/crates/gatewayd/src/door.rs
+++ b/crates/gatewayd/src/door.rs
@@ -53,9 +53,13 @@
     let places = Places::new(most);
     let next = Rc::new(Cell::new(0_u64));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("no connection of a caller accepted: {error}");
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let Some(place) = places.take().map(Rc::new) else {
             metrics::counter!("siskinstile_connections_refused").increment(1);
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -101,12 +101,18 @@
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
-                log::debug!("no beat received: {error}");
+                log::warn!("no beat received: {error}");
                 time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        let Ok(beat) = Beat::decode(&buffer[..length]) else { continue };
+        let beat = match Beat::decode(&buffer[..length]) {
+            Ok(beat) => beat,
+            Err(error) => {
+                log::warn!("beat of {from} unreadable: {error}");
+                continue;
+            }
+        };
         match beat.leaves {
             true => book.forget(&beat.name),
             false => book.learn(&beat.name, from, &beat.datacentre),
@@ -120,9 +126,13 @@
 /// Serves snapshots to peers.
 pub async fn serve_snapshots(listener: TcpListener, follower: Rc<Follower>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("no connection of a peer accepted: {error}");
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let follower = follower.clone();
         spawn_local(async move {
--- a/crates/gatewayd/src/settings.rs
+++ b/crates/gatewayd/src/settings.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use log::LevelFilter;
 use siskinstile_gateway::{Name, budget::Bound};
 use siskinstile_macros::value;
 
@@ -44,6 +45,8 @@
     pub propagation: Duration,
     /// Time between a signal to stop and the end of the process.
     pub grace: Duration,
+    /// Level from which on diagnostics are logged.
+    pub log_level: LevelFilter,
     /// File descriptors that the process may use.
     pub descriptors: usize,
 }
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -323,11 +323,7 @@
         if snapshot.revision <= self.copy(kind).borrow().mirror.revision() {
             return true;
         }
-        let changed = snapshot.objects.into_iter().filter_map(|it| {
-            let value = serde_json::from_slice(&it.value).ok()?;
-            Some(Object { name: it.name.as_str().into(), revision: it.revision, value })
-        });
-        let changed: Vec<Object> = changed.collect();
+        let changed: Vec<Object> = snapshot.objects.into_iter().filter_map(object).collect();
         let names: Vec<Name> = snapshot.names.iter().map(|it| it.as_str().into()).collect();
         let line = Record::new(record::SNAPSHOT_TAKEN)
             .with("kind", kind.as_str())
@@ -343,3 +339,15 @@
         true
     }
 }
+
+fn object(sent: SentObject) -> Option<Object> {
+    match serde_json::from_slice(&sent.value) {
+        Ok(value) => {
+            Some(Object { name: sent.name.as_str().into(), revision: sent.revision, value })
+        }
+        Err(error) => {
+            log::warn!("{} of a peer's snapshot unreadable: {error}", sent.name);
+            None
+        }
+    }
+}
