--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use siskinstile_macros::value;
 
-use crate::{Instant, Name};
+use crate::{Instant, Name, key::Key};
 
 /// Time without a beat after which a peer of the own data centre is not counted on.
 pub const SILENCE: Duration = Duration::from_millis(900);
@@ -156,7 +156,7 @@
     /// Returns how many others go before an instance in following the platform's store, or none if it
     /// need not follow.
     ///
-    /// In a large fleet the first by rank among those heard in each data centre follows, and hands on
+    /// In a large fleet the first by the hash of its name among those heard in each data centre follows, and hands on
     /// what it learns. Where nobody there is in contact with the store, the others try as well, one
     /// after the other.
     pub fn follow_turn(&self, now: Instant, own: &str, datacentre: &str) -> Option<u32> {
@@ -167,7 +167,7 @@
             let heard = self.peers.iter().filter(|(_, it)| self.is_heard(now, it));
             heard.filter(|(_, it)| &*it.datacentre == datacentre)
         };
-        let before = near().filter(|(name, _)| rank(name) < rank(own)).count() as u32;
+        let before = near().filter(|(name, _)| Key::of(name) < Key::of(own)).count() as u32;
         let in_contact = |it: &Peer| it.store_age + now.since(it.heard) < self.store_limit;
         match before {
             0 => Some(0),
@@ -199,8 +199,3 @@
         changes
     }
 }
-
-/// Returns a number that orders instances alike everywhere.
-fn rank(name: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
-}
