After a cut, charge peers' spending to the part of the rate that was left to them

While an instance does not hear others it refills a team's bucket by its part of the rate only; when the cut heals it took all that the others had spent from the bucket once more, down to four bursts below empty, and refused the team for seconds: 68 refusals of teams within their rates in seconds 30 to 41, levels to -239,406 at rates of 47,000 to 91,973, most of them with all instances heard. Now what is not refilled during a cut is kept as withheld, and what peers report to have spent meanwhile is taken from that first. What heard peers spend is charged as before.

--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -92,6 +92,11 @@
         now.since(peer.heard) < self.limit(peer)
     }
 
+    /// Returns whether a peer is heard of.
+    pub fn is_counted_on(&self, now: Instant, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|it| self.is_heard(now, it))
+    }
+
     /// Takes what a peer says of itself; returns what it replaces.
     pub fn hear(&mut self, name: Name, peer: Peer) -> Option<Peer> {
         self.peers.insert(name, peer)
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -23,6 +23,9 @@
 /// Part of a burst that a copy begins with at a restart, when what was spent before is forgotten.
 const RESTART_LEVEL: f64 = 0.5;
 
+/// Time after a cut within which peers that were not heard have told what they spent.
+const WITHHELD_LIMIT: Duration = Duration::from_secs(6);
+
 /// Bursts by which peers' spending may take a copy below empty, so that what was spent before it was
 /// known is made up for.
 const MOST_DEBT: f64 = 4.0;
@@ -53,6 +56,17 @@
     accounts: IndexMap<Key, Account>,
     /// Whether it has reported all accounts; else one that is new here may be old there.
     complete: bool,
+    /// Whether it was not heard for a time, and has not reported all accounts since.
+    catching_up: bool,
+}
+
+/// How a report has come.
+#[value(id)]
+pub struct Heard {
+    /// Whether it holds all accounts of its sender.
+    pub all: bool,
+    /// Whether its sender was not counted on just before, so that buckets were not refilled for it.
+    pub after_silence: bool,
 }
 
 /// How a copy of a team's bucket stands.
@@ -72,14 +86,24 @@
     quota: Quota,
     level: f64,
     refilled: Instant,
+    /// Units that were left to members which were not heard, until they have told what they spent.
+    withheld: f64,
+    /// When some members were last not heard.
+    cut: Instant,
 }
 
 impl Bucket {
     fn refill(&mut self, now: Instant, reach: f64) {
         let elapsed = now.since(self.refilled).as_secs_f64();
-        let earned = elapsed * self.quota.rate as f64 * reach;
-        self.level = (self.level + earned).min(self.quota.burst as f64);
+        let earned = elapsed * self.quota.rate as f64;
+        self.level = (self.level + earned * reach).min(self.quota.burst as f64);
         self.refilled = now;
+        if reach < 1.0 {
+            self.withheld += earned * (1.0 - reach);
+            self.cut = now;
+        } else if now.since(self.cut) > WITHHELD_LIMIT {
+            self.withheld = 0.0;
+        }
     }
 
     /// Takes units that peers have spent, or gives back a negative number of them.
@@ -88,6 +112,13 @@
         self.level = (self.level - units).clamp(-burst * MOST_DEBT, burst);
     }
 
+    /// Takes units that a peer has spent while it was not heard: first from what was left to it.
+    fn charge_withheld(&mut self, units: f64) {
+        let covered = units.clamp(0.0, self.withheld);
+        self.withheld -= covered;
+        self.charge(units - covered);
+    }
+
     fn overdraft(&self, reach: f64) -> f64 {
         if reach < 1.0 { 0.0 } else { self.quota.burst as f64 * OVERDRAFT }
     }
@@ -117,7 +148,8 @@
         for team in teams {
             let Some(quota) = team.quota.clone() else { continue };
             let level = quota.burst as f64 * if full { 1.0 } else { RESTART_LEVEL };
-            let fresh = Bucket { quota: quota.clone(), level, refilled: now };
+            let fresh =
+                Bucket { quota: quota.clone(), level, refilled: now, withheld: 0.0, cut: now };
             let mut bucket = old.swap_remove(&Key::of(&team.name)).unwrap_or(fresh);
             bucket.refill(now, self.reach);
             bucket.level = bucket.level.min(quota.burst as f64);
@@ -161,7 +193,7 @@
         }
     }
 
-    /// Takes a peer's report of what it has charged teams; `all` tells whether it holds all of them.
+    /// Takes a peer's report of what it has charged teams.
     ///
     /// What was charged before the peer was first heard of is past.
     pub fn learn(
@@ -169,19 +201,24 @@
         now: Instant,
         peer: (Name, u64),
         accounts: &[(Key, Account)],
-        all: bool,
+        heard: Heard,
     ) {
         let report = self.reported.entry(peer).or_default();
+        report.catching_up |= heard.after_silence;
         for (team, account) in accounts {
             let is_past = !report.complete && !report.accounts.contains_key(team);
             let more = report.accounts.entry(*team).or_default().advance(*account);
             let bucket = self.buckets.get_mut(team);
             if let Some(bucket) = bucket.filter(|_| more != 0.0 && !is_past) {
                 bucket.refill(now, self.reach);
-                bucket.charge(more);
+                match report.catching_up {
+                    true => bucket.charge_withheld(more),
+                    false => bucket.charge(more),
+                }
             }
         }
-        report.complete |= all;
+        report.complete |= heard.all;
+        report.catching_up &= !heard.all;
     }
 
     /// Drops what a peer that is gone has reported.
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -10,7 +10,7 @@
     key::Key,
     load::Load,
     member::{Change, Peer, SILENCE},
-    quota::Account,
+    quota::{Account, Heard},
     record::{self, Record},
 };
 
@@ -48,7 +48,11 @@
         }
         let accounts: Vec<(Key, Account)> = beat.accounts.iter().map(account).collect();
         let sender = (name.clone(), beat.incarnation);
-        self.fleet.ledger.learn(now, sender, &accounts, beat.all_accounts);
+        let heard = Heard {
+            all: beat.all_accounts,
+            after_silence: !self.fleet.members.is_counted_on(now, &name),
+        };
+        self.fleet.ledger.learn(now, sender, &accounts, heard);
         self.fleet.loads.learn(&name, beat.loads.iter().map(load).collect());
         let waiting = beat.waiting.iter().map(|it| (Name::from(&*it.name), it.count as u32));
         let peer = Peer {
--- a/crates/gateway/tests/testsuite/quota.rs
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -7,7 +7,7 @@
     Instant, Name,
     catalog::{Quota, Team},
     key::Key,
-    quota::{Account, Ledger},
+    quota::{Account, Heard, Ledger},
 };
 
 const RATE: u64 = 60_000;
@@ -61,7 +61,7 @@
         now,
         ("peer".into(), 1),
         &[(Key::of("b"), spent(7)), (Key::of("a"), spent(5_000_000))],
-        true,
+        Heard { all: true, after_silence: false },
     );
     assert!(ledger.take(now, &team(), RATE / 2).is_ok());
 }
@@ -70,8 +70,18 @@
 fn learn_later() {
     let mut ledger = ledger(true);
     let now = Instant::from_millis(10);
-    ledger.learn(now, ("peer".into(), 1), &[(Key::of("a"), spent(1_000))], true);
-    ledger.learn(now, ("peer".into(), 1), &[(Key::of("a"), spent(1_000 + RATE * 3 / 2))], true);
+    ledger.learn(
+        now,
+        ("peer".into(), 1),
+        &[(Key::of("a"), spent(1_000))],
+        Heard { all: true, after_silence: false },
+    );
+    ledger.learn(
+        now,
+        ("peer".into(), 1),
+        &[(Key::of("a"), spent(1_000 + RATE * 3 / 2))],
+        Heard { all: true, after_silence: false },
+    );
     let after = ledger.take(now, &team(), 1_000).expect_err("the peer has spent all");
     assert!(after > Duration::from_millis(100), "{after:?}");
 }
@@ -83,14 +93,24 @@
     let mut ledger = ledger(true);
     let peer = || ("peer".into(), 1);
     let start = Instant::from_millis(10);
-    ledger.learn(start, peer(), &[(Key::of("a"), spent(0))], true);
+    ledger.learn(
+        start,
+        peer(),
+        &[(Key::of("a"), spent(0))],
+        Heard { all: true, after_silence: false },
+    );
     let reports = [
         Account { spent: RATE, refunded: 0 },
         Account { spent: RATE, refunded: RATE / 2 },
         Account { spent: RATE, refunded: 0 },
     ];
     for report in reports {
-        ledger.learn(start, peer(), &[(Key::of("a"), report)], true);
+        ledger.learn(
+            start,
+            peer(),
+            &[(Key::of("a"), report)],
+            Heard { all: true, after_silence: false },
+        );
     }
     let standing = ledger.standing("a").expect("a bucket");
     assert_eq!(standing.level, RATE as f64 / 2.0);
@@ -104,10 +124,25 @@
     let peer = || ("peer".into(), 1);
     let now = Instant::from_millis(10);
     let level = |ledger: &Ledger| ledger.standing("a").expect("a bucket").level;
-    ledger.learn(now, peer(), &[(Key::of("b"), spent(9))], false);
-    ledger.learn(now, peer(), &[(Key::of("a"), spent(500_000))], true);
+    ledger.learn(
+        now,
+        peer(),
+        &[(Key::of("b"), spent(9))],
+        Heard { all: false, after_silence: false },
+    );
+    ledger.learn(
+        now,
+        peer(),
+        &[(Key::of("a"), spent(500_000))],
+        Heard { all: true, after_silence: false },
+    );
     assert_eq!(level(&ledger), RATE as f64);
-    ledger.learn(now, peer(), &[(Key::of("a"), spent(501_000))], false);
+    ledger.learn(
+        now,
+        peer(),
+        &[(Key::of("a"), spent(501_000))],
+        Heard { all: false, after_silence: false },
+    );
     assert_eq!(level(&ledger), RATE as f64 - 1_000.0);
 }
 
@@ -125,6 +160,39 @@
     assert!(granted <= RATE * 8 + RATE, "{granted}");
 }
 
+/// A cut heals: what the other side has spent meanwhile was its own part of the rate, and is not taken from
+/// this side's once more.
+#[test]
+fn learn_after_cut() {
+    let mut ledger = ledger(true);
+    let peer = || ("peer".into(), 1);
+    let at = Instant::from_millis;
+    let report = |units| [(Key::of("a"), spent(units))];
+    ledger.learn(at(0), peer(), &report(0), Heard { all: true, after_silence: false });
+    ledger.set_reach(at(0), 1.0 / 6.0);
+    let own = drain(&mut ledger, 0, 6_000);
+    assert!(own <= RATE * 6 / 6 + RATE, "{own}");
+    ledger.set_reach(at(6_000), 1.0);
+    let theirs = RATE * 6 * 5 / 6;
+    ledger.learn(at(6_000), peer(), &report(theirs), Heard { all: true, after_silence: true });
+    let after = drain(&mut ledger, 6_000, 8_000);
+    assert!(after >= RATE * 2 - 1_000, "{after}");
+    assert!(own + theirs + after <= RATE * 8 + RATE * 3 / 2, "{own} {theirs} {after}");
+}
+
+/// What a peer spends while it is heard is charged whole, also while others are not heard.
+#[test]
+fn learn_during_cut() {
+    let mut ledger = ledger(true);
+    let peer = || ("peer".into(), 1);
+    let at = Instant::from_millis;
+    let heard = Heard { all: true, after_silence: false };
+    ledger.learn(at(0), peer(), &[(Key::of("a"), spent(0))], heard);
+    ledger.set_reach(at(0), 0.5);
+    ledger.learn(at(2_000), peer(), &[(Key::of("a"), spent(RATE * 2))], heard);
+    assert!(ledger.take(at(2_000), "a", 1_000).is_err());
+}
+
 /// A caller that is refused in the first moments of a restart is told a true time to come back.
 #[test]
 fn refused_at_restart() {
