--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -23,6 +23,9 @@
 /// Part of a burst that a copy begins with at a restart, when what was spent before is forgotten.
 const RESTART_LEVEL: f64 = 0.5;
 
+/// Time between two looks at a bucket after which this instance may have stood still.
+const PAUSE: Duration = Duration::from_millis(900);
+
 /// Time after a cut within which peers that were not heard have told what they spent.
 const WITHHELD_LIMIT: Duration = Duration::from_secs(6);
 
@@ -86,20 +89,22 @@
     quota: Quota,
     level: f64,
     refilled: Instant,
-    /// Units that were left to members which were not heard, until they have told what they spent.
+    /// Units that were left to members which were not heard, or that did not fit in while this instance
+    /// stood still, until the others have told what they spent meanwhile.
     withheld: f64,
-    /// When some members were last not heard.
+    /// When that was last so.
     cut: Instant,
 }
 
 impl Bucket {
     fn refill(&mut self, now: Instant, reach: f64) {
-        let elapsed = now.since(self.refilled).as_secs_f64();
-        let earned = elapsed * self.quota.rate as f64;
-        self.level = (self.level + earned * reach).min(self.quota.burst as f64);
+        let elapsed = now.since(self.refilled);
+        let earned = elapsed.as_secs_f64() * self.quota.rate as f64;
+        let filled = self.level + earned * reach;
+        self.level = filled.min(self.quota.burst as f64);
         self.refilled = now;
-        if reach < 1.0 {
-            self.withheld += earned * (1.0 - reach);
+        if reach < 1.0 || elapsed >= PAUSE {
+            self.withheld += earned * (1.0 - reach) + (filled - self.level);
             self.cut = now;
         } else if now.since(self.cut) > WITHHELD_LIMIT {
             self.withheld = 0.0;
--- a/crates/gateway/tests/testsuite/quota.rs
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -180,6 +180,19 @@
     assert!(own + theirs + after <= RATE * 8 + RATE * 3 / 2, "{own} {theirs} {after}");
 }
 
+/// An instance that stood still hears at once what others have spent of the rate of that time.
+#[test]
+fn learn_after_pause() {
+    let mut ledger = ledger(true);
+    let peer = || ("peer".into(), 1);
+    let at = Instant::from_millis;
+    let first = Heard { all: true, after_silence: false };
+    ledger.learn(at(0), peer(), &[(Key::of("a"), spent(0))], first);
+    let late = Heard { all: true, after_silence: true };
+    ledger.learn(at(4_000), peer(), &[(Key::of("a"), spent(RATE * 4))], late);
+    assert_eq!(ledger.standing("a").expect("a bucket").level, RATE as f64);
+}
+
 /// What a peer spends while it is heard is charged whole, also while others are not heard.
 #[test]
 fn learn_during_cut() {
