A peer tells for seconds what it spent while it was not heard

The first full one ended the time in which spending counts as that of the silence; what the next ones told, a second and more of the whole fleet's, was taken from the bucket once more. The time is now 5 s; no more than what was withheld is covered by it.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -26,6 +26,10 @@
 /// Time between two looks at a bucket after which this instance may have stood still.
 const PAUSE: Duration = Duration::from_millis(900);
 
+/// Time after a silence in which a peer tells what it spent meanwhile: beats that were held up come in order,
+/// and those with all accounts are seconds apart.
+const CATCH_UP: Duration = Duration::from_secs(5);
+
 /// Time after a cut within which peers that were not heard have told what they spent.
 const WITHHELD_LIMIT: Duration = Duration::from_secs(6);
 
@@ -59,8 +63,8 @@
     accounts: IndexMap<Key, Account>,
     /// Whether it has reported all accounts; else one that is new here may be old there.
     complete: bool,
-    /// Whether it was not heard for a time, and has not reported all accounts since.
-    catching_up: bool,
+    /// Until when it may tell what it spent while it was not heard.
+    catching_up_until: Instant,
 }
 
 /// How a report has come.
@@ -209,21 +213,22 @@
         heard: Heard,
     ) {
         let report = self.reported.entry(peer).or_default();
-        report.catching_up |= heard.after_silence;
+        if heard.after_silence {
+            report.catching_up_until = now + CATCH_UP;
+        }
         for (team, account) in accounts {
             let is_past = !report.complete && !report.accounts.contains_key(team);
             let more = report.accounts.entry(*team).or_default().advance(*account);
             let bucket = self.buckets.get_mut(team);
             if let Some(bucket) = bucket.filter(|_| more != 0.0 && !is_past) {
                 bucket.refill(now, self.reach);
-                match report.catching_up {
+                match now < report.catching_up_until {
                     true => bucket.charge_withheld(more),
                     false => bucket.charge(more),
                 }
             }
         }
         report.complete |= heard.all;
-        report.catching_up &= !heard.all;
     }
 
     /// Drops what a peer that is gone has reported.
--- a/crates/gateway/tests/testsuite/quota.rs
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -189,7 +189,11 @@
     let first = Heard { all: true, after_silence: false };
     ledger.learn(at(0), peer(), &[(Key::of("a"), spent(0))], first);
     let late = Heard { all: true, after_silence: true };
-    ledger.learn(at(4_000), peer(), &[(Key::of("a"), spent(RATE * 4))], late);
+    let next = Heard { all: true, after_silence: false };
+    // Beats that were held up come in order; only the first comes after a silence.
+    ledger.learn(at(4_000), peer(), &[(Key::of("a"), spent(RATE))], late);
+    ledger.learn(at(4_000), peer(), &[(Key::of("a"), spent(RATE * 3))], next);
+    ledger.learn(at(4_000), peer(), &[(Key::of("a"), spent(RATE * 4))], next);
     assert_eq!(ledger.standing("a").expect("a bucket").level, RATE as f64);
 }
 
