--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -1,4 +1,4 @@
-//! Structured log lines of a gateway; docs/log-events.md is the catalogue of their codes.
+//! Structured log lines of a gateway; docs/log-events-gateway.md is the catalogue of their codes.
 
 use log::Level;
 use serde_json::Value;
--- a/crates/gateway/tests/testsuite/orders.rs
+++ b/crates/gateway/tests/testsuite/orders.rs
@@ -85,12 +85,9 @@
     assert!(site.calls().is_empty());
 }
 
-/// A pool whose division is wrong by far: one engine in 12 changes at a time, and those that do count
-/// as what they become.
-#[rstest]
-#[case::small(12, 1)]
-#[case::large(96, 8)]
-fn order_several(#[case] engines: u32, #[case] most: usize) {
+/// A pool in which half of the engines compute prompts, with a gateway that has seen enough requests to tell
+/// that those are too many.
+fn site_with_demand(engines: u32) -> Site {
     let mut site = Site::with_engines(engines);
     for _ in 0..12 {
         site.send("/review/");
@@ -101,6 +98,16 @@
         site.report(run.id, Outcome::Ended { events: 10, pause: Duration::ZERO });
         site.calls();
     }
+    site
+}
+
+/// A pool whose division is wrong by far: one engine in 12 changes at a time, and those that do count
+/// as what they become.
+#[rstest]
+#[case::small(12, 1)]
+#[case::large(96, 8)]
+fn order_several(#[case] engines: u32, #[case] most: usize) {
+    let mut site = site_with_demand(engines);
     let mut ordered = Vec::new();
     for _ in 0..100 {
         let until = site.now + Duration::from_secs(1);
@@ -132,16 +139,7 @@
 #[case::small(12, false)]
 #[case::large(96, true)]
 fn order_while_lists_change(#[case] engines: u32, #[case] orders: bool) {
-    let mut site = Site::with_engines(engines);
-    for _ in 0..12 {
-        site.send("/review/");
-        let run = site.run_generation();
-        site.report(run.id, Outcome::Head { status: 200 });
-        site.report(run.id, Outcome::First);
-        site.pass(400);
-        site.report(run.id, Outcome::Ended { events: 10, pause: Duration::ZERO });
-        site.calls();
-    }
+    let mut site = site_with_demand(engines);
     let mut asked = false;
     for second in 0..10 {
         site.list_engines(engines + 1 - second % 2);
