Gateway: leave endpoints alone that say they leave or want no calls

Cause: an endpoint's own statement in a response was not read. One that leaves got requests until the store listed it as draining, which a store outage delays without bound; one that refused and asked for a pause was called again after 60 to 500 ms.

Change: the head of each response gives a notice (load, leaving, backoff). A departure overrides the listed readiness until the endpoint starts again, and heartbeats tell it to the peers; an entry listed as draining, or removed, is not undone by an entry that is no later. During a backoff nothing is sent there, holds and prompts are left to expire, and a caller is refused at once if no endpoint of the service may be called. A decline no longer shortens a longer ejection.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -154,8 +154,19 @@
     pub call: Id,
     /// Progress or result of the call.
     pub outcome: Outcome,
-    /// Load that the endpoint reported with the response.
+    /// What the endpoint stated about itself with the response.
+    pub notice: Notice,
+}
+
+/// What an endpoint states about itself with a response.
+#[value(id, default)]
+pub struct Notice {
+    /// Its load.
     pub load: Option<ReportedLoad>,
+    /// Whether it is leaving and must get no new requests.
+    pub leaving: bool,
+    /// Time for which it must not be called after a refusal.
+    pub backoff: Option<Duration>,
 }
 
 /// Load that an endpoint reports with a response.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -44,6 +44,8 @@
     pub slots: u32,
     /// Wall-clock time of its start, in milliseconds; distinguishes incarnations of the same name.
     pub started_at_ms: Option<u64>,
+    /// Number of the entry, which rises with each one that the endpoint writes after a start.
+    pub sequence: Option<u64>,
 }
 
 impl Endpoint {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -135,6 +135,7 @@
 
     fn is_usable(&self, endpoint: &Endpoint) -> bool {
         !self.health.is_ejected(self.now, &endpoint.id)
+            && self.health.backoff(self.now, &endpoint.id).is_none()
             && !self.reconfiguring.contains(&endpoint.id)
     }
 
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -44,6 +44,8 @@
     ejected_until: Instant,
     consecutive_refusals: u32,
     full_until: Instant,
+    /// Until when the endpoint has asked for no calls.
+    backoff_until: Instant,
     failure_rate: f64,
     updated_at: Instant,
 }
@@ -78,7 +80,9 @@
                 record.sample(now, 0.0);
             }
             Signal::Error => record.sample(now, 1.0),
-            Signal::Declined => record.ejected_until = now + DECLINED_EJECTION,
+            Signal::Declined => {
+                record.ejected_until = record.ejected_until.max(now + DECLINED_EJECTION);
+            }
             Signal::Full => {
                 let pause =
                     BASE_FULL_PAUSE * 2_u32.saturating_pow(record.consecutive_refusals.min(8));
@@ -105,13 +109,26 @@
         self.records.get(endpoint).is_some_and(|it| it.full_until > now)
     }
 
+    /// Records that an endpoint must not be called for some time; a shorter time than one recorded
+    /// before has no effect.
+    pub fn back_off(&mut self, now: Instant, endpoint: &Name, time: Duration) {
+        let record = self.records.entry(endpoint.clone()).or_default();
+        record.backoff_until = record.backoff_until.max(now + time);
+    }
+
+    /// Returns the remaining time for which an endpoint must not be called; `None` if it may be.
+    pub fn backoff(&self, now: Instant, endpoint: &str) -> Option<Duration> {
+        let until = self.records.get(endpoint)?.backoff_until;
+        (until > now).then(|| until.since(now))
+    }
+
     /// Returns the recent fraction of an endpoint's calls that failed, from 0 to 1.
     pub fn failure_rate(&self, now: Instant, endpoint: &str) -> f64 {
         self.records.get(endpoint).map_or(0.0, |it| it.failure_rate(now))
     }
 
-    /// Removes the records of endpoints that are no longer listed.
-    pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
-        self.records.retain(|name, _| is_listed(name));
+    /// Removes the records of endpoints that are no longer listed and may be called.
+    pub fn retain(&mut self, now: Instant, is_listed: impl Fn(&str) -> bool) {
+        self.records.retain(|name, it| is_listed(name) || it.backoff_until > now);
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -37,10 +37,14 @@
 
 impl View<'_> {
     /// Returns the ready endpoint with the lowest cost, outside of `excluded`; an ejected one only
-    /// if there is no other.
+    /// if there is no other, and none that has asked for no calls.
     pub fn choose(&self, excluded: &[Name]) -> Option<Arc<Endpoint>> {
-        let ready =
-            || self.endpoints.iter().filter(|it| it.is_ready() && !excluded.contains(&it.id));
+        let may_call = |it: &Endpoint| {
+            it.is_ready()
+                && !excluded.contains(&it.id)
+                && self.health.backoff(self.now, &it.id).is_none()
+        };
+        let ready = || self.endpoints.iter().filter(|it| may_call(it));
         let available = ready().filter(|it| !self.health.is_ejected(self.now, &it.id));
         let by_cost =
             |a: &&Arc<Endpoint>, b: &&Arc<Endpoint>| self.cost(a).total_cmp(&self.cost(b));
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -54,11 +54,15 @@
 pub const CALLER_DISCONNECTED: Code = code(735, Level::Info, "caller disconnected");
 /// An engine was ordered to change its stage.
 pub const ORDERED: Code = code(740, Level::Info, "engine ordered to change its stage");
+/// An endpoint has stated in a response that it is leaving.
+pub const ENDPOINT_LEAVING: Code = code(741, Level::Info, "endpoint leaving");
+/// An endpoint has refused a request and asked for no calls for some time.
+pub const ENDPOINT_BACKOFF: Code = code(742, Level::Info, "endpoint backoff");
 /// An error outside of request processing, or debugging information.
 pub const DIAGNOSTIC: Code = code(750, Level::Warn, "diagnostic");
 
 /// All codes, in the order of the catalogue.
-pub const CODES: [Code; 22] = [
+pub const CODES: [Code; 24] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -80,6 +84,8 @@
     FAILED,
     CALLER_DISCONNECTED,
     ORDERED,
+    ENDPOINT_LEAVING,
+    ENDPOINT_BACKOFF,
     DIAGNOSTIC,
 ];
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
     Catalog, Directory, Effect, Event, Instant, Name,
     budget::{Bound, Budget},
     call,
+    departure::Departures,
     engine::{Forecast, Queue, RetryAfter},
     health::Tracker,
     load::Loads,
@@ -67,6 +68,7 @@
     ledger: Ledger,
     budgets: IndexMap<Name, Budget>,
     health: Tracker,
+    departures: Departures,
     reported_loads: IndexMap<Name, (Instant, call::ReportedLoad)>,
     forecasts: IndexMap<Name, Forecast>,
     /// Schedules of the retry-after times of refused callers, by service.
@@ -98,6 +100,9 @@
 pub struct State {
     settings: Settings,
     catalog: Option<Arc<Catalog>>,
+    /// The endpoints as the platform lists them.
+    listed: Arc<Directory>,
+    /// The endpoints, of which those known to leave count as draining.
     directory: Arc<Directory>,
     fleet: Fleet,
     times: Times,
@@ -117,13 +122,15 @@
         State {
             settings,
             catalog: None,
-            directory: Arc::new(Directory::default()),
+            listed: Arc::default(),
+            directory: Arc::default(),
             fleet: Fleet {
                 members,
                 loads: Loads::default(),
                 ledger: Ledger::default(),
                 budgets: IndexMap::new(),
                 health: Tracker::default(),
+                departures: Departures::default(),
                 reported_loads: IndexMap::new(),
                 forecasts: IndexMap::new(),
                 retry_afters: IndexMap::new(),
@@ -209,11 +216,18 @@
         let ready = directory.iter().filter(|it| it.is_ready()).count();
         let line = Record::new(record::LISTED).with("endpoints", directory.len());
         self.log(line.with("ready", ready));
-        self.fleet.health.retain(|id| directory.get(id).is_some());
+        self.fleet.health.retain(now, |id| directory.get(id).is_some());
         self.fleet.reported_loads.retain(|id, _| directory.get(id).is_some());
         self.times.announcement_due = true;
         self.planner.record_endpoint_list(now, &directory);
-        self.directory = directory;
+        self.fleet.departures.record_list(now, &self.listed, &directory);
+        self.listed = directory;
+        self.update_directory();
+    }
+
+    /// Derives the endpoints in use from those listed and those known to leave.
+    fn update_directory(&mut self) {
+        self.directory = self.fleet.departures.apply(&self.listed);
     }
 
     fn start_drain(&mut self, now: Instant) {
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -46,7 +46,7 @@
         if is_over && !self.stopped {
             self.stopped = true;
             self.times.heartbeat_number += 1;
-            let heartbeat = self.make_heartbeat(Instant::default(), true);
+            let heartbeat = self.make_heartbeat(now, Instant::default(), true);
             self.emit(Effect::Heartbeat { heartbeat, to_remote: true });
             self.log(Record::new(record::STOPPED));
             self.emit(Effect::Stopped);
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -8,6 +8,7 @@
     Instant, Name, call,
     call::Start,
     catalog::Retry,
+    directory::Endpoint,
     engine::{Placement, Rank, Spread, View, Waiting, expected_memory},
     health::Signal,
     load::Load,
@@ -38,7 +39,8 @@
     pub(super) fn enqueue(&mut self, now: Instant, id: request::Id) {
         let Some(job) = self.jobs.get(&id) else { return };
         let (service, rank) = (job.service.name.clone(), job.rank(now));
-        let wait = self.expected_wait(now, &service, rank);
+        let backoff = self.shortest_backoff(now, &service).unwrap_or_default();
+        let wait = self.expected_wait(now, &service, rank).max(backoff);
         match now + wait > self.wait_deadline(now, id) && !self.has_room(now, id) {
             true => self.refuse_no_slot(now, id, wait, "no place in time"),
             false => self.join_queue(now, id),
@@ -198,7 +200,8 @@
         slot.hold = Some(hold);
         let decode = slot.endpoint.clone();
         job.times.placed = Some(now);
-        let prefill = job.prefill.clone().filter(|_| job.may_prefill());
+        let may_call = |it: &Arc<Endpoint>| self.fleet.health.backoff(now, &it.id).is_none();
+        let prefill = job.prefill.clone().filter(|it| job.may_prefill() && may_call(it));
         let line = job
             .log_record(record::PLACED, now)
             .with("decode", &*decode.id)
@@ -215,12 +218,7 @@
         }
     }
 
-    fn start_prefill(
-        &mut self,
-        now: Instant,
-        id: request::Id,
-        endpoint: Arc<crate::directory::Endpoint>,
-    ) {
+    fn start_prefill(&mut self, now: Instant, id: request::Id, endpoint: Arc<Endpoint>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let prompt = job.tokens.map_or(0, |it| it.prompt);
         job.phase = Phase::Prefilling;
@@ -248,6 +246,9 @@
     ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(slot) = &mut job.slot else { return };
+        if self.fleet.health.backoff(now, &slot.endpoint.id).is_some() {
+            return self.replace_slot(now, id);
+        }
         let (endpoint, hold) = (slot.endpoint.clone(), slot.hold.take());
         let start = job.last_event.clone().map_or(Start::New, Start::After);
         job.phase = Phase::Running;
@@ -265,6 +266,15 @@
         );
     }
 
+    /// Queues a request again whose engine has asked for no calls since the slot was reserved.
+    fn replace_slot(&mut self, now: Instant, id: request::Id) {
+        let Some(mut job) = self.jobs.swap_remove(&id) else { return };
+        self.free_prompt(now, &mut job);
+        self.release_slot(now, &mut job);
+        self.jobs.insert(id, job);
+        self.enqueue(now, id);
+    }
+
     /// Queues a request again after its reservation was refused or got no response.
     ///
     /// The expected wait is not checked again, since the estimate did not predict the refusal.
@@ -319,7 +329,9 @@
             }
             (None, None) => {}
         }
-        let may_resend = had_prompt && self.take_retry(now, id);
+        let engine = job.slot.as_ref().map(|it| it.endpoint.id.clone());
+        let may_call = engine.is_some_and(|it| self.fleet.health.backoff(now, &it).is_none());
+        let may_resend = had_prompt && may_call && self.take_retry(now, id);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         match may_resend {
             true => {
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use siskinstile_wire::message::heartbeat::{
-    Account as SentAccount, Count, Heartbeat, Load as SentLoad,
+    Account as SentAccount, Count, Departure as SentDeparture, Heartbeat, Load as SentLoad,
 };
 
 use crate::{
@@ -67,6 +67,10 @@
             waiting: waiting.collect(),
             reconfiguring: heartbeat.reconfiguring.iter().map(|it| it.as_str().into()).collect(),
         };
+        let departures = heartbeat.departures.iter().map(departure);
+        if self.fleet.departures.record_report(now, departures) {
+            self.update_directory();
+        }
         let old = self.fleet.members.record_heartbeat(name.clone(), peer);
         if let Some(old) = old.as_ref().filter(|it| it.incarnation != heartbeat.incarnation) {
             self.fleet.ledger.remove_peer(&(name.clone(), old.incarnation));
@@ -160,13 +164,13 @@
         if since == Instant::default() {
             self.times.last_full_heartbeat = now;
         }
-        let heartbeat = self.make_heartbeat(since, false);
+        let heartbeat = self.make_heartbeat(now, since, false);
         self.emit(Effect::Heartbeat { heartbeat, to_remote });
     }
 
     /// Returns a heartbeat with this instance's loads and queue lengths and the accounts that have
     /// changed since `since`; with the default time, all accounts.
-    pub(super) fn make_heartbeat(&self, since: Instant, leaving: bool) -> Heartbeat {
+    pub(super) fn make_heartbeat(&self, now: Instant, since: Instant, leaving: bool) -> Heartbeat {
         let loads = self.fleet.loads.own().iter().map(|(endpoint, load)| SentLoad {
             endpoint: endpoint.0,
             requests: load.requests,
@@ -197,6 +201,7 @@
             all_accounts: since == Instant::default(),
             waiting: waiting.into_iter().map(|(name, count)| queue_count(name, count)).collect(),
             reconfiguring: self.planner.reconfiguring().map(|it| it.to_string()).collect(),
+            departures: self.fleet.departures.announced(now).map(sent_departure).collect(),
         }
     }
 }
@@ -215,6 +220,14 @@
     (NameHash(sent.team), account)
 }
 
+fn departure(sent: &SentDeparture) -> (NameHash, Option<u64>) {
+    (NameHash(sent.endpoint), sent.started_at_ms)
+}
+
+fn sent_departure((endpoint, started_at_ms): (NameHash, Option<u64>)) -> SentDeparture {
+    SentDeparture { endpoint: endpoint.0, started_at_ms }
+}
+
 fn queue_count(name: &str, count: u64) -> Count {
     Count { name: name.to_owned(), count }
 }
--- a/crates/gateway/src/state/job.rs
+++ b/crates/gateway/src/state/job.rs
@@ -190,12 +190,18 @@
     }
 
     /// Makes a call that belongs to no request and is expected to be answered without delay.
+    ///
+    /// An endpoint that has asked for no calls gets none: its reservations and computed prompts
+    /// expire by themselves, and orders to it are planned again.
     pub(super) fn call_detached(
         &mut self,
         now: Instant,
         endpoint: Arc<Endpoint>,
         step: call::Step,
     ) {
+        if self.fleet.health.backoff(now, &endpoint.id).is_some() {
+            return;
+        }
         let call = call::Id(self.next_call);
         self.next_call += 1;
         let effect = effect::Call {
--- a/crates/gateway/src/state/orders.rs
+++ b/crates/gateway/src/state/orders.rs
@@ -152,7 +152,9 @@
         let stage = demand.rebalance(count(Stage::Prefill), count(Stage::Decode))?;
         let usable = |it: &&&Arc<Endpoint>| {
             let differs = it.stage.is_some_and(|current| current != stage);
-            differs && !reconfiguring(it) && !self.fleet.health.is_ejected(now, &it.id)
+            let may_call = !self.fleet.health.is_ejected(now, &it.id)
+                && self.fleet.health.backoff(now, &it.id).is_none();
+            differs && !reconfiguring(it) && may_call
         };
         let group_size = |it: &Endpoint| {
             let same = |other: &&&Arc<Endpoint>| {
--- a/crates/gateway/src/state/plain.rs
+++ b/crates/gateway/src/state/plain.rs
@@ -60,13 +60,24 @@
 
     fn no_endpoint(&mut self, now: Instant, id: request::Id) {
         let Some(job) = self.jobs.get(&id) else { return };
+        let service = job.service.name.clone();
         if job.calls.is_empty() && !self.relay_fallback(now, id) {
-            let failure =
-                Failure::not_run(ErrorKind::NoEndpoint).with_retry_after(NO_ENDPOINT_RETRY);
+            let retry_after = self.shortest_backoff(now, &service);
+            let failure = Failure::not_run(ErrorKind::NoEndpoint)
+                .with_retry_after(retry_after.unwrap_or(NO_ENDPOINT_RETRY));
             self.fail(now, id, failure, "no endpoint");
         }
     }
 
+    /// Returns the shortest time until an endpoint of a service may be called again; `None` if one
+    /// may be called now or none is ready.
+    pub(super) fn shortest_backoff(&self, now: Instant, service: &str) -> Option<Duration> {
+        let endpoints = self.directory.of_service(service).iter().filter(|it| it.is_ready());
+        let backoffs = endpoints.map(|it| self.fleet.health.backoff(now, &it.id));
+        // `None` is less than any time.
+        backoffs.min().flatten()
+    }
+
     /// Tries another endpoint after a connection failed before any byte was sent.
     pub(super) fn plain_unsent(&mut self, now: Instant, id: request::Id) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -1,14 +1,16 @@
 //! Handling of call outcomes.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use siskinstile_core::error::{Failure, Kind as ErrorKind};
 
 use crate::{
     Effect, Instant, Name, call,
-    call::{Outcome, Report},
+    call::{Notice, Outcome, Report},
+    directory::Endpoint,
     health::Signal,
-    record, request,
+    record::{self, Record},
+    request,
 };
 
 use super::{
@@ -19,6 +21,8 @@
 /// Statuses that tell callers that a request has not run; they are not relayed from endpoints that
 /// may have run it.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+/// Longest time for which an endpoint can stop calls to it; bounds the effect of absurd values.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
 /// Lowest status of a server error.
 const FIRST_SERVER_ERROR: u16 = 500;
 
@@ -26,9 +30,7 @@
     /// Handles a report on a call; reports on calls that are not open are ignored.
     pub(super) fn handle_report(&mut self, now: Instant, report: Report) {
         let Some(open) = self.calls.get(&report.call).cloned() else { return };
-        if let Some(load) = report.load {
-            self.fleet.reported_loads.insert(open.endpoint.id.clone(), (now, load));
-        }
+        self.handle_notice(now, &open.endpoint, report.notice);
         let outcome = check_not_run_status(report.outcome);
         self.record_health(now, &open, &outcome);
         let is_intermediate = matches!(outcome, Outcome::Head { .. } | Outcome::FirstEvent);
@@ -41,6 +43,34 @@
         }
     }
 
+    /// Records what an endpoint stated about itself.
+    fn handle_notice(&mut self, now: Instant, endpoint: &Arc<Endpoint>, notice: Notice) {
+        if let Some(load) = notice.load {
+            self.fleet.reported_loads.insert(endpoint.id.clone(), (now, load));
+        }
+        if let Some(backoff) = notice.backoff {
+            self.back_off(now, &endpoint.id, backoff);
+        }
+        if notice.leaving && self.fleet.departures.announce(now, endpoint) {
+            let line = Record::new(record::ENDPOINT_LEAVING).with("endpoint", &*endpoint.id);
+            self.log(line);
+            self.times.announcement_due = true;
+            self.update_directory();
+        }
+    }
+
+    /// Stops all calls to an endpoint for the time that it asked for, up to a limit.
+    fn back_off(&mut self, now: Instant, endpoint: &Name, asked: Duration) {
+        if self.fleet.health.backoff(now, endpoint).is_none() {
+            let line = Record::new(record::ENDPOINT_BACKOFF)
+                .with("endpoint", &**endpoint)
+                .with("backoff_ms", asked.min(MAX_BACKOFF).as_millis() as u64)
+                .with("limited", asked > MAX_BACKOFF);
+            self.log(line);
+        }
+        self.fleet.health.back_off(now, endpoint, asked.min(MAX_BACKOFF));
+    }
+
     /// Records the outcome of a call in the health of its endpoint.
     fn record_health(&mut self, now: Instant, open: &OpenCall, outcome: &Outcome) {
         let signal = match outcome {
@@ -252,7 +282,7 @@
                 last_event: None,
                 cause: "silent",
             };
-            self.handle_report(now, Report { call, outcome, load: None });
+            self.handle_report(now, Report { call, outcome, notice: Notice::default() });
         }
     }
 }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod follow;
 mod generation;
 mod load;
+mod notice;
 mod orders;
 mod outcome;
 mod quota;
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -5,7 +5,7 @@
 use siskinstile_gateway::{
     Catalog, Directory, Effect, Event, Instant, Name, State,
     budget::Bound,
-    call::{self, Outcome, Report, Step},
+    call::{self, Notice, Outcome, Report, Step},
     catalog::{Draft, Engine, Limits, Quota, Retry, Route, Service, Split, Team},
     directory::{Endpoint, Readiness, Stage},
     effect::Call,
@@ -130,7 +130,12 @@
 
     /// Reports the outcome of a call.
     pub(crate) fn report(&mut self, call: call::Id, outcome: Outcome) {
-        self.post(Event::Report(Report { call, outcome, load: None }));
+        self.report_with(call, outcome, Notice::default());
+    }
+
+    /// Reports the outcome of a call with what the endpoint states about itself.
+    pub(crate) fn report_with(&mut self, call: call::Id, outcome: Outcome, notice: Notice) {
+        self.post(Event::Report(Report { call, outcome, notice }));
     }
 
     /// Returns the status and the retry-after time with which a request failed, if it did.
@@ -239,7 +244,8 @@
         readiness: Readiness::Ready,
         stage,
         slots: 6,
-        started_at_ms: None,
+        started_at_ms: Some(1),
+        sequence: Some(4),
     }
 }
 
--- a/crates/gateway/tests/testsuite/spread.rs
+++ b/crates/gateway/tests/testsuite/spread.rs
@@ -22,6 +22,7 @@
         stage: Some(Stage::Prefill),
         slots: 64,
         started_at_ms: None,
+        sequence: None,
     })
 }
 
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -281,7 +281,7 @@
 }
 
 fn report(control: &Rc<Control>, call: &Call, response: &ResponseHead, outcome: Outcome) {
-    control.post(Event::Report(Report { call: call.id, outcome, load: response.load }));
+    control.post(Event::Report(Report { call: call.id, outcome, notice: response.notice }));
 }
 
 fn report_failed(
@@ -293,11 +293,11 @@
 ) {
     let Failed { sent, unresponsive, cause } = failed;
     let outcome = Outcome::Failed { sent, unresponsive, last_event, cause };
-    let load = response.and_then(|it| it.load);
+    let notice = response.map(|it| it.notice).unwrap_or_default();
     if unresponsive {
         control.client.close_idle(call.endpoint.address);
     }
-    control.post(Event::Report(Report { call: call.id, outcome, load }));
+    control.post(Event::Report(Report { call: call.id, outcome, notice }));
 }
 
 /// Conversion of an unreadable response body into a failed outcome.
--- a/crates/gatewayd/src/protocol.rs
+++ b/crates/gatewayd/src/protocol.rs
@@ -9,7 +9,7 @@
 use siskinstile_core::error::Failure;
 use siskinstile_gateway::{
     Catalog, Name,
-    call::{Outcome, ReportedLoad},
+    call::{Notice, Outcome},
     directory::Endpoint,
     effect,
     request::Tokens,
@@ -46,8 +46,8 @@
     pub encoded: bool,
     /// Whether the body is a stream of server-sent events.
     pub is_event_stream: bool,
-    /// Load that the endpoint reports.
-    pub load: Option<ReportedLoad>,
+    /// What the endpoint states about itself.
+    pub notice: Notice,
     /// Time for which the endpoint keeps the idle connection open; `None` if it closes it.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -43,6 +43,20 @@
     /// Whether `accounts` contains all accounts of the sender.
     #[prost(bool, tag = "13")]
     pub all_accounts: bool,
+    /// Endpoints that have told the sender that they are leaving.
+    #[prost(message, repeated, tag = "14")]
+    pub departures: Vec<Departure>,
+}
+
+/// An endpoint that is leaving.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Departure {
+    /// Hash of the endpoint's name.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// Wall-clock time of its start, in milliseconds; none if the platform does not tell it.
+    #[prost(uint64, optional, tag = "2")]
+    pub started_at_ms: Option<u64>,
 }
 
 /// Load of an instance at one endpoint.
