--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -104,6 +104,8 @@
     /// Time from which orders to endpoints without fencing are safe: earlier orders of the previous
     /// holder have arrived by then.
     unfenced_from: Instant,
+    /// Time from which a lease that is missing may be acquired.
+    vacant_from: Instant,
     is_known: bool,
 }
 
@@ -116,10 +118,24 @@
             pending: None,
             held: None,
             unfenced_from: Instant::default(),
+            vacant_from: Instant::default(),
             is_known: false,
         }
     }
 
+    /// Records that the platform was restored from an older copy: the lease is lost, also if this
+    /// instance holds it, and a write without an answer has no effect.
+    ///
+    /// Another candidate may have acquired the lease after the copy was taken and act on it until
+    /// its term has passed, so a new one is not acquired before.
+    pub fn platform_restored(&mut self, now: Instant) {
+        self.held = None;
+        self.pending = None;
+        self.observed = Observed { first_seen: now, ..Observed::default() };
+        self.vacant_from = now + TERM + MARGIN;
+        self.is_known = false;
+    }
+
     /// Returns the fencing token if this instance holds the lease at `now`.
     pub fn fence(&self, now: Instant) -> Option<u64> {
         let (lease, start) = self.held.as_ref()?;
@@ -150,7 +166,8 @@
     /// Returns whether there is no lease, or another candidate's lease has expired: its version has
     /// stayed unchanged for the term and the margin.
     fn is_other_expired(&self, now: Instant) -> bool {
-        self.observed.lease.is_none() || now.since(self.observed.first_seen) >= TERM + MARGIN
+        let is_vacant = self.observed.lease.is_none() && now >= self.vacant_from;
+        is_vacant || now.since(self.observed.first_seen) >= TERM + MARGIN
     }
 
     fn acquire(&mut self, now: Instant) -> Step {
--- a/crates/core/tests/testsuite/order.rs
+++ b/crates/core/tests/testsuite/order.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 use siskinstile_core::{
     Instant,
-    order::{Candidate, Endpoint, Lease, LeaseClient, Order, Phase, Step},
+    order::{Candidate, Endpoint, Lease, LeaseClient, Order, Phase, Step, TERM},
     store::{Answer, Object},
 };
 
@@ -189,3 +189,56 @@
     order.handle_state(&json!({ "role": "prefill" }));
     assert_eq!(order.phase, Phase::Superseded);
 }
+
+fn answer(version: u64, lease: Option<&Lease>) -> Answer {
+    match lease {
+        Some(lease) => Answer::Object(Object {
+            kind: "lease".into(),
+            name: "orders".into(),
+            version,
+            value: Some(lease.value()),
+        }),
+        None => Answer::Missing,
+    }
+}
+
+/// A holder whose lease was lost in a restore gives no orders, and neither it nor another candidate
+/// takes the lease before the last term of the earlier history has passed.
+#[test]
+fn platform_restored_lease_lost() {
+    let (mut holder, mut other) = (candidate(0, 1), candidate(1, 1));
+    let at = |ms| Instant::default() + Duration::from_millis(ms);
+    assert!(matches!(holder.poll(at(0), true), Step::Read));
+    holder.handle_answer(at(0), answer(0, None));
+    assert!(matches!(holder.poll(at(0), true), Step::Write { .. }));
+    holder.handle_answer(at(0), Answer::Written { version: 7 });
+    assert!(holder.fence(at(100)).is_some());
+    let restored_ms = 5_000;
+    for client in [&mut holder, &mut other] {
+        client.platform_restored(at(restored_ms));
+    }
+    assert_eq!(holder.fence(at(restored_ms)), None);
+    let term_ms = TERM.as_millis() as u64;
+    for ms in (restored_ms..restored_ms + term_ms).step_by(500) {
+        for client in [&mut holder, &mut other] {
+            assert!(matches!(client.poll(at(ms), true), Step::Read), "after {ms} ms");
+            client.handle_answer(at(ms), answer(0, None));
+        }
+    }
+    let later = at(restored_ms + 2 * term_ms);
+    assert!(matches!(other.poll(later, true), Step::Write { .. }));
+}
+
+/// An answer to a write that was made before the restore gives no lease: the version on which the
+/// write depended may have been given out again.
+#[test]
+fn platform_restored_write_pending() {
+    let mut client = candidate(0, 1);
+    let now = Instant::default();
+    client.poll(now, true);
+    client.handle_answer(now, answer(0, None));
+    assert!(matches!(client.poll(now, true), Step::Write { .. }));
+    client.platform_restored(now);
+    client.handle_answer(now, Answer::Written { version: 7 });
+    assert_eq!(client.fence(now), None);
+}
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -40,6 +40,12 @@
 pub const SNAPSHOT_TAKEN: Code = code(724, Level::Info, "snapshot taken from a peer");
 /// The order lease has been acquired or lost.
 pub const LEASE: Code = code(725, Level::Info, "order lease changed");
+/// The platform's store has been restored from an older copy.
+pub const STORE_RESTORED: Code = code(726, Level::Warn, "platform store restored");
+/// An answer of the platform's store is of an earlier era than known, or states none.
+pub const STORE_OUTDATED: Code = code(727, Level::Warn, "outdated answer of the store dropped");
+/// The store lists an older configuration than the one in force, which is kept.
+pub const CONFIG_OUTDATED: Code = code(728, Level::Warn, "older configuration ignored");
 /// A request was refused and has not run.
 pub const REFUSED: Code = code(730, Level::Info, "request refused");
 /// Endpoints were chosen for a request.
@@ -62,7 +68,7 @@
 pub const DIAGNOSTIC: Code = code(750, Level::Warn, "diagnostic");
 
 /// All codes, in the order of the catalogue.
-pub const CODES: [Code; 24] = [
+pub const CODES: [Code; 27] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -77,6 +83,9 @@
     PEER_REACHABLE,
     SNAPSHOT_TAKEN,
     LEASE,
+    STORE_RESTORED,
+    STORE_OUTDATED,
+    CONFIG_OUTDATED,
     REFUSED,
     PLACED,
     CALL_FAILED,
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -193,9 +193,12 @@
             datacentre: self.settings.datacentre.to_string(),
             leaving,
             // Set by the adapter that follows the store.
+            configuration_era: 0,
             configuration_revision: 0,
+            endpoints_era: 0,
             endpoints_revision: 0,
             store_age_ms: 0,
+            configuration_version: self.catalog.as_ref().map_or(0, |it| it.version),
             loads: loads.collect(),
             accounts: accounts.collect(),
             all_accounts: since == Instant::default(),
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use anyhow::Context as _;
+use siskinstile_core::order::Candidate;
 use siskinstile_gateway::{
     State,
     record::{self, Record},
@@ -72,7 +73,7 @@
         });
         let (sender, heartbeats) = mpsc::unbounded_channel();
         let control = Control::new(protocol, state, clock, logger, sender);
-        let follower = Follower::new(control.clone(), settings.store);
+        let follower = Follower::new(control.clone(), settings.store, settings.removal_limit);
         let daemon = Daemon { control, follower, addresses: Rc::default(), settings };
         daemon.set_seeds(&daemon.settings);
         daemon.spawn_listeners(heartbeats).await?;
@@ -128,7 +129,9 @@
             first_start: self.settings.first_start,
         };
         spawn_local(follower.clone().join(name.clone(), member, self.addresses.clone()));
-        spawn_local(lease::contend(self.control.clone(), follower.clone(), name, incarnation));
+        let candidate = Candidate { name, incarnation };
+        let first_start = self.settings.first_start;
+        spawn_local(lease::contend(self.control.clone(), follower.clone(), candidate, first_start));
     }
 
     fn set_seeds(&self, settings: &Settings) {
--- a/crates/gatewayd/src/lease.rs
+++ b/crates/gatewayd/src/lease.rs
@@ -24,13 +24,25 @@
 /// Validity of a lease in the event posted to the reducer; longer than `POLL_INTERVAL`, so that it
 /// does not expire between two checks.
 const VALIDITY: Duration = Duration::from_millis(900);
+/// Bits of a fencing token below the era of the store.
+const ERA_SHIFT: u32 = 32;
 
 /// Acquires and renews the lease while this instance should hold it according to the reducer.
 ///
 /// Posts the fencing token, or its absence, to the reducer after each step; runs until the process
 /// ends.
-pub async fn contend(control: Rc<Control>, follower: Rc<Follower>, name: Name, incarnation: u64) {
-    let mut client = LeaseClient::new(Candidate { name, incarnation });
+pub async fn contend(
+    control: Rc<Control>,
+    follower: Rc<Follower>,
+    candidate: Candidate,
+    first_start: bool,
+) {
+    let mut client = LeaseClient::new(candidate);
+    if !first_start {
+        // A missing lease may have been lost in a restore before this start.
+        client.platform_restored(control.now());
+    }
+    let mut era = follower.era();
     loop {
         let now = control.now();
         let should_hold = control.read(|state| state.should_hold_lease(now));
@@ -44,14 +56,25 @@
             }
         };
         let now = control.now();
+        if follower.era() != era {
+            // A first era is no restore, but a conditional write may have crossed one.
+            client.platform_restored(now);
+            era = follower.era();
+        }
         let until = now + VALIDITY;
         let may_order = client.may_order_unfenced(now);
-        let token = client.fence(until).filter(|_| may_order);
+        let token = client.fence(until).filter(|_| may_order).map(|it| token(era, it));
         control.post(Event::Lease(token.map(|token| event::Lease { token, until })));
         time::sleep(pause).await;
     }
 }
 
+/// Returns the fencing token of a lease; it rises with the era of the store, in which the fence of
+/// the lease may start anew.
+fn token(era: Option<u64>, fence: u64) -> u64 {
+    (era.unwrap_or_default() << ERA_SHIFT) | fence
+}
+
 fn call(step: &Step) -> Call {
     let (kind, name) = (Kind::Leases, Name::from(ORDERS));
     match step {
@@ -69,10 +92,12 @@
         Ok(Answer::Object(object)) if read => core_store::Answer::Object(core_store::Object {
             kind: Kind::Leases.as_str().into(),
             name: object.name,
-            version: object.revision,
+            version: object.position.revision,
             value: Lease::parse(&object.value).map(|it| it.value()),
         }),
-        Ok(Answer::Object(object)) => core_store::Answer::Written { version: object.revision },
+        Ok(Answer::Object(object)) => {
+            core_store::Answer::Written { version: object.position.revision }
+        }
         Ok(Answer::Missing) => core_store::Answer::Missing,
         Ok(Answer::Conflict(_)) => core_store::Answer::Conflict,
         _ => core_store::Answer::Lost,
--- a/crates/gatewayd/src/mirror.rs
+++ b/crates/gatewayd/src/mirror.rs
@@ -6,88 +6,108 @@
 use siskinstile_gateway::{Instant, Name};
 use siskinstile_macros::value;
 
-use crate::store::Object;
+use crate::store::{Object, Position};
 
-/// Time after a store outage during which deleted objects are kept, since an object that expired
-/// during the outage may be written again.
-const DELETION_GRACE: Duration = Duration::from_millis(2_200);
+/// Maximum time for which objects are kept that expired or got lost while the store was
+/// unavailable, since their owners may write them again.
+const MAX_GRACE: Duration = Duration::from_millis(2_200);
+/// Margin by which such an object is dropped before the time limit on the use of a removed one.
+const GRACE_MARGIN: Duration = Duration::from_millis(100);
 
-/// The objects of one kind, with the store revision that they reflect.
-#[value(default)]
+/// The objects of one kind, with the position in the store that they reflect.
+#[value]
 pub struct Mirror {
     objects: IndexMap<Name, Object>,
-    /// Objects that were deleted shortly after a store outage, each with the time until which it is
-    /// kept.
+    /// Objects that the store no longer has, each with the time until which it is kept.
     kept_until: IndexMap<Name, Instant>,
-    revision: u64,
-    /// Revision of the last update that changed an object.
-    changed_revision: u64,
-    /// When the last store outage ended.
-    recovered_at: Option<Instant>,
+    position: Position,
+    /// Position of the last update that changed an object.
+    changed_position: Position,
+    /// Time for which lost objects are kept.
+    grace: Duration,
+    /// Whether the next list or watch covers an outage of the store. Objects that it shows as
+    /// deleted may have expired in the outage, later ones were removed by their owners.
+    covers_outage: bool,
     is_listed: bool,
 }
 
 impl Mirror {
+    /// Creates an empty copy. `removal_limit` is the time after which an object that its owner has
+    /// removed must not be in use any more.
+    pub fn new(removal_limit: Duration) -> Mirror {
+        Mirror {
+            objects: IndexMap::new(),
+            kept_until: IndexMap::new(),
+            position: Position::default(),
+            changed_position: Position::default(),
+            grace: MAX_GRACE.min(removal_limit.saturating_sub(GRACE_MARGIN)),
+            covers_outage: false,
+            is_listed: false,
+        }
+    }
+
     /// Returns whether the objects have been listed at least once.
     pub fn is_listed(&self) -> bool {
         self.is_listed
     }
 
-    /// Returns the store revision that the copy reflects.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the position in the store that the copy reflects.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
-    /// Returns the revision of the last update that changed an object.
-    pub fn changed_revision(&self) -> u64 {
-        self.changed_revision
+    /// Returns the position of the last update that changed an object.
+    pub fn changed_position(&self) -> Position {
+        self.changed_position
     }
 
-    /// Returns the objects, including those that are kept after their deletion.
+    /// Returns the objects, including those that are kept after their loss.
     pub fn objects(&self) -> impl Iterator<Item = &Object> {
         self.objects.values()
     }
 
+    /// Returns the objects that the store no longer has, each with the time for which it is kept.
+    pub fn kept(&self, now: Instant) -> impl Iterator<Item = (&Name, Duration)> {
+        self.kept_until.iter().map(move |(name, until)| (name, until.since(now)))
+    }
+
     /// Records the end of a store outage.
     ///
-    /// Objects that are deleted shortly afterwards are kept until the grace period ends.
-    pub fn store_recovered(&mut self, now: Instant) {
-        self.recovered_at = Some(now);
+    /// Objects that the next list or watch shows as deleted are kept until the grace period ends.
+    pub fn store_recovered(&mut self) {
+        self.covers_outage = true;
     }
 
     /// Replaces all objects by those of a list.
     ///
-    /// Returns whether any object changed; always true for the first list.
-    pub fn replace(&mut self, now: Instant, objects: Vec<Object>, revision: u64) -> bool {
-        let mut listed: IndexMap<Name, Object> =
-            objects.into_iter().map(|it| (it.name.clone(), it)).collect();
-        let missing: Vec<Name> =
-            self.objects.keys().filter(|it| !listed.contains_key(*it)).cloned().collect();
-        for name in missing {
-            if let Some(until) = self.grace_end(now, &name) {
-                self.kept_until.insert(name.clone(), until);
-                listed.insert(name.clone(), self.objects[&name].clone());
-            }
-        }
-        self.kept_until.retain(|name, _| listed.contains_key(name));
-        let first = !self.is_listed;
-        let has_changed = first || listed != self.objects;
-        self.objects = listed;
-        self.is_listed = true;
-        self.advance(revision, has_changed);
-        has_changed
+    /// A list of a new era comes from an older copy of the store, which may lack objects: missing
+    /// ones are kept as after an outage. Returns whether any object changed; always true for the
+    /// first list.
+    pub fn replace(&mut self, now: Instant, objects: Vec<Object>, position: Position) -> bool {
+        let is_restored = self.is_listed && position.era > self.position.era;
+        let grace = (self.covers_outage || is_restored).then_some(self.grace);
+        self.covers_outage = false;
+        let kept = grace.map_or_else(Vec::new, |grace| {
+            let is_listed = |name: &Name| objects.iter().any(|it| it.name == *name);
+            let missing = self.objects.keys().filter(|name| !is_listed(name));
+            missing.map(|name| (name.clone(), self.keep_until(name, now + grace))).collect()
+        });
+        self.set(objects, kept, position)
     }
 
-    /// Applies a peer's snapshot: the objects that have changed, and the names of all.
+    /// Applies a peer's snapshot: the objects that have changed, the names of all, and those that
+    /// the peer keeps although the store no longer has them, each with the remaining time.
     ///
-    /// Returns whether any object changed, or `None` if a named object is neither in the snapshot
-    /// nor in this copy.
+    /// An object that the peer no longer has is removed at once, since the peer has decided that it
+    /// was not lost in an outage, or has kept it for long enough. Returns whether any object
+    /// changed, or `None` if a named object is neither in the snapshot nor in this copy.
     pub fn merge(
         &mut self,
         now: Instant,
         changed: Vec<Object>,
         names: &[Name],
-        revision: u64,
+        kept: &[(Name, Duration)],
+        position: Position,
     ) -> Option<bool> {
         let mut changed: IndexMap<Name, Object> =
             changed.into_iter().map(|it| (it.name.clone(), it)).collect();
@@ -96,19 +116,33 @@
             let object = changed.swap_remove(name).or_else(|| self.objects.get(name).cloned())?;
             objects.push(object);
         }
-        Some(self.replace(now, objects, revision))
+        let kept = kept.iter().map(|(name, remaining)| {
+            (name.clone(), self.keep_until(name, now + (*remaining).min(self.grace)))
+        });
+        let kept = kept.collect();
+        Some(self.set(objects, kept, position))
     }
 
     /// Applies the changes of a watch; returns whether any object changed.
-    pub fn apply(&mut self, now: Instant, events: Vec<(Object, bool)>, revision: u64) -> bool {
+    pub fn apply(&mut self, now: Instant, events: Vec<(Object, bool)>, position: Position) -> bool {
+        let covers_outage = std::mem::take(&mut self.covers_outage);
         let mut has_changed = false;
         for (object, deleted) in events {
             has_changed |= match deleted {
-                true => self.remove(now, &object.name),
+                true if covers_outage && self.objects.contains_key(&object.name) => {
+                    let until = self.keep_until(&object.name, now + self.grace);
+                    self.kept_until.insert(object.name, until);
+                    // Peers that rely on this copy have to learn until when the object is kept.
+                    true
+                }
+                true => {
+                    self.kept_until.swap_remove(&object.name);
+                    self.objects.shift_remove(&object.name).is_some()
+                }
                 false => self.put(object),
             };
         }
-        self.advance(revision, has_changed);
+        self.advance(position, has_changed);
         has_changed
     }
 
@@ -127,41 +161,48 @@
         !expired.is_empty()
     }
 
-    /// Returns when the next grace period ends.
-    pub fn wake(&self) -> Option<Instant> {
-        self.kept_until.values().min().copied()
+    /// Restores the objects of an earlier state of this copy and keeps the position.
+    pub fn restore_objects(&mut self, earlier: &Mirror) {
+        self.objects = earlier.objects.clone();
+        self.kept_until = earlier.kept_until.clone();
     }
 
     fn put(&mut self, object: Object) -> bool {
         self.kept_until.swap_remove(&object.name);
         let is_newer =
-            self.objects.get(&object.name).is_none_or(|it| it.revision < object.revision);
+            self.objects.get(&object.name).is_none_or(|it| it.position < object.position);
         if is_newer {
             self.objects.insert(object.name.clone(), object);
         }
         is_newer
     }
 
-    fn remove(&mut self, now: Instant, name: &Name) -> bool {
-        match self.grace_end(now, name) {
-            Some(until) => {
-                self.kept_until.insert(name.clone(), until);
-                false
-            }
-            None => self.objects.shift_remove(name).is_some(),
-        }
+    /// Returns the end of an object's grace period: an earlier one that was set before, or `until`.
+    fn keep_until(&self, name: &Name, until: Instant) -> Instant {
+        self.kept_until.get(name).map_or(until, |it| until.min(*it))
     }
 
-    /// Returns the time until which a deleted object is kept; `None` if it is removed at once.
-    fn grace_end(&self, now: Instant, name: &Name) -> Option<Instant> {
-        let until = self.recovered_at? + DELETION_GRACE;
-        (until > now && self.objects.contains_key(name)).then_some(until)
+    /// Replaces the objects by those listed and those that are kept.
+    fn set(&mut self, listed: Vec<Object>, kept: Vec<(Name, Instant)>, position: Position) -> bool {
+        let mut objects: IndexMap<Name, Object> =
+            listed.into_iter().map(|it| (it.name.clone(), it)).collect();
+        for (name, _) in &kept {
+            if let Some(object) = self.objects.get(name) {
+                objects.entry(name.clone()).or_insert_with(|| object.clone());
+            }
+        }
+        self.kept_until = kept.into_iter().filter(|(it, _)| objects.contains_key(it)).collect();
+        let has_changed = !self.is_listed || objects != self.objects;
+        self.objects = objects;
+        self.is_listed = true;
+        self.advance(position, has_changed || !self.kept_until.is_empty());
+        has_changed
     }
 
-    fn advance(&mut self, revision: u64, has_changed: bool) {
-        self.revision = self.revision.max(revision);
+    fn advance(&mut self, position: Position, has_changed: bool) {
+        self.position = self.position.max(position);
         if has_changed {
-            self.changed_revision = self.revision;
+            self.changed_position = self.position;
         }
     }
 }
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -16,7 +16,11 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::{control::Control, store::Kind, sync::Follower};
+use crate::{
+    control::Control,
+    store::{Kind, Position},
+    sync::Follower,
+};
 
 /// Size limit of a heartbeat; one datagram carries a whole heartbeat.
 const MAX_HEARTBEAT_BYTES: usize = 60 << 10;
@@ -24,21 +28,58 @@
 const MAX_SNAPSHOT_BYTES: usize = 16 << 20;
 /// Time limit for pulling a snapshot from a peer, and for serving one.
 const PULL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after a heartbeat for which its sender's address goes before the one that the platform lists.
+const HEARD_TIME: Duration = Duration::from_secs(5);
 /// Pause after an error on accepting a connection or receiving a datagram.
 const ERROR_DELAY: Duration = Duration::from_millis(50);
 
+/// Address of a peer.
+#[derive(Debug, Clone)]
+struct Peer {
+    address: SocketAddr,
+    datacentre: Name,
+    /// When a heartbeat last came from there; `None` if only the platform lists it.
+    heard_at: Option<time::Instant>,
+}
+
+impl Peer {
+    fn was_heard(&self) -> bool {
+        self.heard_at.is_some_and(|it| it.elapsed() < HEARD_TIME)
+    }
+}
+
 /// Addresses that heartbeats are sent to: known peers by name, and seeds.
 #[derive(Debug, Default)]
 pub struct Addresses {
-    /// Address and data centre of each peer.
-    peers: RefCell<IndexMap<Name, (SocketAddr, Name)>>,
+    peers: RefCell<IndexMap<Name, Peer>>,
     seeds: RefCell<Vec<SocketAddr>>,
 }
 
 impl Addresses {
-    /// Sets the address and the data centre of a peer.
+    /// Sets the address and the data centre of a peer that has sent a heartbeat.
     pub fn insert(&self, name: &str, address: SocketAddr, datacentre: &str) {
-        self.peers.borrow_mut().insert(name.into(), (address, datacentre.into()));
+        let heard_at = Some(time::Instant::now());
+        let mut peers = self.peers.borrow_mut();
+        match peers.get_mut(name) {
+            Some(peer) if peer.address == address && *peer.datacentre == *datacentre => {
+                peer.heard_at = heard_at;
+            }
+            _ => {
+                let peer = Peer { address, datacentre: datacentre.into(), heard_at };
+                peers.insert(name.into(), peer);
+            }
+        }
+    }
+
+    /// Applies the members that the platform lists, each with its address and data centre.
+    ///
+    /// The list may be out of date, so peers that were heard recently are not changed.
+    pub fn set_listed(&self, listed: impl IntoIterator<Item = (Name, SocketAddr, Name)>) {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|_, it| it.was_heard());
+        for (name, address, datacentre) in listed {
+            peers.entry(name).or_insert(Peer { address, datacentre, heard_at: None });
+        }
     }
 
     /// Removes a peer that is shutting down.
@@ -57,8 +98,8 @@
         let peers = self.peers.borrow();
         let chosen = peers
             .values()
-            .filter(|(_, it)| datacentre.is_none_or(|datacentre| **it == *datacentre));
-        let mut all: Vec<SocketAddr> = chosen.map(|(address, _)| *address).collect();
+            .filter(|it| datacentre.is_none_or(|datacentre| *it.datacentre == *datacentre));
+        let mut all: Vec<SocketAddr> = chosen.map(|it| it.address).collect();
         if datacentre.is_none() {
             all.extend(self.seeds.borrow().iter());
         }
@@ -79,8 +120,12 @@
     mut heartbeats: mpsc::UnboundedReceiver<(Heartbeat, bool)>,
 ) {
     while let Some((mut heartbeat, to_remote)) = heartbeats.recv().await {
-        heartbeat.configuration_revision = follower.changed_revision(Kind::Configuration);
-        heartbeat.endpoints_revision = follower.changed_revision(Kind::Endpoints);
+        let configuration = follower.changed_position(Kind::Configuration);
+        let endpoints = follower.changed_position(Kind::Endpoints);
+        heartbeat.configuration_era = configuration.era;
+        heartbeat.configuration_revision = configuration.revision;
+        heartbeat.endpoints_era = endpoints.era;
+        heartbeat.endpoints_revision = endpoints.revision;
         heartbeat.store_age_ms = follower.store_age_ms();
         let bytes = heartbeat.encode_to_vec();
         let restriction = (!to_remote).then_some(&*datacentre);
@@ -121,8 +166,7 @@
             true => addresses.remove(&heartbeat.name),
             false => addresses.insert(&heartbeat.name, sender, &heartbeat.datacentre),
         }
-        follower.note_peer_revision(Kind::Configuration, heartbeat.configuration_revision, sender);
-        follower.note_peer_revision(Kind::Endpoints, heartbeat.endpoints_revision, sender);
+        follower.note_peer(&heartbeat, sender);
         control.post(Event::Heartbeat(heartbeat));
     }
 }
@@ -154,15 +198,17 @@
     let pull = Pull::decode(frame?).map_err(io::Error::other)?;
     let kind =
         [Kind::Configuration, Kind::Endpoints].into_iter().find(|it| it.as_str() == pull.kind);
-    let snapshot = kind.map(|it| follower.snapshot(it, pull.since)).unwrap_or_default();
+    let since = Position::new(pull.era, pull.since);
+    let snapshot = kind.map(|it| follower.snapshot(it, since)).unwrap_or_default();
     frames.send(Bytes::from(snapshot.encode_to_vec())).await
 }
 
-/// Requests the objects of a kind that have changed since a revision from a peer.
-pub async fn pull(address: SocketAddr, kind: Kind, since: u64) -> io::Result<Snapshot> {
+/// Requests the objects of a kind that have changed since a position from a peer.
+pub async fn pull(address: SocketAddr, kind: Kind, since: Position) -> io::Result<Snapshot> {
     time::timeout(PULL_TIMEOUT, async {
         let mut frames = framed(TcpStream::connect(address).await?);
-        let pull = Pull { kind: kind.as_str().to_owned(), since };
+        let Position { era, revision: since } = since;
+        let pull = Pull { kind: kind.as_str().to_owned(), since, era };
         frames.send(Bytes::from(pull.encode_to_vec())).await?;
         let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
         Snapshot::decode(frame).map_err(io::Error::other)
--- a/crates/gatewayd/src/protocol.rs
+++ b/crates/gatewayd/src/protocol.rs
@@ -93,11 +93,16 @@
     /// Returns the HTTP request for a call to the store.
     fn store_request(&self, call: &store::Call) -> Request<Bytes>;
 
-    /// Parses the store's response to a call.
+    /// Returns the era of the store that its response states; `None` if it states none that is a
+    /// number.
+    fn read_store_era(&self, head: &response::Parts) -> Option<u64>;
+
+    /// Parses the store's response to a call, which it made in the given era.
     fn read_store_answer(
         &self,
         call: &store::Call,
         status: u16,
+        era: u64,
         body: &[u8],
     ) -> Result<store::Answer, store::Fault>;
 
--- a/crates/gatewayd/src/settings.rs
+++ b/crates/gatewayd/src/settings.rs
@@ -43,6 +43,8 @@
     pub lease: Duration,
     /// Time within which all instances must have applied a new configuration.
     pub propagation: Duration,
+    /// Time after which an endpoint that has left must get no requests.
+    pub removal_limit: Duration,
     /// Time between the signal to stop and the end of the process.
     pub grace: Duration,
     /// Lowest severity at which diagnostics are logged.
--- a/crates/gatewayd/src/store.rs
+++ b/crates/gatewayd/src/store.rs
@@ -31,13 +31,32 @@
     }
 }
 
+/// A point in the history of the store.
+///
+/// The era rises whenever the store is restored from an older copy. Its revisions then go back and
+/// are given out again, so revisions of different eras cannot be compared.
+#[value(id, default)]
+pub struct Position {
+    /// Number of the era.
+    pub era: u64,
+    /// Store revision within the era.
+    pub revision: u64,
+}
+
+impl Position {
+    /// Creates a position.
+    pub fn new(era: u64, revision: u64) -> Position {
+        Position { era, revision }
+    }
+}
+
 /// An object in the store.
 #[value]
 pub struct Object {
     /// Name, unique within the kind.
     pub name: Name,
-    /// Store revision of the last change to the object.
-    pub revision: u64,
+    /// Position in the store of the last change to the object.
+    pub position: Position,
     /// The object's value, as its owner wrote it.
     pub value: Value,
 }
@@ -58,7 +77,7 @@
     Watch {
         /// The kind.
         kind: Kind,
-        /// Only changes after this revision are returned.
+        /// Only changes after this revision are returned; it belongs to the store's present era.
         since: u64,
         /// Longest time that the store waits for a change before it returns an empty answer.
         wait: Duration,
@@ -108,15 +127,15 @@
         items: Vec<Object>,
         /// Whether further pages follow.
         more: bool,
-        /// Store revision at which the page was read.
-        revision: u64,
+        /// Position in the store at which the page was read.
+        position: Position,
     },
     /// Changes returned by a watch; empty if its wait ended without one.
     Events {
         /// Changed objects, each with whether it was deleted.
         events: Vec<(Object, bool)>,
-        /// Revision to resume the watch from.
-        revision: u64,
+        /// Position to resume the watch from.
+        position: Position,
     },
     /// The store no longer has the history that the watch needs; a new list is required.
     Compacted,
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -18,14 +18,14 @@
     Directory, Event, Instant, Name,
     record::{self, Record},
 };
-use siskinstile_wire::message::heartbeat::{Object as SnapshotObject, Snapshot};
-use tokio::time;
+use siskinstile_wire::message::heartbeat::{Heartbeat, Kept, Object as SnapshotObject, Snapshot};
+use tokio::{sync::watch, time};
 
 use crate::{
     control::Control,
     mirror::Mirror,
     peers,
-    store::{Answer, Call, Fault, Kind, Object},
+    store::{Answer, Call, Fault, Kind, Object, Position},
 };
 
 /// Longest wait of a watch; limits the time until a dead connection is detected.
@@ -47,11 +47,17 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The local copy of one kind, and the peer that has a later one, if any.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Replica {
     mirror: Mirror,
-    /// Revision of a peer that is ahead, since when it has been ahead, and its address.
-    peer_ahead: Option<(u64, Instant, SocketAddr)>,
+    /// Position of a peer that is ahead, since when it has been ahead, and its address.
+    peer_ahead: Option<(Position, Instant, SocketAddr)>,
+}
+
+impl Replica {
+    fn new(removal_limit: Duration) -> RefCell<Replica> {
+        RefCell::new(Replica { mirror: Mirror::new(removal_limit), peer_ahead: None })
+    }
 }
 
 /// Keeps copies of the configuration and the endpoints up to date.
@@ -66,19 +72,26 @@
     configuration_failing: Cell<bool>,
     /// When the store last answered successfully.
     last_answer: RefCell<Option<Instant>>,
+    /// Era of the store; `None` before its first answer that states one.
+    era: watch::Sender<Option<u64>>,
+    /// A peer at which a newer version of the configuration is in force, with that version.
+    newer_configuration: Cell<Option<(u64, SocketAddr)>>,
 }
 
 impl Follower {
-    /// Creates a follower of the store at `store`, with empty copies.
-    pub fn new(control: Rc<Control>, store: SocketAddr) -> Rc<Follower> {
+    /// Creates a follower of the store at `store`, with empty copies. `removal_limit` is the time
+    /// after which an endpoint that has left must not be in use any more.
+    pub fn new(control: Rc<Control>, store: SocketAddr, removal_limit: Duration) -> Rc<Follower> {
         Rc::new(Follower {
             control,
             store,
-            configuration: RefCell::default(),
-            endpoints: RefCell::default(),
+            configuration: Replica::new(removal_limit),
+            endpoints: Replica::new(removal_limit),
             down_since: RefCell::default(),
             configuration_failing: Cell::default(),
             last_answer: RefCell::default(),
+            era: watch::Sender::new(None),
+            newer_configuration: Cell::default(),
         })
     }
 
@@ -89,39 +102,65 @@
         }
     }
 
-    /// Returns the revision of the last update that changed the copy of a kind.
-    pub fn changed_revision(&self, kind: Kind) -> u64 {
-        self.replica(kind).borrow().mirror.changed_revision()
+    /// Returns the position of the last update that changed the copy of a kind.
+    pub fn changed_position(&self, kind: Kind) -> Position {
+        self.replica(kind).borrow().mirror.changed_position()
     }
 
-    /// Records the revision that a peer reports for its copy of a kind.
-    pub fn note_peer_revision(&self, kind: Kind, revision: u64, peer: SocketAddr) {
+    /// Records what a peer's heartbeat says of its copies.
+    pub fn note_peer(&self, heartbeat: &Heartbeat, peer: SocketAddr) {
+        let configuration =
+            Position::new(heartbeat.configuration_era, heartbeat.configuration_revision);
+        let endpoints = Position::new(heartbeat.endpoints_era, heartbeat.endpoints_revision);
+        self.note_peer_position(Kind::Configuration, configuration, peer);
+        self.note_peer_position(Kind::Endpoints, endpoints, peer);
+        // A store that was restored from an older copy may list an older version than a peer has.
+        let version = heartbeat.configuration_version;
+        let newest = self.newer_configuration.get().map_or(0, |it| it.0);
+        if version > self.version_in_force().max(newest) {
+            self.newer_configuration.set(Some((version, peer)));
+        }
+    }
+
+    fn note_peer_position(&self, kind: Kind, position: Position, peer: SocketAddr) {
         let mut replica = self.replica(kind).borrow_mut();
-        if revision > replica.mirror.revision()
-            && replica.peer_ahead.is_none_or(|it| it.0 < revision)
+        if position > replica.mirror.position()
+            && replica.peer_ahead.is_none_or(|it| it.0 < position)
         {
             let since = replica.peer_ahead.map_or(self.control.now(), |it| it.1);
-            replica.peer_ahead = Some((revision, since, peer));
+            replica.peer_ahead = Some((position, since, peer));
         }
     }
 
-    /// Returns the objects of a kind that have changed since a revision, and the names of all
+    fn version_in_force(&self) -> u64 {
+        self.control.read(|state| state.catalog().map_or(0, |it| it.version))
+    }
+
+    /// Returns the objects of a kind that have changed since a position, and the names of all
     /// objects; an empty snapshot with revision 0 before the first list.
-    pub fn snapshot(&self, kind: Kind, since: u64) -> Snapshot {
+    pub fn snapshot(&self, kind: Kind, since: Position) -> Snapshot {
         let replica = self.replica(kind).borrow();
         if !replica.mirror.is_listed() {
             return Snapshot::default();
         }
-        let changed = replica.mirror.objects().filter(|it| it.revision > since);
+        let changed = replica.mirror.objects().filter(|it| it.position > since);
         let objects = changed.map(|it| SnapshotObject {
             name: it.name.to_string(),
-            revision: it.revision,
+            revision: it.position.revision,
             value: it.value.to_string().into_bytes(),
+            era: it.position.era,
+        });
+        let kept = replica.mirror.kept(self.control.now()).map(|(name, remaining)| Kept {
+            name: name.to_string(),
+            remaining_ms: remaining.as_millis() as u64,
         });
+        let position = replica.mirror.changed_position();
         Snapshot {
-            revision: replica.mirror.changed_revision(),
+            revision: position.revision,
             objects: objects.collect(),
             names: replica.mirror.objects().map(|it| it.name.to_string()).collect(),
+            era: position.era,
+            kept: kept.collect(),
         }
     }
 
@@ -157,7 +196,7 @@
                 time::sleep(POLL_INTERVAL).await;
                 continue;
             };
-            let result = match can_watch {
+            let result = match can_watch && self.is_in_era(kind) {
                 true => self.watch(kind).await,
                 false => self.list(kind).await,
             };
@@ -197,26 +236,27 @@
     /// The first list may be out of date, since that watch returns the later changes.
     async fn list(&self, kind: Kind) -> Result<bool, Fault> {
         let is_first = !self.replica(kind).borrow().mirror.is_listed();
-        let (objects, revision) = self.list_all(kind, is_first).await?;
+        let (objects, position) = self.list_all(kind, is_first).await?;
         let now = self.control.now();
-        let has_changed = self.replica(kind).borrow_mut().mirror.replace(now, objects, revision);
-        self.apply(kind, has_changed);
+        self.update(kind, |mirror| Some(mirror.replace(now, objects, position)));
         Ok(true)
     }
 
-    /// Lists all objects of a kind, page by page; returns the revision of the first page.
-    async fn list_all(&self, kind: Kind, stale: bool) -> Result<(Vec<Object>, u64), Fault> {
+    /// Lists all objects of a kind, page by page; returns the position of the first page.
+    async fn list_all(&self, kind: Kind, stale: bool) -> Result<(Vec<Object>, Position), Fault> {
         let mut objects: Vec<Object> = Vec::new();
-        let mut first_revision = None;
+        let mut first_position = None;
         loop {
             let after = objects.last().map(|it| it.name.clone());
             match self.call(&Call::List { kind, after, stale }).await? {
-                Answer::Page { items, more, revision } => {
+                Answer::Page { items, more, position } => {
                     let is_last = !more || items.is_empty();
                     objects.extend(items);
-                    let first_revision = *first_revision.get_or_insert(revision);
-                    if is_last {
-                        return Ok((objects, first_revision));
+                    let first_position = *first_position.get_or_insert(position);
+                    match is_last {
+                        _ if first_position.era != position.era => return Err(Fault::Lost),
+                        true => return Ok((objects, first_position)),
+                        false => {}
                     }
                 }
                 _ => return Err(Fault::Lost),
@@ -224,18 +264,28 @@
         }
     }
 
-    /// Watches for changes; returns whether another watch can resume from the new revision.
+    /// Watches for changes; returns whether another watch can resume from the new position.
+    ///
+    /// The watch ends with the era of the store: its revision may be given out again in the next
+    /// one, so that it would miss changes without an error.
     async fn watch(&self, kind: Kind) -> Result<bool, Fault> {
-        let since = self.replica(kind).borrow().mirror.revision();
+        let position = self.replica(kind).borrow().mirror.position();
         let follower_wait = self.control.read(|state| state.follower_watch_wait());
         let wait = follower_wait.unwrap_or(WATCH_WAIT);
         let next_watch = time::Instant::now() + MIN_WATCH_INTERVAL;
-        match self.call(&Call::Watch { kind, since, wait }).await? {
-            Answer::Events { events, revision } => {
+        let call = Call::Watch { kind, since: position.revision, wait };
+        let mut era = self.era.subscribe();
+        let answer = tokio::select! {
+            biased;
+            answer = self.call(&call) => answer?,
+            // The sender is a field of `self`, so the wait cannot fail.
+            _ = era.wait_for(|it| it.is_some_and(|it| it > position.era)) => return Ok(false),
+        };
+        match answer {
+            Answer::Events { position: new, .. } if new.era != position.era => Ok(false),
+            Answer::Events { events, position } => {
                 let now = self.control.now();
-                let has_changed =
-                    self.replica(kind).borrow_mut().mirror.apply(now, events, revision);
-                self.apply(kind, has_changed);
+                self.update(kind, |mirror| Some(mirror.apply(now, events, position)));
                 time::sleep_until(next_watch).await;
                 Ok(true)
             }
@@ -244,26 +294,46 @@
         }
     }
 
-    /// Posts the copy of a kind to the reducer if it has changed.
-    fn apply(&self, kind: Kind, has_changed: bool) {
+    /// Returns whether the copy of a kind reflects the era of the store.
+    fn is_in_era(&self, kind: Kind) -> bool {
+        let copy = self.replica(kind).borrow().mirror.position().era;
+        self.era.borrow().is_none_or(|it| it == copy)
+    }
+
+    /// Changes the copy of a kind, and posts it to the reducer if an object has changed; returns
+    /// false if `change` returns `None`, as it then lacks objects.
+    fn update(&self, kind: Kind, change: impl FnOnce(&mut Mirror) -> Option<bool>) -> bool {
+        let before =
+            (kind == Kind::Configuration).then(|| self.configuration.borrow().mirror.clone());
+        let Some(has_changed) = change(&mut self.replica(kind).borrow_mut().mirror) else {
+            return false;
+        };
         {
             let mut replica = self.replica(kind).borrow_mut();
-            let revision = replica.mirror.revision();
-            replica.peer_ahead = replica.peer_ahead.filter(|it| it.0 > revision);
+            let position = replica.mirror.position();
+            replica.peer_ahead = replica.peer_ahead.filter(|it| it.0 > position);
         }
-        match kind {
+        match before {
             _ if !has_changed => {}
-            Kind::Configuration => self.apply_configuration(),
-            _ => self.apply_endpoints(),
+            Some(before) => self.apply_configuration(&before),
+            None => self.apply_endpoints(),
         }
+        true
     }
 
-    fn apply_configuration(&self) {
+    /// Posts the configuration; one that is older than that in force, as a restored store lists it,
+    /// is replaced by the one `before`, so that peers do not take it either.
+    fn apply_configuration(&self, before: &Mirror) {
         let catalog = {
             let replica = self.configuration.borrow();
             self.control.protocol.read_catalog(&mut replica.mirror.objects())
         };
         match catalog {
+            Ok(catalog) if catalog.version < self.version_in_force() => {
+                self.configuration.borrow_mut().mirror.restore_objects(before);
+                let line = Record::new(record::CONFIG_OUTDATED).with("version", catalog.version);
+                self.control.logger.write(&line);
+            }
             Ok(catalog) => self.control.post(Event::Configured(Arc::new(catalog))),
             Err(error) => {
                 let line =
@@ -281,7 +351,7 @@
                 Err(error) => {
                     let line = Record::new(record::ENTRY_UNREADABLE)
                         .with("entry", &*object.name)
-                        .with("revision", object.revision)
+                        .with("revision", object.position.revision)
                         .with("problem", format!("{error:#}"));
                     self.control.logger.write(&line);
                 }
@@ -298,6 +368,11 @@
             for kind in [Kind::Configuration, Kind::Endpoints] {
                 self.pull_if_behind(kind).await;
             }
+            if let Some((version, peer)) = self.newer_configuration.take()
+                && version > self.version_in_force()
+            {
+                self.pull(Kind::Configuration, peer, Position::default()).await;
+            }
             let now = self.control.now();
             if self.endpoints.borrow_mut().mirror.expire(now) {
                 self.apply_endpoints();
@@ -315,51 +390,67 @@
             return;
         }
         self.replica(kind).borrow_mut().peer_ahead = None;
-        let own_revision = self.changed_revision(kind);
-        if !self.pull(kind, peer, own_revision).await {
-            self.pull(kind, peer, 0).await;
+        let own_position = self.changed_position(kind);
+        if !self.pull(kind, peer, own_position).await {
+            self.pull(kind, peer, Position::default()).await;
         }
     }
 
-    /// Pulls the changes since a revision from a peer; returns false if this copy lacks unchanged
+    /// Pulls the changes since a position from a peer; returns false if this copy lacks unchanged
     /// objects, so that a full snapshot is needed.
-    async fn pull(&self, kind: Kind, peer: SocketAddr, since: u64) -> bool {
+    async fn pull(&self, kind: Kind, peer: SocketAddr, since: Position) -> bool {
         match peers::pull(peer, kind, since).await {
             Ok(snapshot) if snapshot.revision > 0 => self.merge_snapshot(kind, peer, snapshot),
             Ok(_) => true,
             Err(error) => {
-                log::debug!("pulling a snapshot from {peer} failed: {error}");
+                log::info!("pulling a snapshot from {peer} failed: {error}");
                 true
             }
         }
     }
 
     fn merge_snapshot(&self, kind: Kind, peer: SocketAddr, snapshot: Snapshot) -> bool {
-        if snapshot.revision <= self.replica(kind).borrow().mirror.revision() {
+        let position = Position::new(snapshot.era, snapshot.revision);
+        let changed: Vec<Object> = snapshot.objects.into_iter().filter_map(parse_object).collect();
+        let is_later = position > self.replica(kind).borrow().mirror.position();
+        let is_useful = is_later || kind == Kind::Configuration && self.is_newer(&changed);
+        if !is_useful {
             return true;
         }
-        let changed: Vec<Object> = snapshot.objects.into_iter().filter_map(parse_object).collect();
         let names: Vec<Name> = snapshot.names.iter().map(|it| it.as_str().into()).collect();
+        let kept: Vec<(Name, Duration)> = snapshot.kept.iter().map(kept).collect();
         let line = Record::new(record::SNAPSHOT_TAKEN)
             .with("kind", kind.as_str())
             .with("peer", peer.to_string())
-            .with("revision", snapshot.revision)
+            .with("revision", position.revision)
             .with("changed", changed.len());
         let now = self.control.now();
-        let merged =
-            self.replica(kind).borrow_mut().mirror.merge(now, changed, &names, snapshot.revision);
-        let Some(has_changed) = merged else { return false };
-        self.control.logger.write(&line);
-        self.apply(kind, has_changed);
-        true
+        let is_merged =
+            self.update(kind, |mirror| mirror.merge(now, changed, &names, &kept, position));
+        if is_merged {
+            self.control.logger.write(&line);
+        }
+        is_merged
+    }
+
+    /// Returns whether objects are a configuration of a newer version than that in force.
+    fn is_newer(&self, objects: &[Object]) -> bool {
+        let catalog = self.control.protocol.read_catalog(&mut objects.iter());
+        catalog.is_ok_and(|it| it.version > self.version_in_force())
     }
 }
 
+fn kept(received: &Kept) -> (Name, Duration) {
+    (received.name.as_str().into(), Duration::from_millis(received.remaining_ms))
+}
+
 fn parse_object(received: SnapshotObject) -> Option<Object> {
     match serde_json::from_slice(&received.value) {
-        Ok(value) => {
-            Some(Object { name: received.name.as_str().into(), revision: received.revision, value })
-        }
+        Ok(value) => Some(Object {
+            name: received.name.as_str().into(),
+            position: Position::new(received.era, received.revision),
+            value,
+        }),
         Err(error) => {
             log::warn!("unreadable object {} in a peer's snapshot: {error}", received.name);
             None
--- a/crates/gatewayd/src/sync/members.rs
+++ b/crates/gatewayd/src/sync/members.rs
@@ -46,6 +46,7 @@
         // At a first start the list must be current: of two instances that start together, the one
         // that lists later has to find the other's entry.
         let mut accept_stale = !first_start;
+        let mut era = self.era();
         loop {
             let result = self.list_all(Kind::Members, accept_stale).await;
             accept_stale = true;
@@ -60,7 +61,15 @@
                 true if self.rank().is_some() => LIST_INTERVAL,
                 true => RELAYED_LIST_INTERVAL,
             };
-            time::sleep(interval).await;
+            tokio::select! {
+                () = time::sleep(interval) => {}
+                // The restored copy may lack this instance's entry, or have an earlier one.
+                new_era = self.era_after(era) => {
+                    is_registered &= era.is_none();
+                    accept_stale &= era.is_none();
+                    era = new_era;
+                }
+            }
         }
     }
 
@@ -77,21 +86,22 @@
     }
 
     fn apply_members(&self, members: &[Object], own: &Name, addresses: &peers::Addresses) {
-        for member in members.iter().filter(|it| it.name != *own) {
-            match member.value["address"].as_str().and_then(|it| it.parse().ok()) {
-                Some(address) => {
-                    let datacentre = member.value["datacentre"].as_str().unwrap_or_default();
-                    addresses.insert(&member.name, address, datacentre);
-                }
-                None => {
-                    let line = Record::new(record::ENTRY_UNREADABLE).with("entry", &*member.name);
-                    self.control.logger.write(&line);
-                }
-            }
-        }
+        let others = members.iter().filter(|it| it.name != *own);
+        addresses.set_listed(others.filter_map(|it| self.read_member(it)));
         self.control.post(Event::Members(members.len()));
     }
 
+    /// Parses a member's entry: its name, address and data centre.
+    fn read_member(&self, member: &Object) -> Option<(Name, SocketAddr, Name)> {
+        let address = member.value["address"].as_str().and_then(|it| it.parse().ok());
+        let datacentre = member.value["datacentre"].as_str().unwrap_or_default();
+        if address.is_none() {
+            let line = Record::new(record::ENTRY_UNREADABLE).with("entry", &*member.name);
+            self.control.logger.write(&line);
+        }
+        Some((member.name.clone(), address?, datacentre.into()))
+    }
+
     /// Removes this instance from the list of members.
     pub async fn leave(&self, name: Name) {
         // If the entry remains, the peers detect the instance as failed by its missing heartbeats.
--- a/crates/gatewayd/src/sync/transport.rs
+++ b/crates/gatewayd/src/sync/transport.rs
@@ -43,7 +43,48 @@
         let keep_alive = protocol.read_response(&reply.head).keep_alive;
         let status = reply.head.status.as_u16();
         client.put_idle(reply.connection, keep_alive);
-        protocol.read_store_answer(call, status, &body)
+        let era = self.check_era(protocol.read_store_era(&reply.head))?;
+        protocol.read_store_answer(call, status, era, &body)
+    }
+
+    /// Returns the era of an answer, and records it if it is a new one. The first era of a store
+    /// that states none is 0.
+    ///
+    /// An answer of an earlier era than the one known is outdated and counts as lost, like one that
+    /// states none after others have.
+    fn check_era(&self, stated: Option<u64>) -> Result<u64, Fault> {
+        let known = *self.era.borrow();
+        match (stated, known) {
+            (None, None) => Ok(0),
+            (Some(stated), Some(known)) if stated == known => Ok(stated),
+            (Some(stated), _) if known.is_none_or(|it| it < stated) => {
+                self.era.send_replace(Some(stated));
+                if known.is_some() {
+                    let line = Record::new(record::STORE_RESTORED).with("era", stated);
+                    self.control.logger.write(&line);
+                }
+                Ok(stated)
+            }
+            (stated, known) => {
+                let line = Record::new(record::STORE_OUTDATED)
+                    .with("era", stated)
+                    .with("known_era", known);
+                self.control.logger.write(&line);
+                Err(Fault::Lost)
+            }
+        }
+    }
+
+    /// Waits until the store is in another era than `known`; returns that era.
+    pub async fn era_after(&self, known: Option<u64>) -> Option<u64> {
+        let mut era = self.era.subscribe();
+        // The sender is a field of `self`, so the wait cannot fail.
+        era.wait_for(|it| *it != known).await.ok().and_then(|it| *it)
+    }
+
+    /// Returns the era of the store; `None` before its first answer that states one.
+    pub fn era(&self) -> Option<u64> {
+        *self.era.borrow()
     }
 
     /// Records the result of a call, and logs the start and the end of an outage.
@@ -60,7 +101,7 @@
                 self.control
                     .logger
                     .write(&Record::new(record::STORE_REGAINED).with("away_ms", outage_ms));
-                self.endpoints.borrow_mut().mirror.store_recovered(now);
+                self.endpoints.borrow_mut().mirror.store_recovered();
             }
             (Err(fault), None) => {
                 *down_since = Some(now);
--- /dev/null
+++ b/crates/gatewayd/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the gateway's adapters without a network.
+
+mod mirror;
--- /dev/null
+++ b/crates/gatewayd/tests/testsuite/mirror.rs
@@ -0,0 +1,129 @@
+//! Copies of the store's objects across outages and restores.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_json::json;
+use siskinstile_gateway::{Instant, Name};
+use siskinstile_gatewayd::{
+    mirror::Mirror,
+    store::{Object, Position},
+};
+
+/// Time after which a removed object must not be in use.
+const REMOVAL_LIMIT: Duration = Duration::from_millis(2_000);
+
+fn object(name: &str, position: Position) -> Object {
+    Object { name: name.into(), position, value: json!({ "at": position.revision }) }
+}
+
+fn at(revision: u64) -> Position {
+    Position::new(1, revision)
+}
+
+/// Returns a copy with the objects `a` and `b`.
+fn listed() -> Mirror {
+    let mut mirror = Mirror::new(REMOVAL_LIMIT);
+    mirror.replace(Instant::default(), vec![object("a", at(3)), object("b", at(4))], at(5));
+    mirror
+}
+
+fn names(mirror: &Mirror) -> Vec<String> {
+    mirror.objects().map(|it| it.name.to_string()).collect()
+}
+
+fn deleted(name: &str, revision: u64) -> Vec<(Object, bool)> {
+    vec![(object(name, at(revision)), true)]
+}
+
+/// Advances the time by steps and returns after how many milliseconds `b` has been dropped.
+fn dropped_after_ms(mirror: &mut Mirror, start: Instant) -> u64 {
+    let after = |ms| start + Duration::from_millis(ms);
+    (0..10_000)
+        .step_by(50)
+        .find(|ms| {
+            mirror.expire(after(*ms));
+            names(mirror) == ["a"]
+        })
+        .expect("dropped")
+}
+
+/// An object that expired in an outage is kept for less than the time limit on the use of a removed
+/// one, as its owner may write it again.
+#[rstest]
+#[case::watch(false)]
+#[case::list(true)]
+fn expired_in_outage(#[case] by_list: bool) {
+    let mut mirror = listed();
+    let now = Instant::from_millis(1_000);
+    mirror.store_recovered();
+    match by_list {
+        true => mirror.replace(now, vec![object("a", at(3))], at(6)),
+        false => mirror.apply(now, deleted("b", 6), at(6)),
+    };
+    assert_eq!(names(&mirror), ["a", "b"]);
+    let dropped_ms = dropped_after_ms(&mut mirror, now);
+    assert!((1_500..2_000).contains(&dropped_ms), "{dropped_ms}");
+}
+
+/// Guards against requests to an endpoint that has left: one that its owner removes after the
+/// outage is dropped at once, however short the time since.
+#[test]
+fn removed_after_outage() {
+    let mut mirror = listed();
+    mirror.store_recovered();
+    mirror.apply(Instant::from_millis(1_000), Vec::new(), at(6));
+    assert!(mirror.apply(Instant::from_millis(1_200), deleted("b", 7), at(7)));
+    assert_eq!(names(&mirror), ["a"]);
+}
+
+/// The same where the removal is learnt from a peer, which may have had the store all the time.
+#[test]
+fn removed_at_peer() {
+    let mut mirror = listed();
+    mirror.store_recovered();
+    let now = Instant::from_millis(1_000);
+    assert_eq!(mirror.merge(now, Vec::new(), &["a".into()], &[], at(7)), Some(true));
+    assert_eq!(names(&mirror), ["a"]);
+}
+
+/// An object that a peer keeps after an outage is kept no longer than there, and not longer because
+/// of a second snapshot.
+#[test]
+fn kept_at_peer() {
+    let mut mirror = listed();
+    let now = Instant::from_millis(1_000);
+    let all: [Name; 2] = ["a".into(), "b".into()];
+    let kept = |ms| [("b".into(), Duration::from_millis(ms))];
+    mirror.merge(now, Vec::new(), &all, &kept(700), at(6));
+    mirror.merge(now, Vec::new(), &all, &kept(1_500), at(7));
+    assert_eq!(dropped_after_ms(&mut mirror, now), 700);
+}
+
+/// An object that its owner has written again stays.
+#[test]
+fn written_again() {
+    let mut mirror = listed();
+    let now = Instant::from_millis(1_000);
+    mirror.store_recovered();
+    mirror.apply(now, deleted("b", 6), at(6));
+    mirror.apply(now, vec![(object("b", at(7)), false)], at(7));
+    mirror.expire(now + Duration::from_secs(10));
+    assert_eq!(names(&mirror), ["a", "b"]);
+}
+
+/// A list of a new era comes from an older copy: what it lacks is kept for a while, and its lower
+/// revisions are later positions.
+#[test]
+fn restored() {
+    let mut mirror = listed();
+    let now = Instant::from_millis(1_000);
+    let restored = Position::new(2, 3);
+    mirror.replace(now, vec![object("a", restored)], restored);
+    assert_eq!((names(&mirror).len(), mirror.position()), (2, restored));
+    let rewritten = Position::new(2, 4);
+    mirror.apply(now, vec![(object("a", rewritten), false)], rewritten);
+    let value = mirror.objects().find(|it| &*it.name == "a").map(|it| it.value.clone());
+    assert_eq!(value, Some(json!({ "at": 4 })));
+    assert!((1_500..2_000).contains(&dropped_after_ms(&mut mirror, now)));
+}
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -46,6 +46,15 @@
     /// Endpoints that have told the sender that they are leaving.
     #[prost(message, repeated, tag = "14")]
     pub departures: Vec<Departure>,
+    /// Era of the store to which `configuration_revision` belongs.
+    #[prost(uint64, tag = "15")]
+    pub configuration_era: u64,
+    /// Era of the store to which `endpoints_revision` belongs.
+    #[prost(uint64, tag = "16")]
+    pub endpoints_era: u64,
+    /// Version of the configuration that is in force at the sender; 0 for none.
+    #[prost(uint64, tag = "17")]
+    pub configuration_version: u64,
 }
 
 /// An endpoint that is leaving.
@@ -113,6 +122,23 @@
     /// Names of all objects of the kind; objects that are not among them have been removed.
     #[prost(string, repeated, tag = "3")]
     pub names: Vec<String>,
+    /// Era of the store to which `revision` belongs.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// Objects among `names` that the store no longer has and that the sender keeps for a while.
+    #[prost(message, repeated, tag = "5")]
+    pub kept: Vec<Kept>,
+}
+
+/// An object that its sender keeps for a while after the store has lost it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Kept {
+    /// Name of the object.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Milliseconds for which it is still kept.
+    #[prost(uint64, tag = "2")]
+    pub remaining_ms: u64,
 }
 
 /// An object of the platform's store.
@@ -127,6 +153,9 @@
     /// Value of the object, in JSON.
     #[prost(bytes = "vec", tag = "3")]
     pub value: Vec<u8>,
+    /// Era of the store to which `revision` belongs.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 /// A request for a snapshot from a peer.
@@ -138,4 +167,7 @@
     /// Store revision up to which the sender has them; 0 for none.
     #[prost(uint64, tag = "2")]
     pub since: u64,
+    /// Era of the store to which `since` belongs.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
