Gateway: teams get what is left of the operators' tolerance; log lines bounded by code

Cause of storms: one line for each peer.

Change: a replica may be overdrawn by three quarters of half of the tolerance, less a burst, which the other side of a partition or a restart may spend, and less what is spent until peers report it. The logger writes at most 20 lines of a code at once and two a second that concern no request, and counts what it leaves out.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -4,6 +4,10 @@
 //! spent. Refunds for requests that have not run are reported as well. Both sums are monotonic
 //! counters, so late and duplicate reports are harmless.
 //!
+//! Operators grant a tolerance beyond rate and burst, as spending that is not reported yet cannot be
+//! enforced exactly. What is left of it after that belongs to the team: a replica may be overdrawn by
+//! it, so that a request is not refused for a debt that is within the grant.
+//!
 //! While only some of the members are reachable, an instance refills its replicas by the reachable
 //! share of the rate, so that the parts of a partitioned fleet together grant the whole rate.
 
@@ -42,6 +46,35 @@
 /// became known late is compensated.
 const MAX_DEBT: f64 = 4.0;
 
+/// Part of the tolerance by which a replica may be overdrawn, after what a partition and unreported
+/// spending may take of it.
+const TOLERANCE_SHARE: f64 = 0.75;
+
+/// What operators grant a team in each window beyond its rate and burst.
+#[value(default)]
+pub struct Tolerance {
+    /// Fraction of the units that rate and burst grant in a window.
+    pub overshoot: f64,
+    /// Further units.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+impl Tolerance {
+    /// Returns the units by which a replica may be overdrawn if spending is reported within
+    /// `report_age`.
+    ///
+    /// The two sides of a partition, or an instance before and after its restart, may each spend a
+    /// burst and the overdraft, and spend for the report age before each knows of the other.
+    fn overdraft(&self, quota: &Quota, report_age: Duration) -> f64 {
+        let (rate, burst) = (quota.rate as f64, quota.burst as f64);
+        let granted = self.overshoot * (rate * self.window.as_secs_f64() + burst) + self.slack;
+        let unreported = rate * report_age.as_secs_f64();
+        ((granted - burst) / 2.0 - unreported).max(0.0) * TOLERANCE_SHARE
+    }
+}
+
 /// Totals that an instance has charged a team since its start.
 #[value(id, default)]
 pub struct Account {
@@ -99,6 +132,8 @@
 struct Bucket {
     quota: Quota,
     level: f64,
+    /// Units of the tolerance by which it may be overdrawn.
+    tolerated: f64,
     refilled_at: Instant,
     /// Share of the rate left to unreachable members, and units above the burst that accrued while
     /// members were unreachable or this instance was paused; kept until the peers have reported
@@ -126,7 +161,8 @@
     /// Deducts units, down to the maximum debt; a negative number is credited, up to the burst.
     fn charge(&mut self, units: f64) {
         let burst = self.quota.burst as f64;
-        self.level = (self.level - units).clamp(-burst * MAX_DEBT, burst);
+        let max_debt = burst * MAX_DEBT + self.tolerated;
+        self.level = (self.level - units).clamp(-max_debt, burst);
     }
 
     /// Deducts units that a peer has spent while it was unreachable, first from the withheld units.
@@ -137,7 +173,8 @@
     }
 
     fn overdraft(&self, reachable_share: f64) -> f64 {
-        if reachable_share < 1.0 { 0.0 } else { self.quota.burst as f64 * OVERDRAFT }
+        let unrefunded = if reachable_share < 1.0 { 0.0 } else { OVERDRAFT };
+        self.quota.burst as f64 * unrefunded + self.tolerated * reachable_share
     }
 }
 
@@ -151,9 +188,28 @@
     reported: IndexMap<(Name, u64), Report>,
     /// Fraction of the rate by which replicas are refilled.
     reachable_share: f64,
+    tolerance: Tolerance,
+    /// Time after which spending of peers has been reported.
+    report_age: Duration,
 }
 
 impl Ledger {
+    /// Creates a ledger without teams that grants them a part of the tolerance.
+    pub fn new(tolerance: Tolerance) -> Ledger {
+        Ledger { tolerance, ..Ledger::default() }
+    }
+
+    /// Sets the time after which spending of peers has been reported.
+    pub fn set_report_age(&mut self, report_age: Duration) {
+        if self.report_age == report_age {
+            return;
+        }
+        self.report_age = report_age;
+        for bucket in self.buckets.values_mut() {
+            bucket.tolerated = self.tolerance.overdraft(&bucket.quota, report_age);
+        }
+    }
+
     /// Applies the quotas of teams. New buckets start full if `start_full`, which requires that the
     /// whole fleet has just started, and with a fixed fraction of the burst otherwise; existing
     /// ones keep their level, up to the new burst.
@@ -170,6 +226,7 @@
             let new_bucket = Bucket {
                 quota: quota.clone(),
                 level,
+                tolerated: 0.0,
                 refilled_at: now,
                 withheld: 0.0,
                 last_withheld: now,
@@ -177,6 +234,7 @@
             let mut bucket = old.swap_remove(&NameHash::of(&team.name)).unwrap_or(new_bucket);
             bucket.refill(now, self.reachable_share);
             bucket.level = bucket.level.min(quota.burst as f64);
+            bucket.tolerated = self.tolerance.overdraft(&quota, self.report_age);
             bucket.quota = quota;
             self.buckets.insert(NameHash::of(&team.name), bucket);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,7 +32,7 @@
     health::Tracker,
     load::Loads,
     member,
-    quota::Ledger,
+    quota::{Ledger, Tolerance},
     record::{self, Record},
     request,
 };
@@ -52,6 +52,8 @@
     pub first_start: bool,
     /// Limit on retries over the whole fleet.
     pub retries: Bound,
+    /// What operators grant teams beyond their quotas.
+    pub quota_tolerance: Tolerance,
     /// Maximum time for which the holder of the order lease may act on it.
     pub lease: Duration,
     /// Time within which a new configuration must be in force at all instances.
@@ -125,6 +127,7 @@
 impl State {
     /// Creates the state of a newly started instance, without configuration or endpoints.
     pub fn new(settings: Settings) -> State {
+        let ledger = Ledger::new(settings.quota_tolerance.clone());
         let members = member::Table::new(settings.datacentre.clone(), settings.propagation);
         State {
             settings,
@@ -134,7 +137,7 @@
             fleet: Fleet {
                 members,
                 loads: Loads::default(),
-                ledger: Ledger::default(),
+                ledger,
                 budgets: IndexMap::new(),
                 health: Tracker::default(),
                 relays: relays::Relays::default(),
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -202,6 +202,7 @@
         self.update_relays(now);
         let (local, remote) = self.liveness_intervals();
         self.fleet.members.set_intervals(local, remote);
+        self.fleet.ledger.set_report_age(self.remote_load_age());
         let reachable_share = self.fleet.members.reachable_share(now);
         self.fleet.ledger.set_reachable_share(now, reachable_share);
     }
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -18,6 +18,7 @@
     directory::Endpoint,
     effect::{Call, Recipients},
     name_hash::NameHash,
+    quota::Tolerance,
     request::{Arrival, Id, Tokens},
     state::Settings,
 };
@@ -90,6 +91,7 @@
             datacentre: self.datacentres[name].clone(),
             first_start: incarnation == 1,
             retries: Bound { ratio: 0.2, slack: 630.0, window: Duration::from_secs(10) },
+            quota_tolerance: Tolerance::default(),
             lease: Duration::from_secs(3),
             propagation: Duration::from_secs(4),
             drain: Duration::from_millis(3_500),
--- a/crates/gateway/tests/testsuite/quota.rs
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -7,7 +7,7 @@
     Instant, Name,
     catalog::{Quota, Team},
     name_hash::NameHash,
-    quota::{Account, Ledger, Reception},
+    quota::{Account, Ledger, Reception, Tolerance},
 };
 
 const RATE: u64 = 60_000;
@@ -242,3 +242,77 @@
     }
     panic!("the team's burst covers 375 of these requests");
 }
+
+const WINDOW: Duration = Duration::from_secs(8);
+
+fn tolerance() -> Tolerance {
+    Tolerance { overshoot: 0.1, slack: 190_000.0, window: WINDOW }
+}
+
+/// Returns a ledger of a team with a burst of one second and the tolerance.
+fn tolerant_ledger(report_age: Duration) -> Ledger {
+    let mut ledger = Ledger::new(tolerance());
+    ledger.set_reachable_share(Instant::default(), 1.0);
+    ledger.set_report_age(report_age);
+    let team = Arc::new(Team {
+        name: "a".into(),
+        keys: Vec::new(),
+        priority: None,
+        quota: Some(Quota { rate: RATE, burst: RATE, in_tokens: true, default_tokens: 200 }),
+    });
+    ledger.configure(Instant::default(), [&team].into_iter(), true);
+    ledger
+}
+
+/// Returns what the operators let a team spend in a window.
+fn granted_in_window() -> u64 {
+    let regular = (RATE * WINDOW.as_secs() + RATE) as f64;
+    (regular * 1.1 + 190_000.0) as u64
+}
+
+/// Guards against refusals on a quiet day: a team that sends a burst of prompts beyond its own is
+/// not refused while it keeps to its rate and the tolerance.
+#[test]
+fn take_burst_tolerated() {
+    let mut ledger = tolerant_ledger(Duration::from_millis(250));
+    let now = Instant::from_millis(10);
+    let prompts = (0..).take_while(|_| ledger.take(now, "a", 5_200).is_ok()).count() as u64;
+    assert!(prompts * 5_200 >= RATE * 3 / 2, "{prompts}");
+    // A short request is not refused for the debt that prompts have left.
+    assert!(ledger.take(Instant::from_millis(200), "a", 200).is_ok());
+}
+
+/// The tolerance is spent once: no window grants more, whatever a team sends.
+#[test]
+fn take_window_tolerated() {
+    let mut ledger = tolerant_ledger(Duration::from_millis(250));
+    let granted = drain(&mut ledger, 0, WINDOW.as_millis() as u64);
+    assert!(granted <= granted_in_window(), "{granted}");
+    let later = drain(&mut ledger, 8_000, 16_000);
+    assert!(later <= RATE * 8 + 1_000, "{later}");
+}
+
+/// Two sides of a partition that each spend all they may, and a restart that forgets it, stay
+/// within the grant of a window.
+#[rstest]
+#[case::partition(0.5)]
+#[case::uneven(0.2)]
+fn take_partitioned_tolerated(#[case] share: f64) {
+    let granted: u64 = [share, 1.0 - share]
+        .into_iter()
+        .map(|reachable_share| {
+            let mut ledger = tolerant_ledger(Duration::from_millis(250));
+            ledger.set_reachable_share(Instant::default(), reachable_share);
+            drain(&mut ledger, 0, WINDOW.as_millis() as u64)
+        })
+        .sum();
+    assert!(granted <= granted_in_window(), "{granted}");
+}
+
+/// Where spending is reported late, nothing of the tolerance is left to the team.
+#[test]
+fn take_reported_late() {
+    let mut ledger = tolerant_ledger(Duration::from_secs(4));
+    let granted = drain(&mut ledger, 0, 8_000);
+    assert!(granted <= RATE * 8 + RATE * 3 / 2, "{granted}");
+}
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -9,6 +9,7 @@
     catalog::{Draft, Engine, Limits, Quota, Retry, Route, Service, Split, Team},
     directory::{Endpoint, Readiness, Stage},
     effect::Call,
+    quota::Tolerance,
     request::{Arrival, Id, Tokens},
     state::Settings,
 };
@@ -63,6 +64,7 @@
             datacentre: "north".into(),
             first_start: true,
             retries: Bound { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) },
+            quota_tolerance: Tolerance::default(),
             lease: Duration::from_secs(3),
             propagation: Duration::from_secs(3),
             drain: Duration::from_millis(3_500),
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -67,6 +67,7 @@
             datacentre: settings.datacentre.clone(),
             first_start: settings.first_start,
             retries: settings.retries.clone(),
+            quota_tolerance: settings.quota_tolerance.clone(),
             lease: settings.lease,
             propagation: settings.propagation,
             drain: DRAIN,
--- a/crates/gatewayd/src/logger.rs
+++ b/crates/gatewayd/src/logger.rs
@@ -1,13 +1,14 @@
 //! Structured log lines on standard output, written without blocking the caller.
 
 use std::{
+    collections::HashMap,
     io::Write as _,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crossbeam::channel::{self, Sender};
@@ -18,11 +19,52 @@
 /// Maximum number of lines that wait to be written; further lines are dropped and counted.
 const QUEUE_CAPACITY: usize = 2_048;
 
+/// Lines of one code that may be written at once, if they concern no request.
+const MAX_BURST: f64 = 20.0;
+/// Lines of one code that may be written each second after that.
+const MAX_LINES_PER_SECOND: f64 = 2.0;
+
+/// Limit on the lines of one code that concern no request, so that their number does not grow with
+/// the number of peers or endpoints. Lines about requests are bounded by the requests.
+#[derive(Debug)]
+struct Limit {
+    /// Lines that may be written now.
+    available: f64,
+    refilled_at: Instant,
+    /// Lines left out since the last one written.
+    left_out: u64,
+}
+
+impl Limit {
+    fn new(now: Instant) -> Limit {
+        Limit { available: MAX_BURST, refilled_at: now, left_out: 0 }
+    }
+
+    /// Returns the number of lines left out before this one; `None` if this one is left out too.
+    fn take(&mut self, now: Instant) -> Option<u64> {
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.available = (self.available + elapsed * MAX_LINES_PER_SECOND).min(MAX_BURST);
+        self.refilled_at = now;
+        match self.available >= 1.0 {
+            true => {
+                self.available -= 1.0;
+                Some(std::mem::take(&mut self.left_out))
+            }
+            false => {
+                self.left_out += 1;
+                None
+            }
+        }
+    }
+}
+
 /// Queues log lines for a thread that writes them to standard output.
 #[derive(Debug, Clone)]
 pub struct Logger {
     lines: Sender<String>,
     dropped: Arc<AtomicU64>,
+    /// By code.
+    limits: Arc<Mutex<HashMap<u16, Limit>>>,
     instance: Arc<str>,
 }
 
@@ -37,7 +79,13 @@
                 let _ = out.write_all(line.as_bytes());
             }
         })?;
-        Ok(Logger { lines, dropped: Arc::default(), instance: instance.into() })
+        Ok(Logger::new(lines, instance))
+    }
+
+    /// Creates a logger that queues lines to `lines`.
+    pub fn new(lines: Sender<String>, instance: &str) -> Logger {
+        let (dropped, limits) = (Arc::default(), Arc::default());
+        Logger { lines, dropped, limits, instance: instance.into() }
     }
 
     /// Installs this logger for the messages of the `log` crate, down to the given severity.
@@ -49,15 +97,27 @@
         }
     }
 
-    /// Queues a line, or drops it if the queue is full; the next line states how many were dropped.
+    /// Queues a line, or drops it if the queue is full or there are too many with its code; a later
+    /// line states how many were dropped.
     pub fn write(&self, record: &Record) {
+        let left_out = match record.request {
+            Some(_) => Some(0),
+            None => self.take(record.code.number),
+        };
+        let Some(left_out) = left_out else { return };
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        let text = self.line(record, dropped);
+        let text = self.line(record, dropped + left_out);
         if self.lines.try_send(text).is_err() {
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
         }
     }
 
+    fn take(&self, code: u16) -> Option<u64> {
+        let now = Instant::now();
+        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        limits.entry(code).or_insert_with(|| Limit::new(now)).take(now)
+    }
+
     fn line(&self, record: &Record, dropped: u64) -> String {
         let mut line = Map::new();
         let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/gatewayd/src/settings.rs
+++ b/crates/gatewayd/src/settings.rs
@@ -6,7 +6,7 @@
 };
 
 use log::LevelFilter;
-use siskinstile_gateway::{Name, budget::Bound};
+use siskinstile_gateway::{Name, budget::Bound, quota::Tolerance};
 use siskinstile_macros::value;
 
 /// Addresses that a process listens on.
@@ -39,6 +39,8 @@
     pub first_start: bool,
     /// The fleet's bound on retries.
     pub retries: Bound,
+    /// What operators grant teams beyond their quotas.
+    pub quota_tolerance: Tolerance,
     /// Longest time for which the holder of a lease may act on it.
     pub lease: Duration,
     /// Time within which all instances must have applied a new configuration.
--- /dev/null
+++ b/crates/gatewayd/tests/testsuite/logger.rs
@@ -0,0 +1,38 @@
+//! Bounds on the number of log lines.
+
+use crossbeam::channel;
+use siskinstile_gateway::record::{self, Record};
+use siskinstile_gatewayd::logger::Logger;
+
+/// Guards against a storm of lines in a large fleet: a line for each of 1,000 peers becomes a few,
+/// and lines about requests are not affected.
+#[test]
+fn write_many() {
+    let (sender, lines) = channel::unbounded();
+    let logger = Logger::new(sender, "one");
+    for peer in 0..1_000 {
+        logger.write(&Record::new(record::PEER_REACHABLE).with("peer", format!("peer-{peer}")));
+    }
+    let written = lines.try_iter().count();
+    assert!((20..=40).contains(&written), "{written}");
+    logger.write(&Record::new(record::STARTED));
+    for request in 0..100 {
+        let id = format!("id-{request}").into();
+        logger.write(&Record::new(record::ANSWERED).for_request(&id));
+    }
+    assert_eq!(lines.try_iter().count(), 101);
+}
+
+/// A later line of the same code states how many were left out.
+#[test]
+fn write_after_limit() {
+    let (sender, lines) = channel::unbounded();
+    let logger = Logger::new(sender, "one");
+    for _ in 0..100 {
+        logger.write(&Record::new(record::PEER_REACHABLE));
+    }
+    std::thread::sleep(std::time::Duration::from_millis(1_100));
+    logger.write(&Record::new(record::PEER_REACHABLE));
+    let last = lines.try_iter().last().expect("a line");
+    assert!(last.contains("\"left_out\":"), "{last}");
+}
--- a/crates/gatewayd/tests/testsuite/main.rs
+++ b/crates/gatewayd/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the gateway's adapters without a network.
 
+mod logger;
 mod mirror;
