Gateway: tolerance of quotas only with room; newer configuration pulled after a lag

Cause: beyond-quota requests were admitted while pools were full, and took room from others; and each new version was pulled from a peer at once, though the own watch brings it.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -6,7 +6,7 @@
 //!
 //! Operators grant a tolerance beyond rate and burst, as spending that is not reported yet cannot be
 //! enforced exactly. What is left of it after that belongs to the team: a replica may be overdrawn by
-//! it, so that a request is not refused for a debt that is within the grant.
+//! it while there is room, so that a request is not refused for a debt that is within the grant.
 //!
 //! While only some of the members are reachable, an instance refills its replicas by the reachable
 //! share of the rate, so that the parts of a partitioned fleet together grant the whole rate.
@@ -75,6 +75,15 @@
     }
 }
 
+/// What a request may be charged against.
+#[value(id)]
+pub enum Grant {
+    /// The team's rate and burst.
+    Quota,
+    /// Also what is left of the tolerance, which is for times when other teams need no room.
+    Tolerance,
+}
+
 /// Totals that an instance has charged a team since its start.
 #[value(id, default)]
 pub struct Account {
@@ -172,9 +181,13 @@
         self.charge(units - covered);
     }
 
-    fn overdraft(&self, reachable_share: f64) -> f64 {
+    fn overdraft(&self, reachable_share: f64, grant: Grant) -> f64 {
         let unrefunded = if reachable_share < 1.0 { 0.0 } else { OVERDRAFT };
-        self.quota.burst as f64 * unrefunded + self.tolerated * reachable_share
+        let tolerated = match grant {
+            Grant::Quota => 0.0,
+            Grant::Tolerance => self.tolerated * reachable_share,
+        };
+        self.quota.burst as f64 * unrefunded + tolerated
     }
 }
 
@@ -256,11 +269,17 @@
     /// # Errors
     ///
     /// Returns the time until the units will be available.
-    pub fn take(&mut self, now: Instant, team: &str, units: u64) -> Result<(), Duration> {
+    pub fn take(
+        &mut self,
+        now: Instant,
+        team: &str,
+        units: u64,
+        grant: Grant,
+    ) -> Result<(), Duration> {
         let team = NameHash::of(team);
         let Some(bucket) = self.buckets.get_mut(&team) else { return Ok(()) };
         bucket.refill(now, self.reachable_share);
-        let remaining = bucket.level + bucket.overdraft(self.reachable_share) - units as f64;
+        let remaining = bucket.level + bucket.overdraft(self.reachable_share, grant) - units as f64;
         if remaining < 0.0 {
             let rate = (bucket.quota.rate as f64 * self.reachable_share).max(1.0);
             return Err(Duration::from_secs_f64(-remaining / rate));
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     Catalog, Effect, Instant,
-    catalog::{Retry, Route, Team},
-    quota::Status,
+    catalog::{Retry, Route, Service, Team},
+    directory::Stage,
+    quota::{Grant, Status},
     record::{self, Record},
     request::{Arrival, Tokens},
 };
@@ -23,6 +24,8 @@
 const DRAINING_RETRY: Duration = Duration::from_millis(50);
 /// Time that a new stream is expected to need; it must end before the process does.
 const STREAM_ALLOWANCE: Duration = Duration::from_millis(4_800);
+/// Part of a service's capacity in use up to which requests beyond the quotas are admitted.
+const MAX_SPARE_USE: f64 = 0.5;
 /// Margin between the last possible response and the end of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -78,7 +81,7 @@
         self.check_drain(now, route)?;
         let service =
             catalog.service(route.pick_service(arrival.id.0)).expect("routes are checked");
-        let charged = self.charge(now, team.as_ref(), arrival)?;
+        let charged = self.charge(now, team.as_ref(), service, arrival)?;
         let first_attempt = now - self.time_already_waited(route, arrival.max_wait);
         let wait = arrival.max_wait.map_or(route.timeout, |it| it.min(route.timeout));
         Ok(Job {
@@ -138,12 +141,17 @@
         &mut self,
         now: Instant,
         team: Option<&Arc<Team>>,
+        service: &Service,
         arrival: &Arrival,
     ) -> Result<u64, (Failure, &'static str)> {
         let Some(team) = team else { return Ok(0) };
         let Some(quota) = &team.quota else { return Ok(0) };
         let cost = quota.cost(arrival.tokens.map(|it| it.total()));
-        match self.fleet.ledger.take(now, &team.name, cost) {
+        let grant = match self.has_spare_room(now, service) {
+            true => Grant::Tolerance,
+            false => Grant::Quota,
+        };
+        match self.fleet.ledger.take(now, &team.name, cost, grant) {
             Ok(()) => Ok(cost),
             Err(retry_after) => {
                 let failure = Failure::not_run(Kind::RateLimited).with_retry_after(retry_after);
@@ -152,6 +160,24 @@
         }
     }
 
+    /// Returns whether a service has room for requests beyond the quotas, so that they take nothing
+    /// from others: nobody waits and a good part of its endpoints' capacity is free.
+    fn has_spare_room(&self, now: Instant, service: &Service) -> bool {
+        let endpoints = self.directory.of_service(&service.name).iter();
+        let used_shares = endpoints.filter(|it| it.is_ready() && it.stage != Some(Stage::Prefill));
+        let used_shares = used_shares.map(|it| {
+            let load = self.fleet.loads.total(&it.id);
+            match &service.engine {
+                Some(engine) => load.memory_tokens as f64 / engine.memory_tokens.max(1) as f64,
+                None => f64::from(load.requests) / f64::from(it.slots.max(1)),
+            }
+        });
+        let (sum, count) = used_shares.fold((0.0, 0), |(sum, count), it| (sum + it, count + 1));
+        let waits = self.queue.iter().any(|it| it.service == service.name)
+            || self.fleet.members.waiting(now, &service.name) > 0;
+        !waits && sum <= MAX_SPARE_USE * f64::from(count)
+    }
+
     fn start(&mut self, now: Instant, job: Job) {
         let (id, service) = (job.id, job.service.clone());
         let streams = matches!(job.route.retry, Retry::Stream { .. });
--- a/crates/gateway/tests/testsuite/quota.rs
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -5,9 +5,10 @@
 use rstest::rstest;
 use siskinstile_gateway::{
     Instant, Name,
+    call::Outcome,
     catalog::{Quota, Team},
     name_hash::NameHash,
-    quota::{Account, Ledger, Reception, Tolerance},
+    quota::{Account, Grant, Ledger, Reception, Tolerance},
 };
 
 const RATE: u64 = 60_000;
@@ -38,7 +39,9 @@
 fn drain(ledger: &mut Ledger, from_ms: u64, to_ms: u64) -> u64 {
     let amount = 1_000;
     (from_ms..to_ms)
-        .filter(|ms| ledger.take(Instant::from_millis(*ms), &team(), amount).is_ok())
+        .filter(|ms| {
+            ledger.take(Instant::from_millis(*ms), &team(), amount, Grant::Tolerance).is_ok()
+        })
         .count() as u64
         * amount
 }
@@ -65,7 +68,7 @@
         &[(NameHash::of("b"), spent(7)), (NameHash::of("a"), spent(5_000_000))],
         Reception { all_accounts: true, was_unreachable: false },
     );
-    assert!(ledger.take(now, &team(), RATE / 2).is_ok());
+    assert!(ledger.take(now, &team(), RATE / 2, Grant::Quota).is_ok());
 }
 
 #[test]
@@ -84,7 +87,8 @@
         &[(NameHash::of("a"), spent(1_000 + RATE * 3 / 2))],
         Reception { all_accounts: true, was_unreachable: false },
     );
-    let retry_after = ledger.take(now, &team(), 1_000).expect_err("the peer has spent all");
+    let retry_after =
+        ledger.take(now, &team(), 1_000, Grant::Quota).expect_err("the peer has spent all");
     assert!(retry_after > Duration::from_millis(100), "{retry_after:?}");
 }
 
@@ -223,7 +227,7 @@
     ledger.record_report(at(0), peer(), &[(NameHash::of("a"), spent(0))], reception);
     ledger.set_reachable_share(at(0), 0.5);
     ledger.record_report(at(2_000), peer(), &[(NameHash::of("a"), spent(RATE * 2))], reception);
-    assert!(ledger.take(at(2_000), "a", 1_000).is_err());
+    assert!(ledger.take(at(2_000), "a", 1_000, Grant::Quota).is_err());
 }
 
 /// A caller refused just after a restart gets a realistic retry-after time.
@@ -276,10 +280,11 @@
 fn take_burst_tolerated() {
     let mut ledger = tolerant_ledger(Duration::from_millis(250));
     let now = Instant::from_millis(10);
-    let prompts = (0..).take_while(|_| ledger.take(now, "a", 5_200).is_ok()).count() as u64;
+    let prompts =
+        (0..).take_while(|_| ledger.take(now, "a", 5_200, Grant::Tolerance).is_ok()).count() as u64;
     assert!(prompts * 5_200 >= RATE * 3 / 2, "{prompts}");
     // A short request is not refused for the debt that prompts have left.
-    assert!(ledger.take(Instant::from_millis(200), "a", 200).is_ok());
+    assert!(ledger.take(Instant::from_millis(200), "a", 200, Grant::Tolerance).is_ok());
 }
 
 /// The tolerance is spent once: no window grants more, whatever a team sends.
@@ -316,3 +321,26 @@
     let granted = drain(&mut ledger, 0, 8_000);
     assert!(granted <= RATE * 8 + RATE * 3 / 2, "{granted}");
 }
+
+/// Guards against teams over their quotas that take room from others: while engines are well used,
+/// the tolerance is not spent on prompts.
+#[rstest]
+#[case::idle(0, true)]
+#[case::used(6, false)]
+fn take_tolerated_with_room(#[case] running: u32, #[case] admitted: bool) {
+    let tolerance = Tolerance { overshoot: 0.1, slack: 400_000.0, window: WINDOW };
+    let mut site = crate::site::Site::tolerant(tolerance);
+    for _ in 0..running {
+        site.send("/review/");
+        site.run_generation();
+    }
+    // These requests exceed what is left of the burst and the overdraft for refunds.
+    for _ in 0..400 {
+        site.send("/lookup/");
+        let call = site.call();
+        site.report(call.id, Outcome::Buffered { status: 200 });
+        site.calls();
+    }
+    let id = site.send("/review/");
+    assert_eq!(site.failure(id).is_none(), admitted, "{:?}", site.failure(id));
+}
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -56,15 +56,27 @@
         self.post(Event::EndpointsListed(Arc::new(Directory::new(all))));
     }
 
+    /// Starts the gateway, of a fleet in which teams have a tolerance, with a configuration and a
+    /// list of endpoints.
+    pub(crate) fn tolerant(quota_tolerance: Tolerance) -> Site {
+        let mut site = Site::start(quota_tolerance);
+        site.configure();
+        site
+    }
+
     /// Starts the gateway without a configuration.
     pub(crate) fn unconfigured() -> Site {
+        Site::start(Tolerance::default())
+    }
+
+    fn start(quota_tolerance: Tolerance) -> Site {
         let state = State::new(Settings {
             name: "one".into(),
             incarnation: 1,
             datacentre: "north".into(),
             first_start: true,
             retries: Bound { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) },
-            quota_tolerance: Tolerance::default(),
+            quota_tolerance,
             lease: Duration::from_secs(3),
             propagation: Duration::from_secs(3),
             drain: Duration::from_millis(3_500),
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -74,8 +74,9 @@
     last_answer: RefCell<Option<Instant>>,
     /// Era of the store; `None` before its first answer that states one.
     era: watch::Sender<Option<u64>>,
-    /// A peer at which a newer version of the configuration is in force, with that version.
-    newer_configuration: Cell<Option<(u64, SocketAddr)>>,
+    /// Newer version of the configuration in force at a peer, since when it has been newer, and the
+    /// peer's address.
+    newer_configuration: Cell<Option<(u64, Instant, SocketAddr)>>,
 }
 
 impl Follower {
@@ -116,9 +117,10 @@
         self.note_peer_position(Kind::Endpoints, endpoints, peer);
         // A store that was restored from an older copy may list an older version than a peer has.
         let version = heartbeat.configuration_version;
-        let newest = self.newer_configuration.get().map_or(0, |it| it.0);
-        if version > self.version_in_force().max(newest) {
-            self.newer_configuration.set(Some((version, peer)));
+        let known = self.newer_configuration.get();
+        if version > self.version_in_force().max(known.map_or(0, |it| it.0)) {
+            let since = known.map_or(self.control.now(), |it| it.1);
+            self.newer_configuration.set(Some((version, since, peer)));
         }
     }
 
@@ -368,11 +370,7 @@
             for kind in [Kind::Configuration, Kind::Endpoints] {
                 self.pull_if_behind(kind).await;
             }
-            if let Some((version, peer)) = self.newer_configuration.take()
-                && version > self.version_in_force()
-            {
-                self.pull(Kind::Configuration, peer, Position::default()).await;
-            }
+            self.pull_newer_configuration().await;
             let now = self.control.now();
             if self.endpoints.borrow_mut().mirror.expire(now) {
                 self.apply_endpoints();
@@ -381,6 +379,20 @@
         }
     }
 
+    /// Pulls the configuration from a peer if a newer version has been in force there for some time
+    /// and has not arrived here, as the store was restored from an older copy.
+    async fn pull_newer_configuration(&self) {
+        let Some((version, since, peer)) = self.newer_configuration.get() else { return };
+        let is_in_force = version <= self.version_in_force();
+        if !is_in_force && self.control.now().since(since) < MAX_LAG {
+            return;
+        }
+        self.newer_configuration.set(None);
+        if !is_in_force {
+            self.pull(Kind::Configuration, peer, Position::default()).await;
+        }
+    }
+
     async fn pull_if_behind(&self, kind: Kind) {
         let now = self.control.now();
         let peer_ahead = self.replica(kind).borrow().peer_ahead;
