--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -120,7 +120,7 @@
             (Kind::Prefill, Outcome::Refused { .. }) => self.prefill_refused(now, id),
             (Kind::Prefill, _) => self.prefill_failed(now, id),
             (Kind::Run, Outcome::Head { .. }) => self.start_relay(id, call),
-            (Kind::Run, Outcome::FirstEvent) => self.first_event(now, id),
+            (Kind::Run, Outcome::FirstEvent) => self.first_event(now, id, call),
             (Kind::Run, Outcome::Completed { events, pause }) => {
                 self.run_done(now, id, events, pause)
             }
@@ -180,11 +180,10 @@
         self.emit(Effect::Relay { request: id, call });
     }
 
-    fn first_event(&mut self, now: Instant, id: request::Id) {
+    fn first_event(&mut self, now: Instant, id: request::Id, call: call::Id) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.times.first_event.get_or_insert(now);
-        let call = job.calls.last().copied();
-        if let Some(open) = call.and_then(|it| self.calls.get_mut(&it)) {
+        if let Some(open) = self.calls.get_mut(&call) {
             open.deadline = None;
         }
     }
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -238,9 +238,9 @@
         };
         let follower = follower.clone();
         spawn_local(async move {
-            if let Err(error) = time::timeout(PULL_TIMEOUT, serve_snapshot(stream, &follower)).await
-            {
-                log::debug!("snapshot not served: {error}");
+            let served = time::timeout(PULL_TIMEOUT, serve_snapshot(stream, &follower)).await;
+            if let Err(error) = served.unwrap_or_else(|timeout| Err(timeout.into())) {
+                log::info!("snapshot not served: {error}");
             }
         });
     }
