--- a/crates/gateway/tests/testsuite/generation.rs
+++ b/crates/gateway/tests/testsuite/generation.rs
@@ -172,3 +172,37 @@
     assert!((4..=10).contains(&attempts), "{attempts}");
     assert_eq!(site.failure(id), None);
 }
+
+/// A stream whose events come slowly goes on until the request's deadline; one that stalls after its
+/// first event ends then, whatever bytes still come.
+#[rstest]
+#[case::at_most_once("/review/")]
+#[case::resumable("/review-again/")]
+fn stream_slow(#[case] prefix: &str) {
+    let mut site = Site::configured();
+    let id = site.send(prefix);
+    let run = site.run_generation();
+    site.report(run.id, Outcome::Head { status: 200 });
+    site.report(run.id, Outcome::FirstEvent);
+    site.calls();
+    site.advance(13_500);
+    assert!(site.failure(id).is_none(), "the caller waits for 14 s");
+    assert!(!site.effects.contains(&Effect::Cancel(run.id)));
+    site.advance(1_000);
+    assert_eq!(site.failure(id).map(|it| it.0), Some(504));
+    assert!(site.effects.contains(&Effect::Cancel(run.id)));
+}
+
+/// An instance that was paused for longer than a request could take answers it, and sends nothing
+/// for it.
+#[test]
+fn paused_past_deadline() {
+    let mut site = Site::configured();
+    let id = site.send("/review/");
+    let hold = site.call();
+    site.now = site.now + Duration::from_secs(20);
+    site.report(hold.id, Outcome::Held { hold: "h1".into() });
+    let steps: Vec<Step> = site.calls().into_iter().map(|it| it.step).collect();
+    assert!(site.failure(id).is_some());
+    assert!(!steps.iter().any(|it| matches!(it, Step::Run { .. })), "{steps:?}");
+}
