--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -136,7 +136,7 @@
         Some(answered_id) if Some(&**answered_id) != request_id => {
             Err(Failed::broken("answer to another request"))
         }
-        None if requires_id && is_run => Err(Failed::broken("answer to no request")),
+        None if requires_id => Err(Failed::broken("answer to no request")),
         _ if response.encoded => Err(Failed::broken("encoded answer")),
         _ if is_run && head.status.is_success() && !response.signed => {
             Err(Failed::broken("unsigned answer"))
