--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -358,6 +358,11 @@
         account
     }
 
+    /// Returns the number of accounts of this instance.
+    pub fn account_count(&self) -> usize {
+        self.accounts.len()
+    }
+
     /// Returns the accounts of this instance that have changed since `since`.
     pub fn accounts(&self, since: Instant) -> impl Iterator<Item = (NameHash, Account)> {
         let changed = self.accounts.iter().filter(move |(_, (_, changed))| *changed >= since);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -46,6 +46,8 @@
     pub store_age: Duration,
     /// Accounts to tell.
     pub accounts: IndexMap<NameHash, Account>,
+    /// Whether one of them has changed.
+    pub has_changed: bool,
     /// Whether these are all of its accounts.
     pub all_accounts: bool,
     /// Its address, told with all accounts only.
@@ -60,17 +62,18 @@
         };
         let all_accounts =
             newer.all_accounts || self.all_accounts && self.incarnation == newer.incarnation;
+        let has_changed = newer.has_changed || self.has_changed;
         accounts.extend(newer.accounts.clone());
         let address = match newer.address.is_empty() {
             true => std::mem::take(&mut self.address),
             false => newer.address.clone(),
         };
-        *self = Pending { accounts, all_accounts, address, ..newer };
+        *self = Pending { accounts, has_changed, all_accounts, address, ..newer };
     }
 
     /// Returns whether it says more than that the member is alive.
     fn is_news(&self) -> bool {
-        self.leaving || self.all_accounts || !self.accounts.is_empty()
+        self.leaving || self.has_changed
     }
 }
 
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -36,6 +36,13 @@
     address: &'a str,
 }
 
+/// Accounts that an instance has told: all of them, or those that have changed.
+#[derive(Default)]
+struct Told {
+    accounts: Vec<(NameHash, Account)>,
+    has_changed: bool,
+}
+
 impl State {
     /// Handles a heartbeat of another instance, or a relay's message.
     pub(super) fn handle_heartbeat(&mut self, now: Instant, heartbeat: Heartbeat) {
@@ -58,18 +65,18 @@
             address: &heartbeat.address,
         };
         if heartbeat.leaving {
-            let pending = Pending { leaving: true, ..pending(&heard, Vec::new()) };
+            let pending = Pending { leaving: true, ..pending(&heard, Told::default()) };
             self.relay_member(now, &name, pending);
             return self.peer_left(&name);
         }
-        let changed = self.record_member(now, &heard);
+        let told = self.record_member(now, &heard);
         let is_relay = !heartbeat.groups.is_empty();
         let is_local = heard.datacentre == self.settings.datacentre;
         if is_relay && !is_local {
             self.record_remote_relay(now, &heard.datacentre, &name);
         }
         if !is_relay || !is_local {
-            self.relay_member(now, &name, pending(&heard, changed));
+            self.relay_member(now, &name, pending(&heard, told));
         }
         let departures = heartbeat.departures.iter().map(departure);
         if self.fleet.departures.record_report(now, departures) {
@@ -119,17 +126,17 @@
         };
         if member.leaving {
             self.peer_left(&name);
-            let pending = Pending { leaving: true, ..pending(&heard, Vec::new()) };
+            let pending = Pending { leaving: true, ..pending(&heard, Told::default()) };
             return Some((name, pending));
         }
-        let changed = self.record_member(now, &heard);
-        let pending = pending(&heard, changed);
+        let told = self.record_member(now, &heard);
+        let pending = pending(&heard, told);
         Some((name, pending))
     }
 
-    /// Records that an instance is alive and what it has charged teams; returns the accounts that
-    /// have changed, or all that it has told.
-    fn record_member(&mut self, now: Instant, heard: &Heard) -> Vec<(NameHash, Account)> {
+    /// Records that an instance is alive and what it has charged teams; returns what is to be passed
+    /// on of the latter.
+    fn record_member(&mut self, now: Instant, heard: &Heard) -> Told {
         let name = heard.name;
         let was_reachable = self.fleet.members.is_reachable(now, name);
         let accounts: Vec<(NameHash, Account)> = heard.accounts.iter().map(account).collect();
@@ -154,10 +161,9 @@
         if !was_reachable {
             self.log(Record::new(record::PEER_REACHABLE).with("peer", &**name));
         }
-        match heard.all_accounts {
-            true => accounts,
-            false => changed,
-        }
+        let has_changed = !changed.is_empty();
+        let accounts = if heard.all_accounts { accounts } else { changed };
+        Told { accounts, has_changed }
     }
 
     fn peer_left(&mut self, name: &Name) {
@@ -186,6 +192,12 @@
         self.fleet.loads.total(endpoint)
     }
 
+    /// Returns the units that a team may still spend, as known here, as of its last use; `None` if it
+    /// has no quota.
+    pub fn quota_level(&self, team: &str) -> Option<f64> {
+        self.fleet.ledger.status(team).map(|it| it.level)
+    }
+
     /// Drops the loads of peers without recent heartbeats, removes those without any for long, and
     /// updates the reachable share.
     pub(super) fn expire_peers(&mut self, now: Instant) {
@@ -202,13 +214,13 @@
         self.update_relays(now);
         let (local, remote) = self.liveness_intervals();
         self.fleet.members.set_intervals(local, remote);
-        self.fleet.ledger.set_report_age(self.remote_load_age());
+        self.fleet.ledger.set_report_age(self.report_age());
         let reachable_share = self.fleet.members.reachable_share(now);
         self.fleet.ledger.set_reachable_share(now, reachable_share);
     }
 }
 
-fn pending(heard: &Heard, accounts: Vec<(NameHash, Account)>) -> Pending {
+fn pending(heard: &Heard, told: Told) -> Pending {
     Pending {
         datacentre: heard.datacentre.clone(),
         incarnation: heard.incarnation,
@@ -216,7 +228,8 @@
         heard_at: heard.heard_at,
         leaving: false,
         store_age: heard.store_age,
-        accounts: accounts.into_iter().collect(),
+        accounts: told.accounts.into_iter().collect(),
+        has_changed: told.has_changed,
         all_accounts: heard.all_accounts,
         address: if heard.all_accounts { heard.address.to_owned() } else { String::new() },
     }
--- a/crates/gateway/src/state/heartbeat.rs
+++ b/crates/gateway/src/state/heartbeat.rs
@@ -122,6 +122,14 @@
         }
     }
 
+    /// Returns the time after which an instance knows what others have spent.
+    pub(super) fn report_age(&self) -> Duration {
+        match self.fleet.members.is_relayed() {
+            true => self.remote_digest_age(),
+            false => self.remote_interval(),
+        }
+    }
+
     /// Sends a heartbeat to all instances if one is due. Other data centres get fewer, since it is
     /// of less use to them.
     fn send_to_all(&mut self, now: Instant) {
@@ -180,7 +188,12 @@
     /// Returns a heartbeat with this instance's loads and queue lengths and the accounts that have
     /// changed since `since`; with the default time, all accounts.
     pub(super) fn make_heartbeat(&self, now: Instant, since: Instant, leaving: bool) -> Heartbeat {
-        let accounts = self.fleet.ledger.accounts(since);
+        let accounts: Vec<SentAccount> = self
+            .fleet
+            .ledger
+            .accounts(since)
+            .map(|(team, account)| sent_account(team, account))
+            .collect();
         Heartbeat {
             name: self.settings.name.to_string(),
             incarnation: self.settings.incarnation,
@@ -188,8 +201,8 @@
             datacentre: self.settings.datacentre.to_string(),
             leaving,
             loads: self.fleet.loads.own().iter().map(sent_load).collect(),
-            accounts: accounts.map(|(team, account)| sent_account(team, account)).collect(),
-            all_accounts: since == Instant::default(),
+            all_accounts: accounts.len() == self.fleet.ledger.account_count(),
+            accounts,
             waiting: self.own_waiting().into_iter().map(sent_count).collect(),
             reconfiguring: self.planner.reconfiguring().map(|it| it.to_string()).collect(),
             departures: self.fleet.departures.announced(now).map(sent_departure).collect(),
--- a/crates/gateway/src/state/relays.rs
+++ b/crates/gateway/src/state/relays.rs
@@ -28,6 +28,9 @@
 const MIN_DIGEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Upper limit of the time between two digests within the data centre.
 const MAX_DIGEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two digests to another data centre. Those between two that contain sums tell what
+/// teams have spent, which all instances have to know soon.
+const REMOTE_DIGEST_INTERVAL: Duration = Duration::from_millis(300);
 /// Minimum time between two digests within the data centre if a change is announced.
 const MIN_ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(15);
 /// Time without a digest of another data centre's relay after which it is passed over.
@@ -56,6 +59,8 @@
     local: Outbox,
     remote: Outbox,
     remote_sums: IndexMap<Name, RemoteSums>,
+    /// When this instance last sent its sums to other data centres.
+    remote_sums_sent: Instant,
     /// Relays of other data centres that have sent a digest, with its time.
     remote_relays: IndexMap<Name, IndexMap<Name, Instant>>,
 }
@@ -216,7 +221,12 @@
     }
 
     fn remote_digest_due(&self) -> Instant {
-        self.times.last_remote_heartbeat + self.remote_interval()
+        self.times.last_remote_heartbeat + REMOTE_DIGEST_INTERVAL.min(self.remote_interval())
+    }
+
+    /// Returns the age that what instances in other data centres have spent may have.
+    pub(super) fn remote_digest_age(&self) -> Duration {
+        REMOTE_DIGEST_INTERVAL.min(self.remote_interval()) + self.local_load_age()
     }
 
     /// Returns when the next digest is due; the check whether this instance is a relay is made then.
@@ -265,7 +275,14 @@
     }
 
     fn send_remote_digest(&mut self, now: Instant) {
-        let mut group = self.own_group(&self.local_peers());
+        let has_sums = now.since(self.fleet.relays.remote_sums_sent) >= self.remote_interval();
+        let mut group = match has_sums {
+            true => self.own_group(&self.local_peers()),
+            false => self.empty_group(),
+        };
+        if has_sums {
+            self.fleet.relays.remote_sums_sent = now;
+        }
         let due = self.fleet.relays.remote.take_due(now);
         group.members.extend(due.into_iter().map(|(name, it)| sent_member(now, &name, it)));
         let others = self.fleet.members.other_datacentres();
@@ -286,6 +303,11 @@
         self.emit(Effect::Heartbeat { heartbeat, recipients: Recipients::Members(recipients) });
     }
 
+    fn empty_group(&self) -> SentGroup {
+        let datacentre = self.settings.datacentre.to_string();
+        SentGroup { datacentre, ..SentGroup::default() }
+    }
+
     /// Sums up the own data centre from what its members have told this instance.
     fn own_group(&self, peers: &[Name]) -> SentGroup {
         let mut waiting: IndexMap<&str, u32> = self.own_waiting();
@@ -299,13 +321,11 @@
         }
         let loads = self.fleet.loads.sum(peers.iter());
         SentGroup {
-            datacentre: self.settings.datacentre.to_string(),
-            age_ms: 0,
             loads: loads.iter().map(sent_load).collect(),
             waiting: waiting.into_iter().map(sent_count).collect(),
             reconfiguring,
-            members: Vec::new(),
             has_sums: true,
+            ..self.empty_group()
         }
     }
 
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -310,6 +310,26 @@
     assert_eq!(fleet.known_requests("e-dc-1"), (2, 2), "in all");
 }
 
+/// Guards against teams that spend their rate in each data centre: what is spent in one is known in
+/// all others within a second.
+#[test]
+fn spending_known() {
+    let mut fleet = Fleet::start(150);
+    // Reports in the first seconds may cover spending from before they were heard.
+    fleet.advance(12_000);
+    let spenders = fleet.members("dc-1");
+    for (request, name) in spenders.iter().cycle().take(200).enumerate() {
+        fleet.reserve(name, request as u64);
+    }
+    let spent = 200.0 * 320.0;
+    fleet.advance(900);
+    let levels = fleet.instances.values().filter_map(|it| it.state.quota_level("a"));
+    let highest = levels.fold(f64::MIN, f64::max);
+    // The rate is as high as the burst.
+    let (rate, seconds) = (60_000.0, 0.9);
+    assert!(highest <= rate - spent + rate * seconds, "{highest}");
+}
+
 /// After a restart of all instances but a few, the fleet knows itself again.
 #[test]
 fn mass_restart() {
