--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -15,8 +15,8 @@
     name_hash::NameHash,
 };
 
-/// Time for which a departure is kept after the last list that contained the endpoint or, for one
-/// known from the list, after that list; an older copy of the store is older by less.
+/// Time for which a departure is kept after it became known, or after the last list that contained
+/// the endpoint; a store is restored from a copy that is older by less.
 const EXPIRY: Duration = Duration::from_secs(60);
 /// Time for which heartbeats repeat a departure that the endpoint announced.
 const REPEAT_TIME: Duration = Duration::from_secs(10);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,10 +2,10 @@
 //!
 //! In a small fleet every instance sends its heartbeats to every other one. In a large one it sends
 //! them to the relays of its data centre, the two reachable instances there with the lowest name
-//! hashes. A relay tells the others in its data centre the sums of all loads, and which members it
-//! has heard; it exchanges the same with a relay of each other data centre. Thus an instance sends
-//! and receives as many messages in a fleet of any size, and a relay one for each member of its data
-//! centre and each other data centre.
+//! hashes. A relay's messages are digests: the sums of the loads in a data centre, and the members
+//! that were heard there. It sends them to all members of its data centre, and exchanges them with
+//! one relay of each other data centre. Thus an instance sends and receives as many messages in a
+//! fleet of any size, and a relay one for each member of its data centre and each other data centre.
 //!
 //! Both relays tell the same, so the loss of one goes unnoticed. If an instance no longer hears a
 //! relay, it sends its heartbeats to the next candidate, which becomes a relay by receiving them.
@@ -25,7 +25,6 @@
 pub const SERVICE_TIME: Duration = Duration::from_secs(2);
 /// Time after which a relay repeats that a member is alive, although nothing has changed.
 const LIVENESS_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Number of accounts in one message after which further members wait for the next one.
 const MAX_ACCOUNTS: usize = 1_000;
 
--- a/crates/gateway/src/state/plain.rs
+++ b/crates/gateway/src/state/plain.rs
@@ -5,7 +5,13 @@
 use siskinstile_core::error::{Failure, Kind as ErrorKind};
 
 use crate::{
-    Effect, Instant, call, call::Start, catalog::Retry, load::Load, plain::View, record, request,
+    Effect, Instant, call,
+    call::Start,
+    catalog::Retry,
+    directory::{Endpoint, Stage},
+    load::Load,
+    plain::View,
+    record, request,
 };
 
 use super::{
@@ -69,10 +75,11 @@
         }
     }
 
-    /// Returns the shortest time until an endpoint of a service may be called again; `None` if one
-    /// may be called now or none is ready.
+    /// Returns the shortest time until an endpoint that runs requests of a service may be called
+    /// again; `None` if one may be called now or none is ready.
     pub(super) fn shortest_backoff(&self, now: Instant, service: &str) -> Option<Duration> {
-        let endpoints = self.directory.of_service(service).iter().filter(|it| it.is_ready());
+        let runs_requests = |it: &Endpoint| it.is_ready() && it.stage != Some(Stage::Prefill);
+        let endpoints = self.directory.of_service(service).iter().filter(|it| runs_requests(it));
         let backoffs = endpoints.map(|it| self.fleet.health.backoff(now, &it.id));
         // `None` is less than any time.
         backoffs.min().flatten()
--- a/crates/gateway/src/state/relays.rs
+++ b/crates/gateway/src/state/relays.rs
@@ -28,8 +28,8 @@
 const MIN_DIGEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Upper limit of the time between two digests within the data centre.
 const MAX_DIGEST_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between two digests to another data centre. Those between two that contain sums tell what
-/// teams have spent, which all instances have to know soon.
+/// Time between two digests to another data centre. Most tell only what teams have spent, which all
+/// instances have to know soon; sums are sent at the interval of heartbeats without relays.
 pub(super) const REMOTE_DIGEST_INTERVAL: Duration = Duration::from_millis(300);
 /// Minimum time between two digests within the data centre if a change is announced.
 const MIN_ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(15);
--- a/crates/gateway/tests/testsuite/notice.rs
+++ b/crates/gateway/tests/testsuite/notice.rs
@@ -193,3 +193,20 @@
     assert!(calls.iter().all(|it| it.endpoint.id != first.endpoint.id), "{calls:?}");
     assert!(calls.iter().any(|it| matches!(it.step, Step::Hold { .. })), "{calls:?}");
 }
+
+/// If all decode engines want no calls for longer than a request can wait, it is refused at once.
+#[test]
+fn backoff_all_decode_engines() {
+    let mut site = Site::configured();
+    for _ in 0..2 {
+        site.send("/review/");
+        for hold in site.calls() {
+            site.report_with(hold.id, Outcome::Refused { status: 503 }, backoff(20_000));
+        }
+    }
+    site.calls();
+    let id = site.send("/review/");
+    let (status, retry_after) = site.failure(id).expect("refused at once");
+    assert_eq!(status, 503);
+    assert!(retry_after.is_some_and(|it| it >= Duration::from_secs(4)), "{retry_after:?}");
+}
