--- a/crates/gateway/tests/testsuite/drain.rs
+++ b/crates/gateway/tests/testsuite/drain.rs
@@ -26,6 +26,18 @@
     assert_eq!(site.failure(id).map(|it| it.0), status);
 }
 
+/// Guards against streams that are accepted long after the signal to stop, run for longer than what
+/// is left of the grace period and are cut by the end of the process.
+#[test]
+#[ignore = "KNOWN-RED.txt: LOST at a stop"]
+fn stream_outlasts_grace() {
+    let mut site = Site::configured();
+    site.post(Event::Drain);
+    site.advance(3_100);
+    let id = site.send("/review/");
+    assert_eq!(site.failure(id).map(|it| it.0), Some(503));
+}
+
 #[test]
 fn stopped_idle() {
     let mut site = Site::configured();
