Gateway: take no streams later than 2.5 s after the signal to stop

Callers saw a stream that had been sent more than 3 s after the signal cut at the end of the grace period. How long one runs is not known, so no guess holds. Ruled out: the wait in the queue, which ends with the latency target. Now streams are taken for 2.5 s after the signal, in which load balancers notice it; later ones are refused at once, have not run, and are sent elsewhere. Plain requests end by their route's timeout and are taken as before. stream_outlasts_grace failed before (accepted) and passes.

--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -24,6 +24,9 @@
 const DRAINING_RETRY: Duration = Duration::from_millis(50);
 /// Time that a new stream is expected to need; it must end before the process does.
 const STREAM_ALLOWANCE: Duration = Duration::from_millis(4_800);
+/// Time after the start of a drain during which new streams are accepted: until load balancers have
+/// noticed it. How long a stream runs is not known in advance, so it may outlast the grace period.
+const STREAM_DRAIN: Duration = Duration::from_millis(2_500);
 /// Part of a service's capacity in use up to which requests beyond the quotas are admitted.
 const MAX_SPARE_USE: f64 = 0.5;
 /// Margin between the last possible response and the end of the process.
@@ -124,11 +127,14 @@
     /// Refuses a request that could not be completed before the process ends.
     fn check_drain(&self, now: Instant, route: &Route) -> Result<(), (Failure, &'static str)> {
         let Some(drain_start) = self.times.drain_start else { return Ok(()) };
-        let needed = match route.retry {
-            Retry::Stream { .. } => STREAM_ALLOWANCE,
-            _ => route.timeout + STOP_MARGIN,
+        let elapsed = now.since(drain_start);
+        let may_outlast = match route.retry {
+            Retry::Stream { .. } => {
+                elapsed > STREAM_DRAIN || elapsed + STREAM_ALLOWANCE > self.settings.grace
+            }
+            _ => elapsed + route.timeout + STOP_MARGIN > self.settings.grace,
         };
-        match self.stopped || now.since(drain_start) + needed > self.settings.grace {
+        match self.stopped || may_outlast {
             true => {
                 let failure = Failure::not_run(Kind::Draining).with_retry_after(DRAINING_RETRY);
                 Err((failure, "the instance stops"))
--- a/crates/gateway/tests/testsuite/drain.rs
+++ b/crates/gateway/tests/testsuite/drain.rs
@@ -29,7 +29,6 @@
 /// Guards against streams that are accepted long after the signal to stop, run for longer than what
 /// is left of the grace period and are cut by the end of the process.
 #[test]
-#[ignore = "KNOWN-RED.txt: LOST at a stop"]
 fn stream_outlasts_grace() {
     let mut site = Site::configured();
     site.post(Event::Drain);
