Gateway: answer the requests that are open at the end of the grace period

Callers saw the connection end without an answer 300 ms before the end of the grace period. Cause: the daemon waited for the reducer to become idle, up to a limit, and then let the process end with whatever was open.

--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -20,8 +20,8 @@
 
 /// Retry-after time for requests that arrive before a configuration is in force.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
-/// Retry-after time for requests refused by a draining instance; others accept them at once.
-const DRAINING_RETRY: Duration = Duration::from_millis(50);
+/// Retry-after time for requests that a draining instance refuses; others accept them at once.
+pub(super) const DRAINING_RETRY: Duration = Duration::from_millis(50);
 /// Time that a new stream is expected to need; it must end before the process does.
 const STREAM_ALLOWANCE: Duration = Duration::from_millis(4_800);
 /// Time after the start of a drain during which new streams are accepted: until load balancers have
@@ -29,8 +29,8 @@
 const STREAM_DRAIN: Duration = Duration::from_millis(2_500);
 /// Part of a service's capacity in use up to which requests beyond the quotas are admitted.
 const MAX_SPARE_USE: f64 = 0.5;
-/// Margin between the last possible response and the end of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Margin between the last possible response of a plain endpoint and the end of the process.
+const PLAIN_MARGIN: Duration = Duration::from_millis(500);
 
 impl State {
     /// Admits or refuses a completely received request.
@@ -132,7 +132,7 @@
             Retry::Stream { .. } => {
                 elapsed > STREAM_DRAIN || elapsed + STREAM_ALLOWANCE > self.settings.grace
             }
-            _ => elapsed + route.timeout + STOP_MARGIN > self.settings.grace,
+            _ => elapsed + route.timeout + PLAIN_MARGIN > self.settings.grace,
         };
         match self.stopped || may_outlast {
             true => {
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -2,17 +2,23 @@
 
 use std::time::Duration;
 
+use siskinstile_core::error::{Failure, Kind};
+
 use crate::{
     Effect, Instant,
     record::{self, Record},
+    request,
 };
 
-use super::State;
+use super::{State, admission::DRAINING_RETRY};
 
 /// Time between attempts to place queued requests.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between checks for peers without heartbeats.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time before the end of the grace period at which requests that are still open are failed, so that
+/// their callers receive the error before the process ends.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
 
 impl State {
     /// Runs all time-driven tasks that are due.
@@ -26,7 +32,7 @@
         self.refuse_expired(now);
         self.hedge(now);
         self.plan_orders(now);
-        self.stop_when_idle(now);
+        self.stop(now);
     }
 
     /// Returns the time of the next due task, at which [`crate::Event::Tick`] should be posted.
@@ -37,13 +43,27 @@
         let times = call_deadlines.chain(job_times).chain(self.queue.next_deadline());
         let placement =
             (!self.queue.is_empty()).then(|| self.times.last_placement + PLACEMENT_INTERVAL);
-        times.chain(placement).chain([self.heartbeat_due()]).min().unwrap_or_default()
+        let drain_end = self.drain_end();
+        let times = times.chain(placement).chain(drain_end).chain([self.heartbeat_due()]);
+        times.min().unwrap_or_default()
+    }
+
+    /// Returns when a drain ends although requests are open; `None` if there is none or it has ended.
+    fn drain_end(&self) -> Option<Instant> {
+        let drain_start = self.times.drain_start.filter(|_| !self.stopped)?;
+        Some(drain_start + self.settings.grace.saturating_sub(STOP_MARGIN))
     }
 
-    fn stop_when_idle(&mut self, now: Instant) {
+    /// Ends a drain once no request is open; close to the end of the grace period, those that still
+    /// are open fail.
+    fn stop(&mut self, now: Instant) {
         let Some(drain_start) = self.times.drain_start else { return };
-        let is_over = now.since(drain_start) >= self.settings.drain && self.jobs.is_empty();
-        if is_over && !self.stopped {
+        let is_over = self.drain_end().is_some_and(|it| it <= now);
+        if is_over {
+            self.fail_open(now);
+        }
+        let is_idle = now.since(drain_start) >= self.settings.drain && self.jobs.is_empty();
+        if (is_idle || is_over) && !self.stopped {
             self.stopped = true;
             self.times.heartbeat_number += 1;
             let heartbeat = self.make_heartbeat(now, Instant::default(), true);
@@ -53,4 +73,13 @@
             self.emit(Effect::Stopped);
         }
     }
+
+    /// Fails all open requests at the end of a drain.
+    fn fail_open(&mut self, now: Instant) {
+        let open: Vec<request::Id> = self.jobs.keys().copied().collect();
+        for id in open {
+            let failure = Failure::not_run(Kind::Draining).with_retry_after(DRAINING_RETRY);
+            self.fail(now, id, failure, "the instance stops");
+        }
+    }
 }
--- a/crates/gateway/tests/testsuite/drain.rs
+++ b/crates/gateway/tests/testsuite/drain.rs
@@ -37,6 +37,22 @@
     assert_eq!(site.failure(id).map(|it| it.0), Some(503));
 }
 
+/// Guards against requests without an answer: one that is open close to the end of the grace period
+/// fails before the process ends.
+#[test]
+fn open_at_end_of_grace() {
+    let mut site = Site::configured();
+    site.post(Event::Drain);
+    site.advance(2_400);
+    let id = site.send("/review/");
+    site.run_generation();
+    site.advance(5_200);
+    assert_eq!(site.failure(id), None);
+    site.advance(150);
+    assert_eq!(site.failure(id).map(|it| it.0), Some(504));
+    assert!(site.effects.contains(&Effect::Stopped));
+}
+
 #[test]
 fn stopped_idle() {
     let mut site = Site::configured();
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -31,8 +31,6 @@
 
 /// Time after the signal to stop during which callers may still send new requests.
 const DRAIN: Duration = Duration::from_millis(3_500);
-/// Margin before the end of the grace period; the process then exits even with open requests.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Time limit for removing the instance from the list of members.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 /// File descriptors that are reserved for files, the store and peers.
@@ -149,15 +147,11 @@
         self.control.logger.write(&line);
     }
 
-    /// Shuts down gracefully: waits for open requests to complete, but not beyond the grace period.
+    /// Shuts down gracefully: waits for open requests to complete, or to fail close to the end of the
+    /// grace period.
     pub async fn drain(&self) {
         self.control.drain();
-        let limit = self.settings.grace.saturating_sub(STOP_MARGIN);
-        if time::timeout(limit, self.control.stopped()).await.is_err() {
-            let open = self.control.read(State::open_requests);
-            let line = Record::new(record::STOPPED).with("open", open);
-            self.control.logger.write(&line);
-        }
+        self.control.stopped().await;
         let leave = self.follower.leave(self.settings.name.clone());
         if time::timeout(LEAVE_TIMEOUT, leave).await.is_err() {
             log::debug!("removal from the list of members timed out");
