Gateway: end the process only when answers have been written to the callers

Callers with a slow connection saw an answer cut when the process ended after a signal to stop. Cause: a request counts as answered once its last bytes are handed to the connection; the process ended a few milliseconds after the last one, with up to 16 chunks or a whole buffered answer not yet written. Ruled out: the grace period, of which seconds were left.

--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -7,6 +7,7 @@
 };
 
 use siskinstile_gateway::{Effect, Event, Instant, State, effect::Recipients};
+use siskinstile_macros::value;
 use siskinstile_wire::message::heartbeat::Heartbeat;
 use tokio::{
     sync::{Notify, mpsc, watch},
@@ -15,6 +16,17 @@
 
 use crate::{Protocol, calls, client::Client, clock::Clock, exchange, logger::Logger, status};
 
+/// How far a graceful shutdown has got.
+#[value(id)]
+pub enum Phase {
+    /// None has started.
+    Serving,
+    /// Open requests complete; connections close once they are idle.
+    Draining,
+    /// No request is open, and none is accepted.
+    Stopped,
+}
+
 /// State that all tasks of a gateway share.
 #[derive(Debug)]
 pub struct Control {
@@ -36,8 +48,9 @@
     stepped: Notify,
     /// Heartbeats to send, each with its recipients.
     heartbeats: mpsc::UnboundedSender<(Heartbeat, Recipients)>,
-    stopped: Notify,
-    draining: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
+    /// Number of callers' open connections.
+    connections: watch::Sender<usize>,
 }
 
 impl Control {
@@ -61,8 +74,8 @@
             is_stepping: Cell::new(false),
             stepped: Notify::new(),
             heartbeats,
-            stopped: Notify::new(),
-            draining: watch::Sender::new(false),
+            phase: watch::Sender::new(Phase::Serving),
+            connections: watch::Sender::new(0),
         })
     }
 
@@ -107,19 +120,32 @@
     /// Starts a graceful shutdown: callers' connections close once they are idle.
     pub fn drain(self: &Rc<Control>) {
         self.post(Event::Drain);
-        self.draining.send_replace(true);
+        self.phase.send_modify(|it| *it = Phase::Draining.max(*it));
+    }
+
+    /// Returns how far a graceful shutdown has got.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
     }
 
-    /// Waits until a graceful shutdown starts.
-    pub async fn draining(&self) {
-        let mut draining = self.draining.subscribe();
+    /// Waits until a graceful shutdown has reached a phase.
+    pub async fn reached(&self, phase: Phase) {
+        let mut current = self.phase.subscribe();
         // The sender is a field of `self`, so the wait cannot fail.
-        let _ = draining.wait_for(|it| *it).await;
+        let _ = current.wait_for(|it| *it >= phase).await;
     }
 
-    /// Waits until no request is open after the start of a graceful shutdown.
-    pub async fn stopped(&self) {
-        self.stopped.notified().await;
+    /// Counts a caller's connection as open until the result is dropped.
+    pub fn open_connection(self: &Rc<Control>) -> OpenConnection {
+        self.connections.send_modify(|it| *it += 1);
+        OpenConnection(self.clone())
+    }
+
+    /// Waits until no caller's connection is open.
+    pub async fn connections_closed(&self) {
+        let mut open = self.connections.subscribe();
+        // The sender is a field of `self`, so the wait cannot fail.
+        let _ = open.wait_for(|it| *it == 0).await;
     }
 
     /// Returns the current time of the instance's clock.
@@ -144,7 +170,19 @@
                 let _ = self.heartbeats.send((heartbeat, recipients));
             }
             Effect::Log(record) => self.logger.write(&record),
-            Effect::Stopped => self.stopped.notify_one(),
+            Effect::Stopped => {
+                self.phase.send_replace(Phase::Stopped);
+            }
         }
     }
 }
+
+/// Counts a caller's connection as open.
+#[derive(Debug)]
+pub struct OpenConnection(Rc<Control>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.send_modify(|it| *it -= 1);
+    }
+}
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::{
     Protocol, Settings,
     clock::Clock,
-    control::Control,
+    control::{Control, Phase},
     frontend, lease,
     logger::Logger,
     peers, status,
@@ -31,6 +31,9 @@
 
 /// Time after the signal to stop during which callers may still send new requests.
 const DRAIN: Duration = Duration::from_millis(3_500);
+/// Time before the end of the grace period at which the process exits, although answers may still be
+/// on their way to callers.
+const EXIT_MARGIN: Duration = Duration::from_millis(100);
 /// Time limit for removing the instance from the list of members.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 /// File descriptors that are reserved for files, the store and peers.
@@ -147,15 +150,23 @@
         self.control.logger.write(&line);
     }
 
-    /// Shuts down gracefully: waits for open requests to complete, or to fail close to the end of the
-    /// grace period.
+    /// Shuts down gracefully: waits until open requests have been answered and the answers written to
+    /// the callers, but not beyond the grace period.
     pub async fn drain(&self) {
+        let end = time::Instant::now() + self.settings.grace.saturating_sub(EXIT_MARGIN);
         self.control.drain();
-        self.control.stopped().await;
+        self.control.reached(Phase::Stopped).await;
         let leave = self.follower.leave(self.settings.name.clone());
-        if time::timeout(LEAVE_TIMEOUT, leave).await.is_err() {
+        let (left, closed) = tokio::join!(
+            time::timeout(LEAVE_TIMEOUT, leave),
+            time::timeout_at(end, self.control.connections_closed()),
+        );
+        if left.is_err() {
             log::debug!("removal from the list of members timed out");
         }
+        if closed.is_err() {
+            log::warn!("callers' connections are still open at the end of the grace period");
+        }
     }
 }
 
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -21,7 +21,7 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use siskinstile_core::error::{Failure, Kind};
-use siskinstile_gateway::{Catalog, Event, State, catalog::Limits, request as gateway};
+use siskinstile_gateway::{Catalog, Event, catalog::Limits, request as gateway};
 use siskinstile_net::{Slot, Slots};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -29,7 +29,11 @@
     time,
 };
 
-use crate::{control::Control, exchange::Body, status};
+use crate::{
+    control::{Control, Phase},
+    exchange::Body,
+    status,
+};
 
 /// Limits that apply before the first configuration is loaded.
 const DEFAULT_LIMITS: Limits = Limits {
@@ -47,10 +51,17 @@
 /// Share of the process's file descriptors that callers' connections may use, in percent.
 const CALLER_PERCENT: usize = 60;
 
-/// Accepts and serves callers' connections; runs until the process ends.
+/// Accepts and serves callers' connections; closes the listener at the end of a graceful shutdown.
 ///
 /// `descriptors` is the number of file descriptors available to the gateway.
 pub async fn serve(control: Rc<Control>, listener: TcpListener, descriptors: usize) {
+    tokio::select! {
+        () = accept(control.clone(), listener, descriptors) => {}
+        () = control.reached(Phase::Stopped) => {}
+    }
+}
+
+async fn accept(control: Rc<Control>, listener: TcpListener, descriptors: usize) {
     let max_connections = descriptors * CALLER_PERCENT / 100;
     let slots = Slots::new(max_connections);
     let last_id = Rc::new(Cell::new(0_u64));
@@ -69,6 +80,7 @@
         };
         let (control, last_id) = (control.clone(), last_id.clone());
         spawn_local(async move {
+            let _open = control.open_connection();
             tokio::select! {
                 () = serve_connection(control, stream, last_id, slot.clone()) => {}
                 () = slot.evicted() => {}
@@ -105,7 +117,7 @@
     let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = control.draining() => {
+        () = control.reached(Phase::Draining) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -152,7 +164,7 @@
         Err(_) => refusal(&control, &request_head.request_id, Kind::Internal),
     };
     status::record_head_latency(started.elapsed());
-    if control.read(State::is_draining) {
+    if control.phase() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response.map(|body| Guarded { body, _guard: Some(guard), _active: None })
