Gateway: serve a request on each connection that is opened during a drain

Callers that a load balancer still sent to a draining instance (up to two seconds after the signal) saw their new connection closed without an answer, and had to spend their retry on it. Cause: a connection that was accepted during the drain was shut down at once, before its first request had arrived, while the request bytes were on their way. Such connections are now served one request without keep-alive; the request is run or refused with a true Retry-After. Those without a request close when the drain is over. connection_opened_while_draining: the connection ended without an answer before, 200 now.

--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -109,15 +109,22 @@
             Ok::<_, Infallible>(response.map(|body| Guarded { _active: Some(active), ..body }))
         }
     });
+    let accepted_in = control.phase();
+    let closing = match accepted_in {
+        Phase::Serving => Phase::Draining,
+        // Load balancers still choose the instance, so each connection has a request served.
+        Phase::Draining | Phase::Stopped => Phase::Stopped,
+    };
     let mut server = http1::Builder::new();
     server
         .timer(TokioTimer::new())
+        .keep_alive(accepted_in == Phase::Serving)
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = control.reached(Phase::Draining) => {
+        () = control.reached(closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
