--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,9 @@
 
 use crate::Name;
 
+/// Limit on the shared parts of a prompt that are looked at.
+const MAX_SHARED_PARTS: usize = 64;
+
 /// Identifies a request within the process.
 #[value(id)]
 pub struct Id(pub u64);
@@ -54,8 +57,19 @@
     pub key: Option<Name>,
     /// Token counts, if stated.
     pub tokens: Option<Tokens>,
+    /// Identifiers of the prompt's parts, in order; the last part belongs to this request or its
+    /// session, the others may be those of any requests. Empty if not stated.
+    pub prompt_parts: Vec<Name>,
     /// Maximum time that the caller waits for the response, if stated.
     pub max_wait: Option<Duration>,
     /// Identifier of the last event that the caller received of an earlier, incomplete response.
     pub last_event: Option<Name>,
 }
+
+impl Arrival {
+    /// Returns the parts of the prompt that other requests may share, up to a limit: all but the last.
+    pub fn shared_parts(&self) -> &[Name] {
+        let shared = self.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        &shared[..shared.len().min(MAX_SHARED_PARTS)]
+    }
+}
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -94,6 +94,7 @@
             service: service.clone(),
             team,
             tokens: arrival.tokens,
+            shared_parts: arrival.shared_parts().to_vec(),
             charged,
             arrived: now,
             first_attempt,
--- a/crates/gateway/src/state/job.rs
+++ b/crates/gateway/src/state/job.rs
@@ -63,6 +63,8 @@
     pub(super) service: Arc<Service>,
     pub(super) team: Option<Arc<Team>>,
     pub(super) tokens: Option<request::Tokens>,
+    /// Parts of the prompt that other requests may share.
+    pub(super) shared_parts: Vec<Name>,
     /// Units that its team has been charged.
     pub(super) charged: u64,
     pub(super) arrived: Instant,
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -148,6 +148,11 @@
             .with("cause", cause)
             .with("sent", sent)
             .with("took_ms", now.since(open.started).as_millis() as u64);
+        let parts = job.shared_parts.iter().map(|it| it.to_string()).collect::<Vec<_>>();
+        let line = match open.kind {
+            Kind::Run if !parts.is_empty() => line.with("parts", parts),
+            _ => line,
+        };
         self.log(line);
     }
 
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -203,6 +203,7 @@
                 path: "/review/1".into(),
                 key: Some("key-a".into()),
                 tokens: Some(Tokens { prompt: 300, output: 20, expected: None }),
+                prompt_parts: Vec::new(),
                 max_wait: None,
                 last_event: None,
             }),
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -116,6 +116,7 @@
                 output: 200,
                 expected: None,
             }),
+            prompt_parts: Vec::new(),
             max_wait: None,
             last_event: None,
         }));
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -159,6 +159,7 @@
         path: head.uri.path().into(),
         key: request_head.key,
         tokens: request_head.tokens,
+        prompt_parts: request_head.prompt_parts,
         max_wait: request_head.max_wait,
         last_event: request_head.last_event,
     };
--- a/crates/gatewayd/src/protocol.rs
+++ b/crates/gatewayd/src/protocol.rs
@@ -27,6 +27,8 @@
     pub key: Option<Name>,
     /// Token counts that the caller states.
     pub tokens: Option<Tokens>,
+    /// Identifiers of the prompt's parts, in order.
+    pub prompt_parts: Vec<Name>,
     /// Longest time that the caller waits for the response.
     pub max_wait: Option<Duration>,
     /// Identifier of the last event that the caller received of an earlier, broken stream.
