Tests: crashes under one part of a prompt have to become known to the fleet, known red

Callers saw stream after stream cut as one part of a prompt crashed engine after engine. The fleet on virtual time is a module of its own now, since both files use it.

--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's control logic without clock or network.
 
+mod crashes;
 mod drain;
 mod fleet;
 mod follow;
@@ -11,5 +12,6 @@
 mod quota;
 mod record;
 mod retry_after;
+mod simulation;
 mod site;
 mod spread;
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -103,6 +103,11 @@
 
     /// Sends a request under a route's prefix.
     pub(crate) fn send(&mut self, prefix: &str) -> Id {
+        self.send_prompt(prefix, &[])
+    }
+
+    /// Sends a request whose prompt has the given parts and one of its own.
+    pub(crate) fn send_prompt(&mut self, prefix: &str, parts: &[&str]) -> Id {
         self.last_request += 1;
         let id = Id(self.last_request);
         self.post(Event::Arrival(Arrival {
@@ -116,7 +121,7 @@
                 output: 200,
                 expected: None,
             }),
-            prompt_parts: Vec::new(),
+            prompt_parts: parts.iter().copied().chain(["own"]).map(Name::from).collect(),
             max_wait: None,
             last_event: None,
         }));
