Gateway: quarantine the part of prompts that crashes engines

Cause: nothing knew the parts of prompts, each request was placed anew, and health is counted by endpoint, which a crash replaces by a clean one. Ruled out as the main cause: the gateway's own retries, as two of three routes allow one attempt. The class of fault: a failure that follows the input and not the server is retried against fresh servers.

Change: a run that is broken off within a second of its answer's beginning casts suspicion on the shared parts of its prompt, by start of the engine; one that ends well clears them. Three crashes in turn, or five at once, without a success of the part while others succeed, quarantine it: 503 with the remaining time, nothing reserved, computed or sent; what waits is refused, what failed is not sent again. Equal suspects: the part further behind; crashes that a quarantined part explains no longer count against others. Heartbeats carry suspects, all instances pass them on, and the quarantined ones are in each, for late starters. At most 512 suspects, 32 in a heartbeat; a quarantine ends 300 s after the last crash, one more crash renews it, 600 s after it nothing is left. Hashes of parts only, so it holds for any model, route and pool.

part_crashes (3 cases) and part_known_to_fleet (6 and 120 instances) failed before and pass.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -50,6 +50,8 @@
     TooLate,
     /// No endpoint can execute the request.
     NoEndpoint,
+    /// Engines that answered prompts with a part of this one crashed, so it is not run for a while.
+    Quarantined,
     /// The instance is draining and accepts no new requests.
     Draining,
     /// The platform is unreachable and the request depends on it.
@@ -82,7 +84,7 @@
 }
 
 /// The HTTP answer for each error kind.
-pub const TABLE: [Row; 20] = [
+pub const TABLE: [Row; 21] = [
     row(Kind::BadRequest, 400, false, "the request cannot be understood"),
     row(Kind::Unauthorized, 401, false, "a valid key is needed"),
     row(Kind::OfflineGrace, 503, true, "keys of this team cannot be checked at present"),
@@ -97,6 +99,7 @@
     row(Kind::QueueFull, 503, true, "the queue of the pool is full"),
     row(Kind::TooLate, 503, true, "the latency targets cannot be met now"),
     row(Kind::NoEndpoint, 503, true, "no endpoint can run the request now"),
+    row(Kind::Quarantined, 503, true, "a part of the prompt crashes engines"),
     row(Kind::Draining, 503, true, "the instance is leaving"),
     row(Kind::PlatformUnavailable, 503, true, "the platform is out of reach"),
     row(Kind::NotReady, 503, true, "no configuration is in force yet"),
@@ -128,6 +131,7 @@
             Kind::QueueFull => "queue_full",
             Kind::TooLate => "too_late",
             Kind::NoEndpoint => "no_endpoint",
+            Kind::Quarantined => "quarantined",
             Kind::Draining => "draining",
             Kind::PlatformUnavailable => "platform_unavailable",
             Kind::NotReady => "not_ready",
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -34,7 +34,7 @@
     /// Sends a heartbeat to peers.
     Heartbeat {
         /// The heartbeat.
-        heartbeat: Heartbeat,
+        heartbeat: Box<Heartbeat>,
         /// The peers.
         recipients: Recipients,
     },
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod member;
 pub mod name_hash;
 pub mod plain;
+pub mod quarantine;
 pub mod quota;
 pub mod record;
 pub mod relay;
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,176 @@
+//! Quarantine of prompt parts that crash engines.
+//!
+//! A run whose answer breaks off soon after it has begun casts suspicion on the prompt's shared
+//! parts: one of them may crash every engine that answers a prompt with it. A run that ends well, or
+//! answers for a while, clears its parts. A part that is suspected of enough crashes one after the
+//! other, while nothing clears it and other runs succeed, is quarantined for a while: requests with
+//! it are refused.
+//!
+//! A crash also breaks the other answers of its engine. If several parts of a prompt are suspected
+//! equally, the one further behind, which fewer prompts share, is quarantined; crashes that a
+//! quarantined part explains then no longer count against others.
+//!
+//! Instances tell one another what they suspect, and pass on what they have heard, so that all of
+//! them come to the same conclusion. Memory is bounded by the number of suspects.
+
+use std::{cmp::Reverse, time::Duration};
+
+use indexmap::IndexMap;
+use siskinstile_macros::value;
+
+use crate::{Instant, name_hash::NameHash};
+
+mod suspect;
+
+pub use suspect::{Crash, Report};
+
+use suspect::Suspect;
+
+/// Maximum number of suspects.
+const MAX_SUSPECTS: usize = 512;
+/// Maximum number of suspects in a heartbeat.
+const MAX_REPORTS: usize = 32;
+
+/// The suspected and the quarantined parts, by hash.
+#[value(default)]
+pub struct Quarantine {
+    suspects: IndexMap<NameHash, Suspect>,
+    /// When a run last went well.
+    last_success: Instant,
+}
+
+impl Quarantine {
+    /// Records that an engine's answer to a prompt with these shared parts broke off soon after it
+    /// had begun.
+    ///
+    /// `engine` stands for one start of the engine, which can crash only once.
+    pub fn record_crash(&mut self, now: Instant, parts: &[NameHash], engine: NameHash) {
+        let crash = Crash { engine, at: now };
+        if self.is_explained(crash) && !parts.iter().any(|it| self.is_quarantined(now, *it)) {
+            return;
+        }
+        for (part, depth) in parts.iter().zip(1..) {
+            let is_explained = parts.iter().any(|it| it != part && self.is_quarantined(now, *it));
+            if !is_explained {
+                self.suspect(*part, depth).record_crash(now, crash);
+            }
+        }
+        self.limit(now);
+    }
+
+    /// Records that a run of a prompt with these shared parts went well.
+    pub fn record_success(&mut self, now: Instant, parts: &[NameHash]) {
+        self.last_success = now;
+        for (part, suspect) in &mut self.suspects {
+            match parts.contains(part) {
+                true => suspect.record_success(now, now),
+                false => suspect.record_contrast(now),
+            }
+        }
+    }
+
+    /// Records what a peer has told; returns the parts that are quarantined by it.
+    pub fn record_reports(
+        &mut self,
+        now: Instant,
+        reports: impl Iterator<Item = Report>,
+    ) -> Vec<NameHash> {
+        let mut new = Vec::new();
+        for report in reports {
+            let was_quarantined = self.is_quarantined(now, report.part);
+            if let Some(cleared_at) = report.cleared_at {
+                self.last_success = self.last_success.max(cleared_at);
+                let others = self.suspects.iter_mut().filter(|(part, _)| **part != report.part);
+                others.for_each(|(_, it)| it.record_contrast(cleared_at));
+            }
+            self.suspect(report.part, report.depth).record_report(now, &report);
+            if !was_quarantined && self.is_quarantined(now, report.part) {
+                new.push(report.part);
+            }
+        }
+        self.drop_explained(now);
+        self.limit(now);
+        new
+    }
+
+    /// Quarantines the parts whose guilt has been confirmed, and forgets what is over; returns the
+    /// newly quarantined parts.
+    pub fn update(&mut self, now: Instant) -> Vec<NameHash> {
+        let mut new = Vec::new();
+        while let Some(part) = self.next_confirmed(now) {
+            self.suspects[&part].quarantine(now);
+            self.drop_explained(now);
+            new.push(part);
+        }
+        self.suspects.retain(|_, it| !it.is_over(now));
+        new
+    }
+
+    /// Returns the first of these parts that is quarantined, with the remaining time.
+    pub fn find(&self, now: Instant, parts: &[NameHash]) -> Option<(NameHash, Duration)> {
+        parts.iter().find_map(|part| {
+            let until = self.suspects.get(part)?.quarantined_until?;
+            (until > now).then(|| (*part, until.since(now)))
+        })
+    }
+
+    /// Returns what peers have to be told: all quarantined parts, then news of others, up to a limit.
+    pub fn reports(&self, now: Instant) -> Vec<Report> {
+        let (quarantined, others): (Vec<_>, Vec<_>) =
+            self.suspects.iter().partition(|(_, it)| it.is_quarantined(now));
+        let news = others.into_iter().filter(|(_, it)| it.has_news(now));
+        let all = quarantined.into_iter().chain(news);
+        all.take(MAX_REPORTS).map(|(part, it)| it.report(*part)).collect()
+    }
+
+    /// Returns the number of suspected or quarantined parts.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns whether no part is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    fn suspect(&mut self, part: NameHash, depth: u32) -> &mut Suspect {
+        let suspect = self.suspects.entry(part).or_default();
+        suspect.depth = suspect.depth.max(depth);
+        suspect
+    }
+
+    fn is_quarantined(&self, now: Instant, part: NameHash) -> bool {
+        self.suspects.get(&part).is_some_and(|it| it.is_quarantined(now))
+    }
+
+    /// Returns the part with the most crashes of those whose guilt has been confirmed; of several,
+    /// the one that is furthest behind in prompts.
+    fn next_confirmed(&self, now: Instant) -> Option<NameHash> {
+        let confirmed =
+            self.suspects.iter().filter(|(_, it)| it.is_confirmed(now, self.last_success));
+        confirmed.max_by_key(|(_, it)| (it.crash_count(), it.depth)).map(|(part, _)| *part)
+    }
+
+    /// Returns whether a quarantined part has crashed the engine.
+    fn is_explained(&self, crash: Crash) -> bool {
+        let mut quarantined = self.suspects.values().filter(|it| it.is_quarantined(crash.at));
+        quarantined.any(|it| it.has_crashed(crash.engine))
+    }
+
+    /// Drops crashes that quarantined parts explain from the suspects that are not quarantined.
+    fn drop_explained(&mut self, now: Instant) {
+        let quarantined = self.suspects.values().filter(|it| it.is_quarantined(now));
+        let explained: Vec<NameHash> = quarantined.flat_map(Suspect::engines).collect();
+        let others = self.suspects.values_mut().filter(|it| !it.is_quarantined(now));
+        others.for_each(|it| it.drop_crashes(&explained));
+    }
+
+    /// Removes the suspects without a recent crash if there are too many.
+    fn limit(&mut self, now: Instant) {
+        if self.suspects.len() <= MAX_SUSPECTS {
+            return;
+        }
+        self.suspects.sort_by_cached_key(|_, it| Reverse(it.weight(now)));
+        self.suspects.truncate(MAX_SUSPECTS);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -0,0 +1,208 @@
+//! A part of prompts that is suspected of crashing engines.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use siskinstile_macros::value;
+
+use crate::{Instant, name_hash::NameHash};
+
+/// Number of crashes, one after the other, for which a part is quarantined.
+const MIN_CRASHES: usize = 3;
+/// Number of crashes, also at the same time, for which a part is quarantined.
+const MIN_ENGINES: usize = 5;
+/// Time after the last of [`MIN_CRASHES`] in which other instances may still report that a run with
+/// the part went well.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(300);
+/// Time for which runs with other parts, and none with this one, have to go well after
+/// [`MIN_ENGINES`] crashes, so that the loss of many engines at once is not taken for the part's.
+const CONTRAST_TIME: Duration = Duration::from_millis(700);
+/// Time after the last crash for which a part is quarantined. A single crash within
+/// [`CRASH_EXPIRY`] then renews it.
+const QUARANTINE_TIME: Duration = Duration::from_secs(300);
+/// Time for which a crash counts.
+const CRASH_EXPIRY: Duration = Duration::from_secs(600);
+/// Time without a crash after which a part that has been cleared is forgotten.
+const CLEARED_EXPIRY: Duration = Duration::from_secs(10);
+/// Time for which news of a suspect are told to peers.
+const REPEAT_TIME: Duration = Duration::from_secs(3);
+/// Time between two crashes that may not have a cause in common, such as the loss of a rack.
+const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of crashes that are kept of a part.
+const MAX_CRASHES: usize = 16;
+/// Time by which a report has to be newer than what is known to be news; longer than messages take,
+/// by which the times that instances compute from ages differ.
+const MIN_NEWS: Duration = Duration::from_secs(1);
+
+/// The crash of an engine.
+#[value(id)]
+pub struct Crash {
+    /// Stands for one start of the engine.
+    pub engine: NameHash,
+    /// When it was noticed.
+    pub at: Instant,
+}
+
+/// What an instance tells of a suspect.
+#[value(eq)]
+pub struct Report {
+    /// Hash of the part.
+    pub part: NameHash,
+    /// Position in prompts, from 1; the largest that was seen.
+    pub depth: u32,
+    /// Crashes since a run with the part last went well.
+    pub crashes: Vec<Crash>,
+    /// When a run with the part last went well.
+    pub cleared_at: Option<Instant>,
+    /// End of the quarantine.
+    pub quarantined_until: Option<Instant>,
+}
+
+/// What is known of a suspect.
+#[value(default)]
+pub(super) struct Suspect {
+    pub(super) depth: u32,
+    /// When each engine crashed, since a run with the part last went well.
+    crashes: IndexMap<NameHash, Instant>,
+    last_crash: Instant,
+    /// When a run with other parts first went well after the last crash.
+    contrast_since: Option<Instant>,
+    cleared_at: Option<Instant>,
+    pub(super) quarantined_until: Option<Instant>,
+    /// Until when peers are told.
+    told_until: Instant,
+}
+
+impl Suspect {
+    pub(super) fn record_crash(&mut self, now: Instant, crash: Crash) {
+        let is_cleared = self.cleared_at.is_some_and(|it| it >= crash.at);
+        if is_cleared || self.crashes.contains_key(&crash.engine) {
+            return;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.shift_remove_index(0);
+        }
+        self.crashes.insert(crash.engine, crash.at);
+        self.last_crash = self.last_crash.max(crash.at);
+        self.contrast_since = None;
+        self.told_until = now + REPEAT_TIME;
+    }
+
+    pub(super) fn record_success(&mut self, now: Instant, at: Instant) {
+        let is_news = self.cleared_at.is_none_or(|it| it + MIN_NEWS <= at);
+        if is_news || !self.crashes.is_empty() {
+            self.told_until = now + REPEAT_TIME;
+        }
+        self.cleared_at = self.cleared_at.max(Some(at));
+        self.crashes.retain(|_, crashed_at| *crashed_at > at);
+        if self.crashes.is_empty() {
+            self.quarantined_until = None;
+        }
+    }
+
+    /// Records that a run with other parts went well.
+    pub(super) fn record_contrast(&mut self, at: Instant) {
+        if at > self.last_crash {
+            self.contrast_since.get_or_insert(at);
+        }
+    }
+
+    pub(super) fn record_report(&mut self, now: Instant, report: &Report) {
+        for crash in &report.crashes {
+            self.record_crash(now, *crash);
+        }
+        if let Some(at) = report.cleared_at.filter(|it| self.cleared_at.is_none_or(|own| own < *it))
+        {
+            self.record_success(now, at);
+        }
+        // One that was cleared here meanwhile is not quarantined again.
+        let until = report.quarantined_until.filter(|_| !self.crashes.is_empty());
+        if let Some(until) = until
+            && self.quarantined_until.is_none_or(|it| it + MIN_NEWS < until)
+        {
+            self.quarantined_until = Some(until);
+        }
+    }
+
+    pub(super) fn report(&self, part: NameHash) -> Report {
+        Report {
+            part,
+            depth: self.depth,
+            crashes: self
+                .crashes
+                .iter()
+                .map(|(engine, at)| Crash { engine: *engine, at: *at })
+                .collect(),
+            cleared_at: self.cleared_at,
+            quarantined_until: self.quarantined_until,
+        }
+    }
+
+    /// Quarantines the part for a while after its last crash.
+    pub(super) fn quarantine(&mut self, now: Instant) {
+        self.quarantined_until = Some(self.last_crash + QUARANTINE_TIME);
+        self.told_until = now + REPEAT_TIME;
+    }
+
+    pub(super) fn is_quarantined(&self, now: Instant) -> bool {
+        self.quarantined_until.is_some_and(|it| it > now)
+    }
+
+    /// Returns whether enough engines have crashed and there has been time for other instances to
+    /// clear the part, while runs without it went well; `last_success` is the time of the last one.
+    pub(super) fn is_confirmed(&self, now: Instant, last_success: Instant) -> bool {
+        let age = now.since(self.last_crash);
+        if self.is_quarantined(now) || age >= QUARANTINE_TIME {
+            return false;
+        }
+        let first_crash = self.crashes.values().min().copied().unwrap_or(now);
+        let in_turn = self.crash_count() >= MIN_CRASHES
+            && age >= CONFIRMATION_TIME
+            && last_success > first_crash;
+        let has_contrast = self.contrast_since.is_some_and(|it| now.since(it) >= CONTRAST_TIME);
+        in_turn || self.crashes.len() >= MIN_ENGINES && has_contrast
+    }
+
+    /// Returns the number of crashes; those at the same time count once.
+    pub(super) fn crash_count(&self) -> usize {
+        let mut times: Vec<Instant> = self.crashes.values().copied().collect();
+        times.sort_unstable();
+        let mut last: Option<Instant> = None;
+        times.retain(|it| {
+            let counts = last.is_none_or(|last| it.since(last) >= MIN_CRASH_INTERVAL);
+            if counts {
+                last = Some(*it);
+            }
+            counts
+        });
+        times.len()
+    }
+
+    pub(super) fn has_crashed(&self, engine: NameHash) -> bool {
+        self.crashes.contains_key(&engine)
+    }
+
+    pub(super) fn engines(&self) -> impl Iterator<Item = NameHash> {
+        self.crashes.keys().copied()
+    }
+
+    pub(super) fn drop_crashes(&mut self, engines: &[NameHash]) {
+        self.crashes.retain(|engine, _| !engines.contains(engine));
+    }
+
+    pub(super) fn has_news(&self, now: Instant) -> bool {
+        self.told_until > now
+    }
+
+    /// Returns whether nothing of it counts any more.
+    pub(super) fn is_over(&self, now: Instant) -> bool {
+        let age = now.since(self.last_crash);
+        let is_cleared = self.crashes.is_empty() && age >= CLEARED_EXPIRY;
+        !self.is_quarantined(now) && (is_cleared || age >= CRASH_EXPIRY)
+    }
+
+    /// Returns what decides whether it is kept if there are too many.
+    pub(super) fn weight(&self, now: Instant) -> (bool, usize, Instant) {
+        (self.is_quarantined(now), self.crash_count(), self.last_crash)
+    }
+}
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -64,11 +64,13 @@
 pub const ENDPOINT_LEAVING: Code = code(741, Level::Info, "endpoint leaving");
 /// An endpoint has refused a request and asked for no calls for some time.
 pub const ENDPOINT_BACKOFF: Code = code(742, Level::Info, "endpoint backoff");
+/// A part of prompts is quarantined, since engines crashed that answered prompts with it.
+pub const PART_QUARANTINED: Code = code(743, Level::Warn, "prompt part quarantined");
 /// An error outside of request processing, or debugging information.
 pub const DIAGNOSTIC: Code = code(750, Level::Warn, "diagnostic");
 
 /// All codes, in the order of the catalogue.
-pub const CODES: [Code; 27] = [
+pub const CODES: [Code; 28] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -95,6 +97,7 @@
     ORDERED,
     ENDPOINT_LEAVING,
     ENDPOINT_BACKOFF,
+    PART_QUARANTINED,
     DIAGNOSTIC,
 ];
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,8 @@
 //!
 //! `admission` checks the route, API key and rate limit of a request. `plain` sends it to an
 //! endpoint of a plain service; `engine` takes it through hold, prefill and run at model engines.
-//! `reports` handles the outcomes of calls, `fleet` the heartbeats of other instances, `heartbeat`
+//! `reports` handles the outcomes of calls, `quarantine` what they show of prompt parts,
+//! `fleet` the heartbeats of other instances, `heartbeat`
 //! and `relays` the sending of own and relayed ones, `orders` the reconfiguration of engines and `clock` everything that depends on time. `job` contains the
 //! requests in progress and their open calls.
 
@@ -14,6 +15,7 @@
 mod job;
 mod orders;
 mod plain;
+mod quarantine;
 mod relays;
 mod reports;
 
@@ -32,6 +34,7 @@
     health::Tracker,
     load::Loads,
     member,
+    quarantine::Quarantine,
     quota::{Ledger, Tolerance},
     record::{self, Record},
     request,
@@ -74,6 +77,7 @@
     health: Tracker,
     relays: relays::Relays,
     departures: Departures,
+    quarantine: Quarantine,
     reported_loads: IndexMap<Name, (Instant, call::ReportedLoad)>,
     forecasts: IndexMap<Name, Forecast>,
     /// Schedules of the retry-after times of refused callers, by service.
@@ -142,6 +146,7 @@
                 health: Tracker::default(),
                 relays: relays::Relays::default(),
                 departures: Departures::default(),
+                quarantine: Quarantine::default(),
                 reported_loads: IndexMap::new(),
                 forecasts: IndexMap::new(),
                 retry_afters: IndexMap::new(),
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -62,6 +62,10 @@
                 .with("rate", status.rate)
                 .with("reach", status.reachable_share);
         }
+        if failure.kind == Kind::Quarantined {
+            let parts = arrival.shared_parts().iter().map(|it| it.to_string());
+            line = line.with("parts", parts.collect::<Vec<_>>());
+        }
         self.log(line);
         self.emit(Effect::Fail { request: arrival.id, failure });
     }
@@ -82,6 +86,7 @@
         };
         let team = team_of(&catalog, route, arrival)?;
         self.check_drain(now, route)?;
+        self.check_quarantine(now, arrival.shared_parts())?;
         let service =
             catalog.service(route.pick_service(arrival.id.0)).expect("routes are checked");
         let charged = self.charge(now, team.as_ref(), service, arrival)?;
@@ -109,6 +114,7 @@
             slot: None,
             prefill: None,
             prompt: None,
+            answering_since: None,
             relaying: None,
             fallback: None,
             hedge_at: None,
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -26,6 +26,7 @@
         if now.since(self.times.last_expiry) >= EXPIRY_INTERVAL {
             self.times.last_expiry = now;
             self.expire_peers(now);
+            self.update_quarantine(now);
         }
         self.fail_unresponsive(now);
         self.fail_timed_out(now);
@@ -68,7 +69,7 @@
             self.times.heartbeat_number += 1;
             let heartbeat = self.make_heartbeat(now, Instant::default(), true);
             let recipients = self.leave_recipients();
-            self.emit(Effect::Heartbeat { heartbeat, recipients });
+            self.emit(Effect::Heartbeat { heartbeat: heartbeat.into(), recipients });
             self.log(Record::new(record::STOPPED));
             self.emit(Effect::Stopped);
         }
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -82,6 +82,7 @@
         if self.fleet.departures.record_report(now, departures) {
             self.update_directory();
         }
+        self.handle_suspects(now, &heartbeat);
         match is_relay {
             true => self.handle_groups(now, &heartbeat),
             false => self.record_own_state(&name, &heartbeat),
--- a/crates/gateway/src/state/heartbeat.rs
+++ b/crates/gateway/src/state/heartbeat.rs
@@ -152,7 +152,7 @@
         };
         let heartbeat = self.next_heartbeat(now, since);
         let recipients = if to_remote { Recipients::Everyone } else { Recipients::Datacentre };
-        self.emit(Effect::Heartbeat { heartbeat, recipients });
+        self.emit(Effect::Heartbeat { heartbeat: heartbeat.into(), recipients });
     }
 
     /// Sends a heartbeat to the relays of the data centre if one is due.
@@ -173,7 +173,7 @@
         let relays = self.fleet.relays.choice.relays().iter();
         let others = relays.filter(|it| **it != self.settings.name);
         let recipients = Recipients::Members(others.cloned().map(Recipient::new).collect());
-        self.emit(Effect::Heartbeat { heartbeat, recipients });
+        self.emit(Effect::Heartbeat { heartbeat: heartbeat.into(), recipients });
     }
 
     /// Returns a heartbeat with the next number and the accounts that have changed since `since`.
@@ -206,6 +206,7 @@
             waiting: self.own_waiting().into_iter().map(sent_count).collect(),
             reconfiguring: self.planner.reconfiguring().map(|it| it.to_string()).collect(),
             departures: self.fleet.departures.announced(now).map(sent_departure).collect(),
+            suspects: self.sent_suspects(now),
             configuration_version: self.catalog.as_ref().map_or(0, |it| it.version),
             // The adapter that follows the store sets its positions and its age.
             ..Heartbeat::default()
--- a/crates/gateway/src/state/job.rs
+++ b/crates/gateway/src/state/job.rs
@@ -86,6 +86,8 @@
     pub(super) slot: Option<Slot>,
     pub(super) prefill: Option<Arc<Endpoint>>,
     pub(super) prompt: Option<Prompt>,
+    /// When the answer that is being relayed began.
+    pub(super) answering_since: Option<Instant>,
     /// The call whose response is being relayed to the caller.
     pub(super) relaying: Option<call::Id>,
     /// The call with a complete response that has an error status, relayed if no retry succeeds.
--- a/crates/gateway/src/state/plain.rs
+++ b/crates/gateway/src/state/plain.rs
@@ -90,7 +90,8 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.sends -= 1;
         job.unsent_attempts += 1;
-        match job.unsent_attempts < MAX_UNSENT_ATTEMPTS {
+        let may_send = job.unsent_attempts < MAX_UNSENT_ATTEMPTS;
+        match may_send && !self.is_quarantined(now, id) {
             true => self.send_plain(now, id),
             false => self.no_endpoint(now, id),
         }
@@ -149,8 +150,12 @@
         }
     }
 
-    /// Takes a retry from the budget of a request's service; returns whether the budget allows it.
+    /// Takes a retry from the budget of a request's service; returns whether the budget and the
+    /// quarantine allow it.
     pub(super) fn take_retry(&mut self, now: Instant, id: request::Id) -> bool {
+        if self.is_quarantined(now, id) {
+            return false;
+        }
         let Some(job) = self.jobs.get(&id) else { return false };
         let instances = self.fleet.members.len();
         let budget = self.fleet.budgets.entry(job.service.name.clone()).or_default();
--- /dev/null
+++ b/crates/gateway/src/state/quarantine.rs
@@ -0,0 +1,163 @@
+//! Quarantine of prompt parts: what runs show of them, and what requests with them get.
+
+use std::time::Duration;
+
+use siskinstile_core::error::{Failure, Kind};
+use siskinstile_wire::message::heartbeat::{Crash as SentCrash, Heartbeat, Suspect as SentSuspect};
+
+use crate::{
+    Instant, Name,
+    directory::Endpoint,
+    name_hash::NameHash,
+    quarantine::{Crash, Report},
+    record::{self, Record},
+    request,
+};
+
+use super::{
+    State,
+    job::{Job, Phase},
+};
+
+/// Time after the beginning of an answer from which its end does not count as a crash caused by the
+/// prompt.
+const MIN_ANSWER_TIME: Duration = Duration::from_secs(1);
+
+impl State {
+    /// Records that a run has ended with a complete answer.
+    ///
+    /// An answer that ends with its connection is complete in the eyes of the caller, but does not
+    /// show that the engine went on.
+    pub(super) fn record_run_success(&mut self, now: Instant, job: &Job, framed: bool) {
+        let parts = job.hashed_parts();
+        if !parts.is_empty() && (framed || job.has_answered_for(now, MIN_ANSWER_TIME)) {
+            self.fleet.quarantine.record_success(now, &parts);
+        }
+    }
+
+    /// Records that an endpoint has broken off a run that it may have begun.
+    pub(super) fn record_run_break(&mut self, now: Instant, id: request::Id, endpoint: &Endpoint) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let parts = job.hashed_parts();
+        if parts.is_empty() {
+            return;
+        }
+        if job.has_answered_for(now, MIN_ANSWER_TIME) {
+            return self.fleet.quarantine.record_success(now, &parts);
+        }
+        self.fleet.quarantine.record_crash(now, &parts, engine_hash(endpoint));
+        self.announce();
+    }
+
+    /// Refuses a request if a part of its prompt is quarantined.
+    pub(super) fn check_quarantine(
+        &self,
+        now: Instant,
+        shared_parts: &[Name],
+    ) -> Result<(), (Failure, &'static str)> {
+        match self.fleet.quarantine.find(now, &hashes(shared_parts)) {
+            Some((_, remaining)) => Err((quarantined(remaining), "part quarantined")),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns whether a part of a request's prompt is quarantined, so that it must not be sent.
+    pub(super) fn is_quarantined(&self, now: Instant, id: request::Id) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        self.fleet.quarantine.find(now, &job.hashed_parts()).is_some()
+    }
+
+    /// Handles what a peer suspects.
+    pub(super) fn handle_suspects(&mut self, now: Instant, heartbeat: &Heartbeat) {
+        let reports = heartbeat.suspects.iter().map(|it| received(now, it));
+        for part in self.fleet.quarantine.record_reports(now, reports) {
+            self.log_quarantine(part, Some(&heartbeat.name));
+        }
+    }
+
+    /// Returns the suspects as they are sent to peers.
+    pub(super) fn sent_suspects(&self, now: Instant) -> Vec<SentSuspect> {
+        self.fleet.quarantine.reports(now).iter().map(|it| sent(now, it)).collect()
+    }
+
+    /// Quarantines the parts whose guilt has been confirmed, and refuses the requests with a
+    /// quarantined part that have not been sent yet.
+    pub(super) fn update_quarantine(&mut self, now: Instant) {
+        for part in self.fleet.quarantine.update(now) {
+            self.log_quarantine(part, None);
+            self.announce();
+        }
+        if self.fleet.quarantine.is_empty() {
+            return;
+        }
+        let unsent = self.jobs.values().filter(|it| it.is_unsent());
+        let unsent: Vec<(request::Id, Vec<NameHash>)> =
+            unsent.map(|it| (it.id, it.hashed_parts())).collect();
+        for (id, parts) in unsent {
+            if let Some((_, remaining)) = self.fleet.quarantine.find(now, &parts) {
+                self.fail(now, id, quarantined(remaining), "part quarantined");
+            }
+        }
+    }
+
+    fn log_quarantine(&mut self, part: NameHash, peer: Option<&str>) {
+        let line = Record::new(record::PART_QUARANTINED)
+            .with("part_hash", format!("{:016x}", part.0))
+            .with("peer", peer);
+        self.log(line);
+    }
+}
+
+impl Job {
+    fn hashed_parts(&self) -> Vec<NameHash> {
+        hashes(&self.shared_parts)
+    }
+
+    /// Returns whether the request waits, or is being prepared, for an endpoint to run it.
+    fn is_unsent(&self) -> bool {
+        matches!(self.phase, Phase::Queued | Phase::Holding | Phase::Prefilling)
+    }
+
+    fn has_answered_for(&self, now: Instant, time: Duration) -> bool {
+        self.answering_since.is_some_and(|it| now.since(it) >= time)
+    }
+}
+
+fn quarantined(remaining: Duration) -> Failure {
+    Failure::not_run(Kind::Quarantined).with_retry_after(remaining)
+}
+
+fn hashes(parts: &[Name]) -> Vec<NameHash> {
+    parts.iter().map(|it| NameHash::of(it)).collect()
+}
+
+/// Returns a hash of an endpoint's name and start.
+fn engine_hash(endpoint: &Endpoint) -> NameHash {
+    let started_at_ms = endpoint.started_at_ms.unwrap_or_default();
+    NameHash::of(&format!("{}/{started_at_ms}", endpoint.id))
+}
+
+fn received(now: Instant, sent: &SentSuspect) -> Report {
+    let at = |age_ms| now - Duration::from_millis(age_ms);
+    let crash = |it: &SentCrash| Crash { engine: NameHash(it.engine), at: at(it.age_ms) };
+    Report {
+        part: NameHash(sent.part),
+        depth: sent.depth,
+        crashes: sent.crashes.iter().map(crash).collect(),
+        cleared_at: sent.cleared_age_ms.map(at),
+        quarantined_until: sent.quarantined_ms.map(|it| now + Duration::from_millis(it)),
+    }
+}
+
+fn sent(now: Instant, report: &Report) -> SentSuspect {
+    let age_ms = |at: Instant| now.since(at).as_millis() as u64;
+    let crash = |it: &Crash| SentCrash { engine: it.engine.0, age_ms: age_ms(it.at) };
+    let remaining = report.quarantined_until.filter(|it| *it > now);
+    SentSuspect {
+        part: report.part.0,
+        depth: report.depth,
+        crashes: report.crashes.iter().map(crash).collect(),
+        cleared_age_ms: report.cleared_at.map(age_ms),
+        quarantined_ms: remaining.map(|it| it.since(now).as_millis() as u64),
+    }
+}
--- a/crates/gateway/src/state/relays.rs
+++ b/crates/gateway/src/state/relays.rs
@@ -302,7 +302,8 @@
             reconfiguring: Vec::new(),
             ..self.next_heartbeat(now, now - ACCOUNT_REPEAT_TIME)
         };
-        self.emit(Effect::Heartbeat { heartbeat, recipients: Recipients::Members(recipients) });
+        let recipients = Recipients::Members(recipients);
+        self.emit(Effect::Heartbeat { heartbeat: heartbeat.into(), recipients });
     }
 
     fn empty_group(&self) -> SentGroup {
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -119,14 +119,17 @@
             }
             (Kind::Prefill, Outcome::Refused { .. }) => self.prefill_refused(now, id),
             (Kind::Prefill, _) => self.prefill_failed(now, id),
-            (Kind::Run, Outcome::Head { .. }) => self.start_relay(id, call),
+            (Kind::Run, Outcome::Head { .. }) => self.start_relay(now, id, call),
             (Kind::Run, Outcome::FirstEvent) => self.first_event(now, id, call),
-            (Kind::Run, Outcome::Completed { events, pause, .. }) => {
-                self.run_done(now, id, events, pause)
+            (Kind::Run, Outcome::Completed { events, pause, framed }) => {
+                self.run_done(now, id, (events, pause), framed)
             }
             (Kind::Run, Outcome::Buffered { status }) => self.handle_answer(now, id, call, status),
             (Kind::Run, Outcome::Refused { .. }) => self.handle_refusal(now, id),
-            (Kind::Run, Outcome::Failed { sent, last_event, .. }) => {
+            (Kind::Run, Outcome::Failed { sent, unresponsive, last_event, .. }) => {
+                if sent && !unresponsive {
+                    self.record_run_break(now, id, &open.endpoint);
+                }
                 self.handle_failure(now, id, &open.endpoint.id, sent, last_event);
             }
             _ => {}
@@ -176,8 +179,9 @@
     }
 
     /// Starts to relay a streamed response.
-    fn start_relay(&mut self, id: request::Id, call: call::Id) {
+    fn start_relay(&mut self, now: Instant, id: request::Id, call: call::Id) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.answering_since = Some(now);
         job.phase = Phase::Relaying;
         job.may_have_run = true;
         job.prompt = None;
@@ -193,8 +197,15 @@
         }
     }
 
-    fn run_done(&mut self, now: Instant, id: request::Id, events: u64, pause: Duration) {
+    fn run_done(
+        &mut self,
+        now: Instant,
+        id: request::Id,
+        (events, pause): (u64, Duration),
+        framed: bool,
+    ) {
         let Some(mut job) = self.jobs.swap_remove(&id) else { return };
+        self.record_run_success(now, &job, framed);
         if let (Some(slot), Some(engine)) = (&job.slot, &job.service.engine) {
             let forecast = self.fleet.forecasts.entry(job.service.name.clone()).or_default();
             forecast.record_stay(now.since(slot.reserved_at));
--- a/crates/gateway/tests/testsuite/crashes.rs
+++ b/crates/gateway/tests/testsuite/crashes.rs
@@ -17,7 +17,6 @@
 #[case::engines("/review/", &["kind", "bad"])]
 #[case::first_part("/review/", &["bad"])]
 #[case::resumable("/review-again/", &["kind", "bad", "topic"])]
-#[ignore = "KNOWN-RED.txt: BUDGET by a part of prompts"]
 fn part_crashes(#[case] prefix: &str, #[case] parts: &[&str]) {
     let mut site = Site::with_engines(24);
     for _ in 0..KNOWN_CRASHES {
@@ -41,7 +40,6 @@
 #[rstest]
 #[case::small(6, 2_500)]
 #[case::relayed(120, 4_500)]
-#[ignore = "KNOWN-RED.txt: BUDGET by a part of prompts"]
 fn part_known_to_fleet(#[case] size: usize, #[case] within_ms: u64) {
     let mut fleet = Fleet::start(size);
     fleet.advance(3_000);
--- a/crates/gateway/tests/testsuite/notice.rs
+++ b/crates/gateway/tests/testsuite/notice.rs
@@ -87,7 +87,7 @@
     lookup(&mut teller, ANSWERED, LEAVING);
     teller.advance(300);
     let mut heartbeats = teller.effects.iter().filter_map(|it| match it {
-        Effect::Heartbeat { heartbeat, .. } => Some(heartbeat),
+        Effect::Heartbeat { heartbeat, .. } => Some(&**heartbeat),
         _ => None,
     });
     let told = heartbeats.next_back().expect("a heartbeat").clone();
--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -167,7 +167,7 @@
             Effect::Finish(_) => status::count_answer(),
             Effect::Heartbeat { heartbeat, recipients } => {
                 // The receiving task runs as long as the process.
-                let _ = self.heartbeats.send((heartbeat, recipients));
+                let _ = self.heartbeats.send((*heartbeat, recipients));
             }
             Effect::Log(record) => self.logger.write(&record),
             Effect::Stopped => {
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -68,6 +68,40 @@
     /// Address of the sender for messages of other instances.
     #[prost(string, tag = "21")]
     pub address: String,
+    /// Parts of prompts that the sender suspects of crashing engines, or has quarantined.
+    #[prost(message, repeated, tag = "22")]
+    pub suspects: Vec<Suspect>,
+}
+
+/// A part of prompts that is suspected of crashing engines.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Suspect {
+    /// Hash of the part's identifier.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Largest position in prompts, from 1.
+    #[prost(uint32, tag = "2")]
+    pub depth: u32,
+    /// Crashes since a run with the part last went well.
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: Vec<Crash>,
+    /// Milliseconds since a run with the part last went well; none if none has.
+    #[prost(uint64, optional, tag = "4")]
+    pub cleared_age_ms: Option<u64>,
+    /// Milliseconds for which the part is still quarantined; none if it is not.
+    #[prost(uint64, optional, tag = "5")]
+    pub quarantined_ms: Option<u64>,
+}
+
+/// The crash of an engine.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Crash {
+    /// Hash of the engine's name and start.
+    #[prost(fixed64, tag = "1")]
+    pub engine: u64,
+    /// Milliseconds since it was noticed.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// Relayed state of the members in one data centre.
