Harness: the fuzzer's endpoints in three files

Nothing that callers could see: the model of endpoints is part of the fuzzer.

Change: steps of an engine are in model/engine.rs, faults of calls and the reports with their effects in model/fault.rs; model.rs keeps the state, the queue and plain services. Bodies are moved as they were.

--- a/crates/harness/src/fuzz/model.rs
+++ b/crates/harness/src/fuzz/model.rs
@@ -1,5 +1,8 @@
 //! Simulated endpoints: engines that hold memory and plain services that record every execution.
 
+mod engine;
+mod fault;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
@@ -14,16 +17,10 @@
 
 use crate::world::{EndpointCall, Endpoints};
 
-/// Time after its computation at which a prefill result that was not imported expires.
-const RESULT_TTL: Duration = Duration::from_millis(800);
-/// Time after which an imported KV cache without a decode call is released.
-const IDLE_HOLD_TIMEOUT: Duration = Duration::from_secs(5);
+use fault::Fault;
+
 /// Time for which an engine holds memory after its stream broke or the calling instance was killed.
 const BROKEN_STREAM_HOLD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time without data after which a stream is reported to the calling instance as failed.
-const STREAM_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time between two chunks of a token stream.
-const CHUNK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Engine memory held for an attempt.
 #[derive(Debug, Clone)]
@@ -54,17 +51,6 @@
     pub is_complete: bool,
 }
 
-/// Fault that is drawn for a call.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Fault {
-    None,
-    RequestLost,
-    ResponseLost,
-    Unresponsive,
-    Delayed,
-    Duplicated,
-}
-
 enum Item {
     Call { call: EndpointCall, fault: Fault },
     Chunk { call: EndpointCall, index: u64, stream: u64, unresponsive: bool },
@@ -133,68 +119,6 @@
         Duration::from_millis(self.rng.random_range(0..below))
     }
 
-    fn random_fault(&mut self) -> Fault {
-        match self.rng.random_range(0..100) {
-            n if n >= self.fault_percent => Fault::None,
-            _ => {
-                let faults = [
-                    Fault::RequestLost,
-                    Fault::ResponseLost,
-                    Fault::Unresponsive,
-                    Fault::Delayed,
-                    Fault::Duplicated,
-                ];
-                faults[self.rng.random_range(0..faults.len())]
-            }
-        }
-    }
-
-    fn report(&mut self, at: Instant, call: &EndpointCall, outcome: Outcome) {
-        let report = Report { request: call.request, attempt: call.attempt, outcome };
-        self.push(at, Item::Report(call.instance.clone(), report));
-    }
-
-    fn report_failure(&mut self, at: Instant, call: &EndpointCall, sent: bool) {
-        let next_index = self.relays.get(&call.request).map_or(0, |it| it.splice.next_index());
-        self.report(at, call, Outcome::Failed { sent, next_index });
-    }
-
-    /// Reports the outcome of a call with the effects of its fault.
-    fn report_outcome(
-        &mut self,
-        now: Instant,
-        call: &EndpointCall,
-        fault: Fault,
-        outcome: Outcome,
-    ) {
-        let answer_at = now + Duration::from_millis(1) + self.random_millis(5);
-        match fault {
-            Fault::Unresponsive => {}
-            Fault::RequestLost => {
-                let at = now + self.random_millis(2_000);
-                self.report_failure(at, call, true);
-            }
-            // The failure is reported first and the answer up to 1 s later, when the next attempt
-            // may be running.
-            Fault::ResponseLost => {
-                let at = now + self.random_millis(1_000);
-                let late_at = at + self.random_millis(1_000);
-                self.report_failure(at, call, true);
-                self.report(late_at, call, outcome);
-            }
-            Fault::Delayed => {
-                let at = now + self.random_millis(15_000);
-                self.report(at, call, outcome);
-            }
-            Fault::Duplicated => {
-                let at = answer_at + self.random_millis(3_000);
-                self.report(answer_at, call, outcome.clone());
-                self.report(at, call, outcome);
-            }
-            Fault::None => self.report(answer_at, call, outcome),
-        }
-    }
-
     fn handle_call(&mut self, now: Instant, call: EndpointCall, fault: Fault) {
         if self.is_down(now, &call.endpoint.name) {
             return self.report_failure(now, &call, false);
@@ -213,120 +137,6 @@
         }
     }
 
-    fn prefill(&mut self, now: Instant, call: &EndpointCall, fault: Fault) {
-        let kv = Name::from(format!("{}-{}", call.request, call.attempt));
-        let done_at = now + Duration::from_millis(10) + self.random_millis(60);
-        self.prefill_results.insert(kv.clone(), done_at + RESULT_TTL);
-        self.report_outcome(done_at, call, fault, Outcome::Computed { kv, cached: 0 });
-    }
-
-    fn import(&mut self, now: Instant, call: &EndpointCall, fault: Fault, kv: &str) {
-        if self.prefill_results.get(kv).is_none_or(|until| *until < now) {
-            return self.report_outcome(now, call, fault, Outcome::Refused { status: 410 });
-        }
-        let held_count = self.holds.iter().filter(|it| it.endpoint == call.endpoint.name).count();
-        if held_count >= call.endpoint.slots as usize {
-            return self.report_outcome(now, call, fault, Outcome::Refused { status: 409 });
-        }
-        self.prefill_results.swap_remove(kv);
-        self.holds.push(Hold {
-            request: call.request,
-            attempt: call.attempt,
-            endpoint: call.endpoint.name.clone(),
-            instance: call.instance.clone(),
-            reserved_at: now,
-            expires_at: Some(now + IDLE_HOLD_TIMEOUT),
-            stream: 0,
-        });
-        self.report_outcome(now, call, fault, Outcome::Imported);
-    }
-
-    fn find_hold(&mut self, call: &EndpointCall) -> Option<&mut Hold> {
-        self.holds.iter_mut().find(|it| {
-            (it.request, it.attempt, &it.endpoint)
-                == (call.request, call.attempt, &call.endpoint.name)
-        })
-    }
-
-    fn decode(&mut self, now: Instant, call: EndpointCall, fault: Fault, index: u64) {
-        self.last_id += 1;
-        let stream = self.last_id;
-        let Some(hold) = self.find_hold(&call) else {
-            return self.report_outcome(now, &call, fault, Outcome::Refused { status: 410 });
-        };
-        (hold.stream, hold.expires_at) = (stream, None);
-        let relay = self.relays.entry(call.request).or_default();
-        relay.splice.begin(call.attempt);
-        if fault == Fault::Unresponsive {
-            self.report_failure(now + STREAM_TIMEOUT, &call, true);
-        }
-        let unresponsive = fault == Fault::Unresponsive;
-        self.push(now + CHUNK_INTERVAL, Item::Chunk { call, index, stream, unresponsive });
-    }
-
-    fn send_chunk(
-        &mut self,
-        now: Instant,
-        call: EndpointCall,
-        index: u64,
-        stream: u64,
-        unresponsive: bool,
-    ) {
-        if self.find_hold(&call).is_none_or(|it| it.stream != stream) {
-            return match unresponsive {
-                true => {}
-                false => self.report_failure(now, &call, true),
-            };
-        }
-        let token_count = self.token_counts.get(&call.request).copied().unwrap_or(0);
-        let end = token_count.min(index + self.rng.random_range(1..9));
-        let relay = self.relays.entry(call.request).or_default();
-        let was_empty = relay.tokens.is_empty();
-        for index in (index..end).filter(|_| !unresponsive) {
-            if relay.splice.accept(call.attempt, index) {
-                relay.tokens.push((call.attempt, index));
-            }
-        }
-        if was_empty && !relay.tokens.is_empty() {
-            self.report(now, &call, Outcome::FirstByte);
-        }
-        match self.random_fault() {
-            _ if unresponsive && end < token_count => {}
-            _ if end >= token_count => return self.end_stream(now, &call, unresponsive),
-            Fault::RequestLost | Fault::ResponseLost => return self.break_stream(now, &call),
-            Fault::Unresponsive => {
-                self.report_failure(now + STREAM_TIMEOUT, &call, true);
-                let chunk = Item::Chunk { call, index: end, stream, unresponsive: true };
-                return self.push(now + CHUNK_INTERVAL, chunk);
-            }
-            _ => {}
-        }
-        self.push(now + CHUNK_INTERVAL, Item::Chunk { call, index: end, stream, unresponsive });
-    }
-
-    fn end_stream(&mut self, now: Instant, call: &EndpointCall, unresponsive: bool) {
-        self.drop_hold(call.request, call.attempt, &call.endpoint.name);
-        let relay = self.relays.entry(call.request).or_default();
-        let tokens = relay.splice.next_index();
-        match self.random_fault() {
-            _ if unresponsive => {}
-            Fault::Duplicated => self.report_outcome(
-                now,
-                call,
-                Fault::Duplicated,
-                Outcome::Completed { tokens, answer: None },
-            ),
-            _ => self.report(now, call, Outcome::Completed { tokens, answer: None }),
-        }
-    }
-
-    fn break_stream(&mut self, now: Instant, call: &EndpointCall) {
-        if let Some(hold) = self.find_hold(call) {
-            (hold.stream, hold.expires_at) = (0, Some(now + BROKEN_STREAM_HOLD_TIMEOUT));
-        }
-        self.report_failure(now, call, true);
-    }
-
     fn forward(&mut self, now: Instant, call: &EndpointCall, fault: Fault) {
         self.executed.push(call.request);
         let body = format!("run {}", self.executed.len());
@@ -336,11 +146,6 @@
         self.report_outcome(done_at, call, fault, outcome);
     }
 
-    fn drop_hold(&mut self, request: Id, attempt: u32, endpoint: &str) {
-        self.holds
-            .retain(|it| (it.request, it.attempt, &*it.endpoint) != (request, attempt, endpoint));
-    }
-
     /// Records a plain answer as received by the caller, if its attempt is the current one.
     fn record_plain_answer(&mut self, report: &Report) {
         if let Outcome::Completed { answer: Some(_), .. } = report.outcome {
