Core: spending and accounts of the limiter in files of their own

Callers see no difference.

Change: grants, refusals and refunds are in limiter/spend.rs, creation and removal of teams' accounts in limiter/account.rs, as the search for loans and the reports already were in theirs. Bodies are moved as they were; the types stay, so that no field became visible to more code.

--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -1,7 +1,9 @@
 //! The limiter of one instance: owner of some shares, borrower of others.
 
+mod account;
 mod borrow;
 mod report;
+mod spend;
 
 use std::{
     collections::{BTreeSet, VecDeque},
@@ -19,16 +21,14 @@
 };
 
 use super::{
-    Cause, LOAN_TERM, Verdict,
-    bucket::Share,
+    LOAN_TERM, Verdict,
     ledger::{Borrower, Ledger},
     loans::Loans,
-    participant::{Owner, Table, WHOLE_PPM},
+    participant::{Owner, Table},
     usage::Usage,
 };
+use account::owners_for;
 
-/// Time after which a team without loans and waiting requests is dropped.
-const IDLE_LIMIT: Duration = Duration::from_secs(60);
 /// Time between two searches for unused loans; also the time without use after which a loan is
 /// returned.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -155,12 +155,6 @@
         self.journal.replace(Vec::new()).unwrap_or_default()
     }
 
-    fn record_entry(&mut self, team: &Name, tokens: i64) {
-        if let Some(journal) = &mut self.journal {
-            journal.push(Entry { team: team.clone(), tokens });
-        }
-    }
-
     /// Returns the participant table; empty until it is known.
     pub fn table(&self) -> &Arc<Table> {
         &self.table
@@ -192,47 +186,6 @@
         }
     }
 
-    /// Deducts `tokens` of a team; `wait` identifies the request if its verdict is pending.
-    pub fn take(&mut self, now: Instant, team: &Team, wait: WaitId, tokens: u64) -> Verdict {
-        self.reset_after_pause(now);
-        let account = self.account(now, team);
-        account.usage.record_demand(now, tokens);
-        let none_waiting = account.waiting.is_empty();
-        if none_waiting && self.spend(now, team, tokens) {
-            self.top_up(now, &team.name);
-            return Verdict::Granted;
-        }
-        let account = &self.accounts[&team.name];
-        let exhausted = account
-            .exhausted
-            .is_some_and(|(until, min_tokens)| now < until && tokens >= min_tokens);
-        match () {
-            () if tokens > team.burst => self.refuse(now, &team.name, tokens, Cause::Burst),
-            () if exhausted
-                || (account.owners.is_empty() && !self.table.participants.is_empty()) =>
-            {
-                self.refuse(now, &team.name, tokens, Cause::Empty)
-            }
-            () => {
-                self.enqueue(now, &team.name, Waiting { wait, tokens, waiting_since: now });
-                Verdict::Pending
-            }
-        }
-    }
-
-    /// Returns tokens that were charged at this instance and not used.
-    pub fn refund(&mut self, now: Instant, team: &Team, tokens: u64) {
-        let account = self.account(now, team);
-        account.usage.granted = account.usage.granted.saturating_sub(tokens);
-        account.usage.returned += tokens;
-        let unrestored = tokens - account.loans.restore(now, tokens);
-        match account.own_ppm {
-            0 => account.pending_refund += unrestored,
-            ppm => self.ledger.credit(now, team, ppm, unrestored),
-        }
-        self.record_entry(&team.name, -(tokens as i64));
-    }
-
     /// Removes a waiting request.
     pub fn cancel(&mut self, team: &str, wait: WaitId) {
         if let Some(account) = self.accounts.get_mut(team) {
@@ -304,102 +257,4 @@
         }
         self.last_tick = self.last_tick.max(now);
     }
-
-    fn account(&mut self, now: Instant, team: &Team) -> &mut Account {
-        if !self.accounts.contains_key(&team.name) {
-            let account = self.new_account(now, team);
-            self.accounts.insert(team.name.clone(), account);
-        }
-        let account = &mut self.accounts[&team.name];
-        account.last_used = now;
-        if account.team != *team {
-            account.team = team.clone();
-        }
-        account
-    }
-
-    fn new_account(&self, now: Instant, team: &Team) -> Account {
-        let (owners, own_ppm) =
-            owners_for(&self.table, &self.own_name, &self.datacentre, &team.name);
-        Account {
-            team: team.clone(),
-            owners,
-            own_ppm,
-            loans: Loans::default(),
-            waiting: VecDeque::new(),
-            pending: Vec::new(),
-            reported_levels: IndexMap::new(),
-            search_order: Vec::new(),
-            tried: 0,
-            round_size: 1,
-            any_unreached: false,
-            exhausted: None,
-            topped_up_at: None,
-            pending_refund: 0,
-            last_used: now,
-            usage: Usage::default(),
-        }
-    }
-
-    /// Spends borrowed tokens first, then those of the own share. Returns false if there are too
-    /// few.
-    fn spend(&mut self, now: Instant, team: &Team, tokens: u64) -> bool {
-        let Some(account) = self.accounts.get_mut(&team.name) else { return false };
-        let ppm = account.own_ppm;
-        let borrowed = account.loans.tokens(now);
-        let own_tokens = if ppm > 0 { self.ledger.tokens(now, team, ppm) } else { 0 };
-        if borrowed + own_tokens < tokens {
-            return false;
-        }
-        let spent = account.loans.spend(now, tokens);
-        if tokens > spent {
-            self.ledger.spend(now, team, ppm, tokens - spent);
-        }
-        account.usage.granted += tokens;
-        self.record_entry(&team.name, tokens as i64);
-        true
-    }
-
-    fn refuse(&mut self, now: Instant, name: &Name, tokens: u64, cause: Cause) -> Verdict {
-        let available = self.available(now, name);
-        let account = &mut self.accounts[name];
-        account.usage.record_refusal(cause);
-        let share = Share::ideal(&account.team, WHOLE_PPM);
-        let retry_after = share.time_to_earn(tokens.saturating_sub(available).max(1));
-        Verdict::Refused { retry_after, cause }
-    }
-
-    fn available(&mut self, now: Instant, name: &Name) -> u64 {
-        let account = &self.accounts[name];
-        let own_tokens = match account.own_ppm {
-            0 => 0,
-            ppm => self.ledger.tokens(now, &account.team, ppm),
-        };
-        own_tokens + account.loans.tokens(now)
-    }
-
-    fn sweep(&mut self, now: Instant) {
-        let names: Vec<Name> = self.accounts.keys().cloned().collect();
-        for name in names {
-            self.accounts[&name].loans.expire(now);
-            self.return_matching(&name, |it| now.since(it.last_used) >= SWEEP_INTERVAL);
-        }
-        self.accounts.retain(|_, it| {
-            let open = !it.loans.is_empty() || !it.waiting.is_empty() || !it.pending.is_empty();
-            open || now.since(it.last_used) < IDLE_LIMIT
-        });
-    }
-}
-
-/// Returns the other owners of a team in the order of preference of instance `own`, and the share
-/// of `own`, in millionths.
-fn owners_for(table: &Table, own: &Name, datacentre: &Name, team: &Name) -> (Arc<[Owner]>, u64) {
-    let mut owners = table.owners(team);
-    let own_ppm = owners.iter().find(|it| it.participant.name == *own).map_or(0, |it| it.ppm);
-    owners.retain(|it| it.participant.name != *own);
-    owners.sort_by_key(|it| {
-        let local = it.participant.datacentre == *datacentre;
-        (std::cmp::Reverse(it.ppm), !local, crate::member::rank(&it.participant.name, own))
-    });
-    (owners.into(), own_ppm)
 }
