Quarantine: tell the suspects with the most crashes if there are too many

With more than 32 suspects an instance told the first ones, so that a part could stay suspected of too few crashes everywhere. reports_most_crashes failed before and passes. With it tests of the quarantine on its own: parts beside the one that crashes engines, engines lost together, bursts, a wrong conclusion, the end of a quarantine, peers that tell each other for ever, bounds; these passed at once.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -114,13 +114,17 @@
         })
     }
 
-    /// Returns what peers have to be told: all quarantined parts, then news of others, up to a limit.
+    /// Returns what peers have to be told: all quarantined parts and news of others, up to a limit
+    /// those with the most crashes.
     pub fn reports(&self, now: Instant) -> Vec<Report> {
-        let (quarantined, others): (Vec<_>, Vec<_>) =
-            self.suspects.iter().partition(|(_, it)| it.is_quarantined(now));
-        let news = others.into_iter().filter(|(_, it)| it.has_news(now));
-        let all = quarantined.into_iter().chain(news);
-        all.take(MAX_REPORTS).map(|(part, it)| it.report(*part)).collect()
+        let is_told = |it: &Suspect| it.is_quarantined(now) || it.has_news(now);
+        let told = self.suspects.iter().filter(|(_, it)| is_told(it));
+        let mut told: Vec<(&NameHash, &Suspect)> = told.collect();
+        if told.len() > MAX_REPORTS {
+            told.sort_by_cached_key(|(_, it)| Reverse(it.weight(now)));
+            told.truncate(MAX_REPORTS);
+        }
+        told.into_iter().map(|(part, it)| it.report(*part)).collect()
     }
 
     /// Returns the number of suspected or quarantined parts.
@@ -165,7 +169,7 @@
         others.for_each(|it| it.drop_crashes(&explained));
     }
 
-    /// Removes the suspects without a recent crash if there are too many.
+    /// Removes the suspects with the fewest and oldest crashes if there are too many.
     fn limit(&mut self, now: Instant) {
         if self.suspects.len() <= MAX_SUSPECTS {
             return;
--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -201,7 +201,7 @@
         !self.is_quarantined(now) && (is_cleared || age >= CRASH_EXPIRY)
     }
 
-    /// Returns what decides whether it is kept if there are too many.
+    /// Returns what decides whether it is kept, or told, if there are too many.
     pub(super) fn weight(&self, now: Instant) -> (bool, usize, Instant) {
         (self.is_quarantined(now), self.crash_count(), self.last_crash)
     }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod notice;
 mod orders;
 mod outcome;
+mod quarantine;
 mod quota;
 mod record;
 mod retry_after;
