Quarantine: count only answers that broke off after they had begun

Also, a whole buffered answer counts as a run that went well, as a stream does. New tests of what waits or is prepared when a part is quarantined, of an answer that ends with its connection, and of one that breaks late; these passed at once.

--- a/crates/gateway/src/state/quarantine.rs
+++ b/crates/gateway/src/state/quarantine.rs
@@ -28,25 +28,30 @@
     ///
     /// An answer that ends with its connection is complete in the eyes of the caller, but does not
     /// show that the engine went on.
-    pub(super) fn record_run_success(&mut self, now: Instant, job: &Job, framed: bool) {
+    pub(super) fn record_run_success(&mut self, now: Instant, id: request::Id, framed: bool) {
+        let Some(job) = self.jobs.get(&id) else { return };
         let parts = job.hashed_parts();
         if !parts.is_empty() && (framed || job.has_answered_for(now, MIN_ANSWER_TIME)) {
             self.fleet.quarantine.record_success(now, &parts);
         }
     }
 
-    /// Records that an endpoint has broken off a run that it may have begun.
+    /// Records that an endpoint has broken off a run.
+    ///
+    /// A connection that breaks before the answer has begun shows nothing of the prompt.
     pub(super) fn record_run_break(&mut self, now: Instant, id: request::Id, endpoint: &Endpoint) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         let parts = job.hashed_parts();
-        if parts.is_empty() {
-            return;
-        }
-        if job.has_answered_for(now, MIN_ANSWER_TIME) {
-            return self.fleet.quarantine.record_success(now, &parts);
+        let has_answered = job.has_answered_for(now, MIN_ANSWER_TIME);
+        match job.answering_since.take() {
+            None => {}
+            Some(_) if parts.is_empty() => {}
+            Some(_) if has_answered => self.fleet.quarantine.record_success(now, &parts),
+            Some(_) => {
+                self.fleet.quarantine.record_crash(now, &parts, engine_hash(endpoint));
+                self.announce();
+            }
         }
-        self.fleet.quarantine.record_crash(now, &parts, engine_hash(endpoint));
-        self.announce();
     }
 
     /// Refuses a request if a part of its prompt is quarantined.
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -204,8 +204,8 @@
         (events, pause): (u64, Duration),
         framed: bool,
     ) {
+        self.record_run_success(now, id, framed);
         let Some(mut job) = self.jobs.swap_remove(&id) else { return };
-        self.record_run_success(now, &job, framed);
         if let (Some(slot), Some(engine)) = (&job.slot, &job.service.engine) {
             let forecast = self.fleet.forecasts.entry(job.service.name.clone()).or_default();
             forecast.record_stay(now.since(slot.reserved_at));
@@ -230,6 +230,7 @@
     }
 
     fn handle_answer(&mut self, now: Instant, id: request::Id, call: call::Id, status: u16) {
+        self.record_run_success(now, id, true);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.may_have_run = true;
         job.prompt = None;
--- a/crates/gateway/tests/testsuite/crashes.rs
+++ b/crates/gateway/tests/testsuite/crashes.rs
@@ -1,7 +1,14 @@
 //! Parts of prompts that crash the engines.
 
+use std::time::Duration;
+
 use rstest::rstest;
-use siskinstile_gateway::{Name, call::Outcome, effect::Call, request::Id};
+use siskinstile_gateway::{
+    Effect, Name,
+    call::{Outcome, Step},
+    effect::Call,
+    request::Id,
+};
 
 use crate::{
     simulation::Fleet,
@@ -66,8 +73,88 @@
     }
 }
 
+/// Requests with a quarantined part that wait or are being prepared are refused as not run, and
+/// what has been prepared for them is released; one that failed is not sent again.
+#[test]
+fn part_quarantined_while_preparing() {
+    let mut site = Site::with_engines(24);
+    let parts = &["kind", "bad"];
+    let prefilling = site.send_prompt("/review/", parts);
+    let hold = site.call();
+    site.report(hold.id, Outcome::Held { hold: "h1".into() });
+    let prefill = site.call();
+    for _ in 0..3 {
+        complete(&mut site, "/review/", &["kind", "topic"]);
+        site.send_prompt("/review-again/", parts);
+        crash(&mut site);
+        complete(&mut site, "/review/", &["kind", "topic"]);
+        site.advance(120);
+    }
+    site.advance(500);
+    assert_eq!(site.failure(prefilling).map(|it| it.0), Some(503));
+    assert!(site.effects.contains(&Effect::Cancel(prefill.id)));
+    site.calls();
+    site.advance(3_000);
+    let steps: Vec<Step> = site.calls().into_iter().map(|it| it.step).collect();
+    assert!(!steps.iter().any(|it| matches!(it, Step::Run { .. } | Step::Prefill)), "{steps:?}");
+}
+
+/// Guards against a crash that looks like an answer: a stream that ends with its connection soon
+/// after it has begun does not clear its parts.
+#[test]
+fn unframed_end_clears_nothing() {
+    let mut site = Site::with_engines(24);
+    for _ in 0..KNOWN_CRASHES {
+        complete(&mut site, "/review/", &["kind", "topic"]);
+        let id = site.send_prompt("/review/", &["kind", "bad"]);
+        if site.failure(id).is_some() {
+            return;
+        }
+        crash(&mut site);
+        site.send_prompt("/review/", &["kind", "bad"]);
+        let run = begin(&mut site);
+        site.report(run.id, Outcome::Completed { events: 1, pause: Duration::ZERO, framed: false });
+        site.advance(1_000);
+    }
+    panic!("the part is not quarantined");
+}
+
+/// Guards against wrong suspicion: an answer that went on for a second before it broke was not
+/// broken off by its prompt.
+#[test]
+fn late_break_clears() {
+    let mut site = Site::with_engines(24);
+    for _ in 0..8 {
+        complete(&mut site, "/review/", &["kind", "topic"]);
+        let id = site.send_prompt("/review/", &["kind", "long"]);
+        assert_eq!(site.failure(id), None);
+        let run = begin(&mut site);
+        site.report(run.id, Outcome::FirstEvent);
+        site.advance(1_100);
+        site.report(run.id, failed(true));
+        site.calls();
+        site.advance(400);
+    }
+}
+
+/// Guards against wrong suspicion: connections that break before an answer has begun, as those of
+/// endpoints that reset them, do not tell against the prompt, which is sent again meanwhile.
+#[test]
+fn break_before_answer() {
+    let mut site = Site::with_engines(24);
+    for _ in 0..8 {
+        complete(&mut site, "/review/", &["kind", "topic"]);
+        let id = site.send_prompt("/review/", &["kind", "rare"]);
+        assert_eq!(site.failure(id), None);
+        let run = site.run_generation();
+        site.report(run.id, failed(true));
+        site.calls();
+        site.advance(400);
+    }
+}
+
 fn completed() -> Outcome {
-    Outcome::Completed { events: 12, pause: std::time::Duration::ZERO, framed: true }
+    Outcome::Completed { events: 12, pause: Duration::ZERO, framed: true }
 }
 
 fn complete(site: &mut Site, prefix: &str, parts: &[&str]) {
