Quarantine: learn it after a start although its crashes are from before

An instance that starts after the crashes computes their times, and that of an earlier success, as the start of its clock; it took the crashes for cleared and sent the part to engines. Crashes in a report are later than the success of the same report by construction, so that they are taken as such. heard_after_start failed before and passes.

--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -75,8 +75,13 @@
 
 impl Suspect {
     pub(super) fn record_crash(&mut self, now: Instant, crash: Crash) {
-        let is_cleared = self.cleared_at.is_some_and(|it| it >= crash.at);
-        if is_cleared || self.crashes.contains_key(&crash.engine) {
+        if self.cleared_at.is_none_or(|it| it < crash.at) {
+            self.insert_crash(now, crash);
+        }
+    }
+
+    fn insert_crash(&mut self, now: Instant, crash: Crash) {
+        if self.crashes.contains_key(&crash.engine) {
             return;
         }
         if self.crashes.len() >= MAX_CRASHES {
@@ -108,13 +113,17 @@
     }
 
     pub(super) fn record_report(&mut self, now: Instant, report: &Report) {
-        for crash in &report.crashes {
-            self.record_crash(now, *crash);
-        }
-        if let Some(at) = report.cleared_at.filter(|it| self.cleared_at.is_none_or(|own| own < *it))
-        {
+        if let Some(at) = report.cleared_at.filter(|it| self.cleared_at < Some(*it)) {
             self.record_success(now, at);
         }
+        for crash in &report.crashes {
+            // The crashes are later than the success of the same report, also where both are from
+            // before the start of this instance's clock.
+            match self.cleared_at > report.cleared_at {
+                true => self.record_crash(now, *crash),
+                false => self.insert_crash(now, *crash),
+            }
+        }
         // One that was cleared here meanwhile is not quarantined again.
         let until = report.quarantined_until.filter(|_| !self.crashes.is_empty());
         if let Some(until) = until
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -127,6 +127,29 @@
     assert!(!bench.is_quarantined("kind") && !peer.is_quarantined("kind"));
 }
 
+/// Guards against an instance that never learns of a quarantine since it has started after the
+/// crashes: their times, and that of an earlier success, are before the start of its clock.
+#[test]
+fn heard_after_start() {
+    let mut bench = Bench::new();
+    bench.crash(&[&["bad"]]);
+    bench.succeed(&["bad"]);
+    for _ in 0..3 {
+        bench.advance(400);
+        bench.crash(&[&["bad"]]);
+        bench.succeed(&["other"]);
+    }
+    bench.advance(400);
+    let mut late = Bench::new();
+    let to_start = |mut it: Report| {
+        it.crashes.iter_mut().for_each(|crash| crash.at = Instant::default());
+        it.cleared_at = it.cleared_at.map(|_| Instant::default());
+        it
+    };
+    late.hear(bench.quarantine.reports(bench.now).into_iter().map(to_start).collect());
+    assert!(bench.is_quarantined("bad") && late.is_quarantined("bad"));
+}
+
 /// A quarantine ends, a single further crash renews it, and in the end nothing is left of it.
 #[test]
 fn forgotten() {
