Quarantine: conclude, for a shorter time, also if nothing else has run

With no other run that went well a part was never quarantined, so that requests with it alone, as at night, would go on crashing engines. After five crashes in turn it is quarantined for 30 s then. Found by a test of instances that start after all others were killed. crashes_without_other_runs failed before and passes.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -64,7 +64,7 @@
         for (part, suspect) in &mut self.suspects {
             match parts.contains(part) {
                 true => suspect.record_success(now, now),
-                false => suspect.record_contrast(now),
+                false => suspect.record_other_success(now),
             }
         }
     }
@@ -81,7 +81,7 @@
             if let Some(cleared_at) = report.cleared_at {
                 self.last_success = self.last_success.max(cleared_at);
                 let others = self.suspects.iter_mut().filter(|(part, _)| **part != report.part);
-                others.for_each(|(_, it)| it.record_contrast(cleared_at));
+                others.for_each(|(_, it)| it.record_other_success(cleared_at));
             }
             self.suspect(report.part, report.depth).record_report(now, &report);
             if !was_quarantined && self.is_quarantined(now, report.part) {
@@ -93,12 +93,12 @@
         new
     }
 
-    /// Quarantines the parts whose guilt has been confirmed, and forgets what is over; returns the
+    /// Quarantines the parts whose suspicion has been confirmed, and forgets what is over; returns the
     /// newly quarantined parts.
     pub fn update(&mut self, now: Instant) -> Vec<NameHash> {
         let mut new = Vec::new();
-        while let Some(part) = self.next_confirmed(now) {
-            self.suspects[&part].quarantine(now);
+        while let Some((part, time)) = self.next_confirmed(now) {
+            self.suspects[&part].quarantine(now, time);
             self.drop_explained(now);
             new.push(part);
         }
@@ -147,12 +147,15 @@
         self.suspects.get(&part).is_some_and(|it| it.is_quarantined(now))
     }
 
-    /// Returns the part with the most crashes of those whose guilt has been confirmed; of several,
-    /// the one that is furthest behind in prompts.
-    fn next_confirmed(&self, now: Instant) -> Option<NameHash> {
-        let confirmed =
-            self.suspects.iter().filter(|(_, it)| it.is_confirmed(now, self.last_success));
-        confirmed.max_by_key(|(_, it)| (it.crash_count(), it.depth)).map(|(part, _)| *part)
+    /// Returns the part with the most crashes of those whose suspicion has been confirmed, with the time
+    /// for which it has to be quarantined; of several, the one that is furthest behind in prompts.
+    fn next_confirmed(&self, now: Instant) -> Option<(NameHash, Duration)> {
+        let confirmed_time = |(part, it): (&NameHash, &Suspect)| {
+            let time = it.quarantine_time(now, self.last_success)?;
+            Some(((it.crash_count(), it.depth), (*part, time)))
+        };
+        let confirmed = self.suspects.iter().filter_map(confirmed_time);
+        confirmed.max_by_key(|(rank, _)| *rank).map(|(_, confirmed)| confirmed)
     }
 
     /// Returns whether a quarantined part has crashed the engine.
--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -9,17 +9,20 @@
 
 /// Number of crashes, one after the other, for which a part is quarantined.
 const MIN_CRASHES: usize = 3;
-/// Number of crashes, also at the same time, for which a part is quarantined.
+/// Number of crashes for which a part is quarantined although they were at the same time, or nothing
+/// else has run.
 const MIN_ENGINES: usize = 5;
 /// Time after the last of [`MIN_CRASHES`] in which other instances may still report that a run with
 /// the part went well.
 const CONFIRMATION_TIME: Duration = Duration::from_millis(300);
 /// Time for which runs with other parts, and none with this one, have to go well after
 /// [`MIN_ENGINES`] crashes, so that the loss of many engines at once is not taken for the part's.
-const CONTRAST_TIME: Duration = Duration::from_millis(700);
+const OTHER_SUCCESS_TIME: Duration = Duration::from_millis(700);
 /// Time after the last crash for which a part is quarantined. A single crash within
 /// [`CRASH_EXPIRY`] then renews it.
 const QUARANTINE_TIME: Duration = Duration::from_secs(300);
+/// The same if no run at all has gone well meanwhile, so that the part is not known to be the cause.
+const SHORT_QUARANTINE_TIME: Duration = Duration::from_secs(30);
 /// Time for which a crash counts.
 const CRASH_EXPIRY: Duration = Duration::from_secs(600);
 /// Time without a crash after which a part that has been cleared is forgotten.
@@ -66,7 +69,7 @@
     crashes: IndexMap<NameHash, Instant>,
     last_crash: Instant,
     /// When a run with other parts first went well after the last crash.
-    contrast_since: Option<Instant>,
+    other_success_since: Option<Instant>,
     cleared_at: Option<Instant>,
     pub(super) quarantined_until: Option<Instant>,
     /// Until when peers are told.
@@ -89,7 +92,7 @@
         }
         self.crashes.insert(crash.engine, crash.at);
         self.last_crash = self.last_crash.max(crash.at);
-        self.contrast_since = None;
+        self.other_success_since = None;
         self.told_until = now + REPEAT_TIME;
     }
 
@@ -106,9 +109,9 @@
     }
 
     /// Records that a run with other parts went well.
-    pub(super) fn record_contrast(&mut self, at: Instant) {
+    pub(super) fn record_other_success(&mut self, at: Instant) {
         if at > self.last_crash {
-            self.contrast_since.get_or_insert(at);
+            self.other_success_since.get_or_insert(at);
         }
     }
 
@@ -147,9 +150,9 @@
         }
     }
 
-    /// Quarantines the part for a while after its last crash.
-    pub(super) fn quarantine(&mut self, now: Instant) {
-        self.quarantined_until = Some(self.last_crash + QUARANTINE_TIME);
+    /// Quarantines the part for a time after its last crash.
+    pub(super) fn quarantine(&mut self, now: Instant, time: Duration) {
+        self.quarantined_until = Some(self.last_crash + time);
         self.told_until = now + REPEAT_TIME;
     }
 
@@ -157,19 +160,25 @@
         self.quarantined_until.is_some_and(|it| it > now)
     }
 
-    /// Returns whether enough engines have crashed and there has been time for other instances to
-    /// clear the part, while runs without it went well; `last_success` is the time of the last one.
-    pub(super) fn is_confirmed(&self, now: Instant, last_success: Instant) -> bool {
-        let age = now.since(self.last_crash);
-        if self.is_quarantined(now) || age >= QUARANTINE_TIME {
-            return false;
+    /// Returns for how long after the last crash the part has to be quarantined, once enough engines
+    /// have crashed and other instances had time to clear it; `last_success` is the time of the last
+    /// run that went well, whatever its parts.
+    pub(super) fn quarantine_time(&self, now: Instant, last_success: Instant) -> Option<Duration> {
+        if self.is_quarantined(now) {
+            return None;
         }
+        let age = now.since(self.last_crash);
         let first_crash = self.crashes.values().min().copied().unwrap_or(now);
-        let in_turn = self.crash_count() >= MIN_CRASHES
-            && age >= CONFIRMATION_TIME
-            && last_success > first_crash;
-        let has_contrast = self.contrast_since.is_some_and(|it| now.since(it) >= CONTRAST_TIME);
-        in_turn || self.crashes.len() >= MIN_ENGINES && has_contrast
+        let in_turn = if age >= CONFIRMATION_TIME { self.crash_count() } else { 0 };
+        let has_other_success =
+            self.other_success_since.is_some_and(|it| now.since(it) >= OTHER_SUCCESS_TIME);
+        let time = match in_turn {
+            MIN_CRASHES.. if last_success > first_crash => QUARANTINE_TIME,
+            _ if self.crashes.len() >= MIN_ENGINES && has_other_success => QUARANTINE_TIME,
+            MIN_ENGINES.. => SHORT_QUARANTINE_TIME,
+            _ => return None,
+        };
+        (age < time).then_some(time)
     }
 
     /// Returns the number of crashes; those at the same time count once.
--- a/crates/gateway/src/state/quarantine.rs
+++ b/crates/gateway/src/state/quarantine.rs
@@ -85,7 +85,7 @@
         self.fleet.quarantine.reports(now).iter().map(|it| sent(now, it)).collect()
     }
 
-    /// Quarantines the parts whose guilt has been confirmed, and refuses the requests with a
+    /// Quarantines the parts whose suspicion has been confirmed, and refuses the requests with a
     /// quarantined part that have not been sent yet.
     pub(super) fn update_quarantine(&mut self, now: Instant) {
         for part in self.fleet.quarantine.update(now) {
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -107,6 +107,21 @@
     assert!(bench.is_quarantined("bad") && !bench.is_quarantined("kind"));
 }
 
+/// Engines that crash while nothing else runs tell less: the part is quarantined after more crashes
+/// and for a shorter time.
+#[test]
+fn crashes_without_other_runs() {
+    let mut bench = Bench::new();
+    for _ in 0..5 {
+        assert!(!bench.is_quarantined("bad"));
+        bench.crash(&[&["bad"]]);
+        bench.advance(400);
+    }
+    assert!(bench.is_quarantined("bad"));
+    bench.advance(31_000);
+    assert!(!bench.is_quarantined("bad"));
+}
+
 /// Guards against a wrong conclusion that lasts: a run that was under way and ends well frees its
 /// part, here and at instances that have heard of the quarantine.
 #[test]
