Quarantine: keep it on the store, for instances that start when no other is left

Callers would see engines crash again after all instances were killed at the same time, since only instances knew the quarantined parts. The instance that concludes now writes an entry of a kind of its own (hash of the part, engines, end in Unix time), each instance lists them once at its start, with stale data allowed, and removes those that have ended; the writer removes its entries at their end or when a run frees the part, and writes them again after a restore of the store.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -6,7 +6,9 @@
 use siskinstile_macros::value;
 use siskinstile_wire::message::heartbeat::{self, Heartbeat};
 
-use crate::{Name, call, catalog::Retry, directory::Endpoint, record::Record, request};
+use crate::{
+    Name, call, catalog::Retry, directory::Endpoint, quarantine::Change, record::Record, request,
+};
 
 /// An action to be carried out by an adapter.
 #[value]
@@ -38,6 +40,8 @@
         /// The peers.
         recipients: Recipients,
     },
+    /// Keeps a change of the quarantine on the platform's store.
+    Quarantine(Change),
     /// Writes a log line.
     Log(Record),
     /// The drain has finished without open requests; the process may exit.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -5,7 +5,7 @@
 use siskinstile_macros::value;
 use siskinstile_wire::message::heartbeat::Heartbeat;
 
-use crate::{Catalog, Directory, Instant, Name, call, request};
+use crate::{Catalog, Directory, Instant, Name, call, quarantine::Report, request};
 
 /// An input of [`crate::State::step`].
 #[value]
@@ -26,6 +26,8 @@
     Report(call::Report),
     /// A heartbeat of another instance has arrived.
     Heartbeat(Heartbeat),
+    /// The quarantined prompt parts that the platform's store listed at the start.
+    Quarantined(Vec<Report>),
     /// This instance has acquired or renewed the order lease, or lost it.
     Lease(Option<Lease>),
     /// A graceful stop of the instance has been requested.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -31,6 +31,15 @@
 /// Maximum number of suspects in a heartbeat.
 const MAX_REPORTS: usize = 32;
 
+/// A change that has to outlast this instance.
+#[value(eq)]
+pub enum Change {
+    /// A part has been quarantined.
+    Begun(Report),
+    /// A part is no longer quarantined, before its time.
+    Ended(NameHash),
+}
+
 /// The suspected and the quarantined parts, by hash.
 #[value(default)]
 pub struct Quarantine {
@@ -58,15 +67,22 @@
         self.limit(now);
     }
 
-    /// Records that a run of a prompt with these shared parts went well.
-    pub fn record_success(&mut self, now: Instant, parts: &[NameHash]) {
+    /// Records that a run of a prompt with these shared parts went well; returns the parts that were
+    /// quarantined and are no longer.
+    pub fn record_success(&mut self, now: Instant, parts: &[NameHash]) -> Vec<NameHash> {
         self.last_success = now;
+        let mut freed = Vec::new();
         for (part, suspect) in &mut self.suspects {
+            let was_quarantined = suspect.is_quarantined(now);
             match parts.contains(part) {
                 true => suspect.record_success(now, now),
                 false => suspect.record_other_success(now),
             }
+            if was_quarantined && !suspect.is_quarantined(now) {
+                freed.push(*part);
+            }
         }
+        freed
     }
 
     /// Records what a peer has told; returns the parts that are quarantined by it.
@@ -95,12 +111,12 @@
 
     /// Quarantines the parts whose suspicion has been confirmed, and forgets what is over; returns the
     /// newly quarantined parts.
-    pub fn update(&mut self, now: Instant) -> Vec<NameHash> {
+    pub fn update(&mut self, now: Instant) -> Vec<Report> {
         let mut new = Vec::new();
         while let Some((part, time)) = self.next_confirmed(now) {
             self.suspects[&part].quarantine(now, time);
             self.drop_explained(now);
-            new.push(part);
+            new.push(self.suspects[&part].report(part));
         }
         self.suspects.retain(|_, it| !it.is_over(now));
         new
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -66,11 +66,13 @@
 pub const ENDPOINT_BACKOFF: Code = code(742, Level::Info, "endpoint backoff");
 /// A part of prompts is quarantined, since engines crashed that answered prompts with it.
 pub const PART_QUARANTINED: Code = code(743, Level::Warn, "prompt part quarantined");
+/// A quarantined part of prompts is free again, since a run with it went well.
+pub const PART_FREED: Code = code(744, Level::Info, "prompt part free again");
 /// An error outside of request processing, or debugging information.
 pub const DIAGNOSTIC: Code = code(750, Level::Warn, "diagnostic");
 
 /// All codes, in the order of the catalogue.
-pub const CODES: [Code; 28] = [
+pub const CODES: [Code; 29] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -98,6 +100,7 @@
     ENDPOINT_LEAVING,
     ENDPOINT_BACKOFF,
     PART_QUARANTINED,
+    PART_FREED,
     DIAGNOSTIC,
 ];
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -186,6 +186,7 @@
             Event::Disconnected(request) => self.caller_disconnected(now, request),
             Event::Report(report) => self.handle_report(now, report),
             Event::Heartbeat(heartbeat) => self.handle_heartbeat(now, heartbeat),
+            Event::Quarantined(reports) => self.record_suspects(now, reports.into_iter(), "store"),
             Event::Lease(lease) => self.handle_lease(lease),
             Event::Drain => self.start_drain(now),
         }
--- a/crates/gateway/src/state/quarantine.rs
+++ b/crates/gateway/src/state/quarantine.rs
@@ -6,10 +6,10 @@
 use siskinstile_wire::message::heartbeat::{Crash as SentCrash, Heartbeat, Suspect as SentSuspect};
 
 use crate::{
-    Instant, Name,
+    Effect, Instant, Name,
     directory::Endpoint,
     name_hash::NameHash,
-    quarantine::{Crash, Report},
+    quarantine::{Change, Crash, Report},
     record::{self, Record},
     request,
 };
@@ -32,7 +32,15 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let parts = job.hashed_parts();
         if !parts.is_empty() && (framed || job.has_answered_for(now, MIN_ANSWER_TIME)) {
-            self.fleet.quarantine.record_success(now, &parts);
+            self.record_success(now, &parts);
+        }
+    }
+
+    fn record_success(&mut self, now: Instant, parts: &[NameHash]) {
+        for part in self.fleet.quarantine.record_success(now, parts) {
+            self.log(Record::new(record::PART_FREED).with("part_hash", part_text(part)));
+            self.announce();
+            self.emit(Effect::Quarantine(Change::Ended(part)));
         }
     }
 
@@ -46,7 +54,7 @@
         match job.answering_since.take() {
             None => {}
             Some(_) if parts.is_empty() => {}
-            Some(_) if has_answered => self.fleet.quarantine.record_success(now, &parts),
+            Some(_) if has_answered => self.record_success(now, &parts),
             Some(_) => {
                 self.fleet.quarantine.record_crash(now, &parts, engine_hash(endpoint));
                 self.announce();
@@ -75,8 +83,18 @@
     /// Handles what a peer suspects.
     pub(super) fn handle_suspects(&mut self, now: Instant, heartbeat: &Heartbeat) {
         let reports = heartbeat.suspects.iter().map(|it| received(now, it));
+        self.record_suspects(now, reports, &heartbeat.name);
+    }
+
+    /// Records suspects that a peer or the platform's store, by its name in the log, tells of.
+    pub(super) fn record_suspects(
+        &mut self,
+        now: Instant,
+        reports: impl Iterator<Item = Report>,
+        source: &str,
+    ) {
         for part in self.fleet.quarantine.record_reports(now, reports) {
-            self.log_quarantine(part, Some(&heartbeat.name));
+            self.log_quarantine(part, Some(source));
         }
     }
 
@@ -88,9 +106,10 @@
     /// Quarantines the parts whose suspicion has been confirmed, and refuses the requests with a
     /// quarantined part that have not been sent yet.
     pub(super) fn update_quarantine(&mut self, now: Instant) {
-        for part in self.fleet.quarantine.update(now) {
-            self.log_quarantine(part, None);
+        for report in self.fleet.quarantine.update(now) {
+            self.log_quarantine(report.part, None);
             self.announce();
+            self.emit(Effect::Quarantine(Change::Begun(report)));
         }
         if self.fleet.quarantine.is_empty() {
             return;
@@ -105,10 +124,10 @@
         }
     }
 
-    fn log_quarantine(&mut self, part: NameHash, peer: Option<&str>) {
+    fn log_quarantine(&mut self, part: NameHash, source: Option<&str>) {
         let line = Record::new(record::PART_QUARANTINED)
-            .with("part_hash", format!("{:016x}", part.0))
-            .with("peer", peer);
+            .with("part_hash", part_text(part))
+            .with("source", source);
         self.log(line);
     }
 }
@@ -128,6 +147,11 @@
     }
 }
 
+/// Returns the hash of a part as log lines and the entries on the store show it.
+fn part_text(part: NameHash) -> String {
+    format!("{:016x}", part.0)
+}
+
 fn quarantined(remaining: Duration) -> Failure {
     Failure::not_run(Kind::Quarantined).with_retry_after(remaining)
 }
--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -6,7 +6,7 @@
     rc::Rc,
 };
 
-use siskinstile_gateway::{Effect, Event, Instant, State, effect::Recipients};
+use siskinstile_gateway::{Effect, Event, Instant, State, effect::Recipients, quarantine::Change};
 use siskinstile_macros::value;
 use siskinstile_wire::message::heartbeat::Heartbeat;
 use tokio::{
@@ -48,19 +48,23 @@
     stepped: Notify,
     /// Heartbeats to send, each with its recipients.
     heartbeats: mpsc::UnboundedSender<(Heartbeat, Recipients)>,
+    /// Changes of the quarantine, for the store.
+    quarantine: mpsc::UnboundedSender<Change>,
     phase: watch::Sender<Phase>,
     /// Number of callers' open connections.
     connections: watch::Sender<usize>,
 }
 
 impl Control {
-    /// Creates the control state; heartbeats to send go to `heartbeats`, each with its recipients.
+    /// Creates the control state; heartbeats to send go to `heartbeats`, each with its recipients,
+    /// and changes of the quarantine to `quarantine`.
     pub fn new(
         protocol: Box<dyn Protocol>,
         state: State,
         clock: Clock,
         logger: Logger,
         heartbeats: mpsc::UnboundedSender<(Heartbeat, Recipients)>,
+        quarantine: mpsc::UnboundedSender<Change>,
     ) -> Rc<Control> {
         Rc::new(Control {
             protocol,
@@ -74,6 +78,7 @@
             is_stepping: Cell::new(false),
             stepped: Notify::new(),
             heartbeats,
+            quarantine,
             phase: watch::Sender::new(Phase::Serving),
             connections: watch::Sender::new(0),
         })
@@ -169,6 +174,10 @@
                 // The receiving task runs as long as the process.
                 let _ = self.heartbeats.send((*heartbeat, recipients));
             }
+            Effect::Quarantine(change) => {
+                // The receiving task runs as long as the process.
+                let _ = self.quarantine.send(change);
+            }
             Effect::Log(record) => self.logger.write(&record),
             Effect::Stopped => {
                 self.phase.send_replace(Phase::Stopped);
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -75,12 +75,14 @@
             grace: settings.grace,
         });
         let (sender, heartbeats) = mpsc::unbounded_channel();
-        let control = Control::new(protocol, state, clock, logger, sender);
+        let (quarantine, quarantine_changes) = mpsc::unbounded_channel();
+        let control = Control::new(protocol, state, clock, logger, sender, quarantine);
         let follower = Follower::new(control.clone(), settings.store, settings.removal_limit);
         let daemon = Daemon { control, follower, addresses: Rc::default(), settings };
         daemon.set_seeds(&daemon.settings);
         daemon.spawn_listeners(heartbeats).await?;
         daemon.spawn_followers(incarnation);
+        spawn_local(daemon.follower.clone().keep_quarantine(quarantine_changes));
         Ok(daemon)
     }
 
--- a/crates/gatewayd/src/store.rs
+++ b/crates/gatewayd/src/store.rs
@@ -17,6 +17,8 @@
     Members,
     /// Leases that instances contend for.
     Leases,
+    /// Quarantined parts of prompts.
+    Quarantine,
 }
 
 impl Kind {
@@ -27,6 +29,7 @@
             Kind::Endpoints => "endpoints",
             Kind::Members => "members",
             Kind::Leases => "leases",
+            Kind::Quarantine => "quarantine",
         }
     }
 }
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -3,6 +3,7 @@
 
 mod follow;
 mod members;
+mod quarantine;
 mod snapshot;
 mod transport;
 mod update;
