Gateway: send no heartbeat after the one with which an instance leaves

Callers could get 429 within their team's rate for up to 19 s after a planned stop: an ordinary heartbeat followed the leaving one (in the same step, and more while connections were still open), so that peers took the instance for alive, then for unreachable, and granted only the part of the rates that the others stood for.

--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -44,9 +44,9 @@
         let times = call_deadlines.chain(job_times).chain(self.queue.next_deadline());
         let placement =
             (!self.queue.is_empty()).then(|| self.times.last_placement + PLACEMENT_INTERVAL);
-        let drain_end = self.drain_end();
-        let times = times.chain(placement).chain(drain_end).chain([self.heartbeat_due()]);
-        times.min().unwrap_or_default()
+        let heartbeat = (!self.stopped).then(|| self.heartbeat_due());
+        let times = times.chain(placement).chain(self.drain_end()).chain(heartbeat);
+        times.min().unwrap_or(Instant(u64::MAX))
     }
 
     /// Returns when a drain ends although requests are open; `None` if there is none or it has ended.
--- a/crates/gateway/src/state/heartbeat.rs
+++ b/crates/gateway/src/state/heartbeat.rs
@@ -53,9 +53,11 @@
         }
     }
 
-    /// Sends the heartbeats and, as a relay, the digests that are due.
+    /// Sends the heartbeats and, as a relay, the digests that are due; none after that with which the
+    /// instance leaves, which would make it a member again.
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
         match self.fleet.members.is_relayed() {
+            _ if self.stopped => {}
             true => {
                 self.send_to_relays(now);
                 self.send_digests(now);
--- a/crates/gateway/tests/testsuite/drain.rs
+++ b/crates/gateway/tests/testsuite/drain.rs
@@ -78,3 +78,24 @@
     assert!(site.calls().is_empty());
     assert_eq!(site.failure(id).map(|it| it.0), Some(503));
 }
+
+/// Guards against an instance that has left and is taken for alive again: no heartbeat follows the
+/// one with which it leaves, whether it stops idle or with a request that fails.
+#[rstest]
+#[case::idle(false)]
+#[case::open_request(true)]
+fn leaving_heartbeat_last(#[case] has_request: bool) {
+    let mut site = Site::configured();
+    site.post(Event::Drain);
+    if has_request {
+        site.send("/review/");
+        site.run_generation();
+    }
+    site.advance(10_000);
+    let leaving = site.effects.iter().filter_map(|it| match it {
+        Effect::Heartbeat { heartbeat, .. } => Some(heartbeat.leaving),
+        _ => None,
+    });
+    let leaving: Vec<bool> = leaving.collect();
+    assert_eq!(leaving.iter().position(|it| *it), Some(leaving.len() - 1));
+}
