Gateway: do not evict a connection whose answer is still being written

Callers with a slow connection saw an answer cut when the instance had no room for more connections. The socket now tells when all has been written, and only then is the connection idle; a request that arrives with the eviction is answered.

--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -1,5 +1,7 @@
 //! The listener for callers and their connections.
 
+mod activity;
+
 use std::{
     cell::Cell,
     convert::Infallible,
@@ -19,10 +21,10 @@
     server::conn::http1,
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use siskinstile_core::error::{Failure, Kind};
 use siskinstile_gateway::{Catalog, Event, catalog::Limits, request as gateway};
-use siskinstile_net::{Slot, Slots};
+use siskinstile_net::Slots;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -35,6 +37,8 @@
     status,
 };
 
+use activity::{Activity, Answering, Socket};
+
 /// Limits that apply before the first configuration is loaded.
 const DEFAULT_LIMITS: Limits = Limits {
     head_bytes: 16 << 10,
@@ -74,7 +78,7 @@
                 continue;
             }
         };
-        let Some(slot) = slots.acquire().map(Rc::new) else {
+        let Some(activity) = slots.acquire().map(Activity::new) else {
             metrics::counter!("siskinstile_connections_refused").increment(1);
             continue;
         };
@@ -82,8 +86,9 @@
         spawn_local(async move {
             let _open = control.open_connection();
             tokio::select! {
-                () = serve_connection(control, stream, last_id, slot.clone()) => {}
-                () = slot.evicted() => {}
+                biased;
+                () = serve_connection(control, stream, last_id, activity.clone()) => {}
+                () = activity.evicted() => {}
             }
         });
     }
@@ -93,20 +98,23 @@
     control: Rc<Control>,
     stream: TcpStream,
     last_id: Rc<Cell<u64>>,
-    slot: Rc<Slot>,
+    activity: Rc<Activity>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("setting TCP_NODELAY failed: {error}");
     }
     let limits = limits(&control);
-    let shared_control = control.clone();
+    let socket = Socket::new(stream, activity.clone());
+    let (shared_control, shared_activity) = (control.clone(), activity.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         last_id.set(last_id.get() + 1);
         let id = gateway::Id(last_id.get());
-        let (control, active) = (shared_control.clone(), Active::new(slot.clone()));
+        let (control, answering) = (shared_control.clone(), shared_activity.begin());
         async move {
             let response = handle(control, id, request).await;
-            Ok::<_, Infallible>(response.map(|body| Guarded { _active: Some(active), ..body }))
+            Ok::<_, Infallible>(
+                response.map(|body| Guarded { _answering: Some(answering), ..body }),
+            )
         }
     });
     let accepted_in = control.phase();
@@ -121,7 +129,7 @@
         .keep_alive(accepted_in == Phase::Serving)
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
-    let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
+    let mut connection = pin!(server.serve_connection(socket, service));
     let result = tokio::select! {
         result = connection.as_mut() => result,
         () = control.reached(closing) => {
@@ -175,7 +183,7 @@
     if control.phase() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response.map(|body| Guarded { body, _guard: Some(guard), _active: None })
+    response.map(|body| Guarded { body, _guard: Some(guard), _answering: None })
 }
 
 fn refusal(control: &Control, request_id: &str, kind: Kind) -> Response<Body> {
@@ -222,29 +230,12 @@
 struct Guarded {
     body: Body,
     _guard: Option<Guard>,
-    _active: Option<Active>,
-}
-
-/// Marks a connection's slot as active while a request is in progress, so that the connection is
-/// not evicted.
-struct Active(Rc<Slot>);
-
-impl Active {
-    fn new(slot: Rc<Slot>) -> Active {
-        slot.mark_active();
-        Active(slot)
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.mark_idle();
-    }
+    _answering: Option<Answering>,
 }
 
 impl From<Body> for Guarded {
     fn from(body: Body) -> Guarded {
-        Guarded { body, _guard: None, _active: None }
+        Guarded { body, _guard: None, _answering: None }
     }
 }
 
