Gateway: read what arrived before the signal to stop

Callers on kept connections saw them closed without an answer although their requests had arrived before the signal: when the instance saw both at once, as after a pause or under load, it closed half of the connections unread, in random order.

--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -131,6 +131,8 @@
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = pin!(server.serve_connection(socket, service));
     let result = tokio::select! {
+        // What has arrived before the phase changed is read first.
+        biased;
         result = connection.as_mut() => result,
         () = control.reached(closing) => {
             connection.as_mut().graceful_shutdown();
