Gateway: serve a request on a connection that was opened just before a drain

Callers that had connected shortly before the signal, and had not sent their request yet, saw the connection closed without an answer.

--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -117,16 +117,10 @@
             )
         }
     });
-    let accepted_in = control.phase();
-    let closing = match accepted_in {
-        Phase::Serving => Phase::Draining,
-        // Load balancers still choose the instance, so each connection has a request served.
-        Phase::Draining | Phase::Stopped => Phase::Stopped,
-    };
     let mut server = http1::Builder::new();
     server
         .timer(TokioTimer::new())
-        .keep_alive(accepted_in == Phase::Serving)
+        .keep_alive(control.phase() == Phase::Serving)
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let mut connection = pin!(server.serve_connection(socket, service));
@@ -134,7 +128,7 @@
         // What has arrived before the phase changed is read first.
         biased;
         result = connection.as_mut() => result,
-        () = control.reached(closing) => {
+        () = may_close(&control, &activity) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -144,6 +138,15 @@
     }
 }
 
+/// Waits until a connection may close as soon as it is idle: during a drain, or at its end if it has
+/// had no request, since load balancers still choose the instance and callers have just connected.
+async fn may_close(control: &Control, activity: &Activity) {
+    control.reached(Phase::Draining).await;
+    if !activity.has_begun() {
+        control.reached(Phase::Stopped).await;
+    }
+}
+
 fn limits(control: &Control) -> Limits {
     control.read(|state| {
         state.catalog().map_or(DEFAULT_LIMITS, |it: &std::sync::Arc<Catalog>| it.limits.clone())
--- a/crates/gatewayd/src/frontend/activity.rs
+++ b/crates/gatewayd/src/frontend/activity.rs
@@ -31,11 +31,12 @@
 pub(super) struct Activity {
     slot: Slot,
     progress: Cell<Progress>,
+    has_begun: Cell<bool>,
 }
 
 impl Activity {
     pub(super) fn new(slot: Slot) -> Rc<Activity> {
-        Rc::new(Activity { slot, progress: Cell::new(Progress::Idle) })
+        Rc::new(Activity { slot, progress: Cell::new(Progress::Idle), has_begun: Cell::default() })
     }
 
     /// Marks the connection as answering until the result is dropped, and then until everything has
@@ -43,9 +44,15 @@
     pub(super) fn begin(self: &Rc<Activity>) -> Answering {
         self.slot.mark_active();
         self.progress.set(Progress::Answering);
+        self.has_begun.set(true);
         Answering(self.clone())
     }
 
+    /// Returns whether a request has arrived on the connection.
+    pub(super) fn has_begun(&self) -> bool {
+        self.has_begun.get()
+    }
+
     fn is_idle(&self) -> bool {
         self.progress.get() == Progress::Idle
     }
