Gateway: do not let half a request hold a process that stops

A process that had ended its drain stayed until the time limit for heads if a caller had sent a part of one: slower restarts of fleets, since answers still being written are waited for.

--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -50,6 +50,8 @@
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Time limit for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after the end of a drain in which a caller may send the rest of a request.
+const PARTIAL_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause after an error on accepting a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Share of the process's file descriptors that callers' connections may use, in percent.
@@ -130,7 +132,11 @@
         result = connection.as_mut() => result,
         () = may_close(&control, &activity) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                biased;
+                result = connection.as_mut() => result,
+                () = is_given_up(&control, &activity) => return,
+            }
         }
     };
     if let Err(error) = result {
@@ -147,6 +153,16 @@
     }
 }
 
+/// Waits until a connection has to be closed after a drain, since its caller does not send the rest of
+/// a request.
+async fn is_given_up(control: &Control, activity: &Activity) {
+    control.reached(Phase::Stopped).await;
+    time::sleep(PARTIAL_REQUEST_TIMEOUT).await;
+    if !activity.is_idle() {
+        std::future::pending().await
+    }
+}
+
 fn limits(control: &Control) -> Limits {
     control.read(|state| {
         state.catalog().map_or(DEFAULT_LIMITS, |it: &std::sync::Arc<Catalog>| it.limits.clone())
--- a/crates/gatewayd/src/frontend/activity.rs
+++ b/crates/gatewayd/src/frontend/activity.rs
@@ -53,7 +53,7 @@
         self.has_begun.get()
     }
 
-    fn is_idle(&self) -> bool {
+    pub(super) fn is_idle(&self) -> bool {
         self.progress.get() == Progress::Idle
     }
 
