Gateway: limit the wait for the end of a drain; count connections from their acceptance

By reading, from the review: a reducer that panics would have left the process to its kill; a connection that was accepted and not polled yet was not waited for. No test: neither can be brought about from outside.

--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -157,7 +157,9 @@
     pub async fn drain(&self) {
         let end = time::Instant::now() + self.settings.grace.saturating_sub(EXIT_MARGIN);
         self.control.drain();
-        self.control.reached(Phase::Stopped).await;
+        if time::timeout_at(end, self.control.reached(Phase::Stopped)).await.is_err() {
+            log::warn!("the drain has not ended within the grace period");
+        }
         let leave = self.follower.leave(self.settings.name.clone());
         let (left, closed) = tokio::join!(
             time::timeout(LEAVE_TIMEOUT, leave),
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -84,9 +84,10 @@
             metrics::counter!("siskinstile_connections_refused").increment(1);
             continue;
         };
+        let open = control.open_connection();
         let (control, last_id) = (control.clone(), last_id.clone());
         spawn_local(async move {
-            let _open = control.open_connection();
+            let _open = open;
             tokio::select! {
                 biased;
                 () = serve_connection(control, stream, last_id, activity.clone()) => {}
