Gateway: list no members after leaving

By reading, from the review: an instance that was not registered, or saw a restored store, while it left could register again, and peers would take it for a member that does not answer.

--- a/crates/gatewayd/src/sync/members.rs
+++ b/crates/gatewayd/src/sync/members.rs
@@ -11,6 +11,7 @@
 
 use super::{Follower, MAX_BACKOFF};
 use crate::{
+    control::Phase,
     peers,
     store::{Answer, Call, Kind, Object},
 };
@@ -33,7 +34,8 @@
 }
 
 impl Follower {
-    /// Registers this instance in the list of members, then lists the members periodically.
+    /// Registers this instance in the list of members, then lists the members periodically, until a
+    /// graceful shutdown removes it.
     pub async fn join(
         self: Rc<Follower>,
         name: Name,
@@ -48,6 +50,9 @@
         let mut accept_stale = !first_start;
         let mut era = self.era();
         loop {
+            if self.control.phase() == Phase::Stopped {
+                return;
+            }
             let result = self.list_all(Kind::Members, accept_stale).await;
             accept_stale = true;
             if let Ok((members, _)) = &result {
