--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -22,10 +22,10 @@
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// Retry-after time for requests that a draining instance refuses; others accept them at once.
 pub(super) const DRAINING_RETRY: Duration = Duration::from_millis(50);
-/// Time that a new stream is expected to need; it must end before the process does.
+/// Shortest remaining grace period in which new streams are accepted.
 const STREAM_ALLOWANCE: Duration = Duration::from_millis(4_800);
 /// Time after the start of a drain during which new streams are accepted: until load balancers have
-/// noticed it. How long a stream runs is not known in advance, so it may outlast the grace period.
+/// noticed it. How long a stream runs is not known in advance, so some outlast the grace period.
 const STREAM_DRAIN: Duration = Duration::from_millis(2_500);
 /// Part of a service's capacity in use up to which requests beyond the quotas are admitted.
 const MAX_SPARE_USE: f64 = 0.5;
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -17,7 +17,7 @@
 /// Time between checks for peers without heartbeats.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time before the end of the grace period at which requests that are still open are failed, so that
-/// their callers receive the error before the process ends.
+/// their callers receive an error, or the end of a stream that has begun, before the process ends.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
 impl State {
--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -21,9 +21,9 @@
 pub enum Phase {
     /// None has started.
     Serving,
-    /// Open requests complete; connections close once they are idle.
+    /// Open requests complete; connections that have had a request close once they are idle.
     Draining,
-    /// No request is open, and none is accepted.
+    /// No request is open, and new ones are refused.
     Stopped,
 }
 
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Starts a graceful shutdown: callers' connections close once they are idle.
+    /// Starts a graceful shutdown.
     pub fn drain(self: &Rc<Control>) {
         self.post(Event::Drain);
         self.phase.send_modify(|it| *it = Phase::Draining.max(*it));
