Gateway: Completed says whether the response was framed

The end of a response without a length and without chunks is the end of its connection, which proves nothing about the run. The outcome of a relayed stream now says which of the two it was, so that the reducer can tell them apart; nothing uses the field yet.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -117,6 +117,8 @@
         events: u64,
         /// Longest time between two events.
         pause: Duration,
+        /// Whether the response stated its own end, by a length or by chunks.
+        framed: bool,
     },
     /// State that an engine reports.
     Inspected {
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -121,7 +121,7 @@
             (Kind::Prefill, _) => self.prefill_failed(now, id),
             (Kind::Run, Outcome::Head { .. }) => self.start_relay(id, call),
             (Kind::Run, Outcome::FirstEvent) => self.first_event(now, id, call),
-            (Kind::Run, Outcome::Completed { events, pause }) => {
+            (Kind::Run, Outcome::Completed { events, pause, .. }) => {
                 self.run_done(now, id, events, pause)
             }
             (Kind::Run, Outcome::Buffered { status }) => self.handle_answer(now, id, call, status),
--- a/crates/gateway/tests/testsuite/orders.rs
+++ b/crates/gateway/tests/testsuite/orders.rs
@@ -105,7 +105,8 @@
         site.report(run.id, Outcome::Head { status: 200 });
         site.report(run.id, Outcome::FirstEvent);
         site.advance(400);
-        site.report(run.id, Outcome::Completed { events: 10, pause: Duration::ZERO });
+        let completed = Outcome::Completed { events: 10, pause: Duration::ZERO, framed: true };
+        site.report(run.id, completed);
         site.calls();
     }
     site
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -4,7 +4,10 @@
 
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
-use hyper::http::response;
+use hyper::{
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response,
+};
 use siskinstile_gateway::{
     Event, Name, call,
     call::{Outcome, Report, Start, Step},
@@ -231,7 +234,7 @@
         output.last_event.get_or_insert_with(|| last_id.clone());
     }
     let mut splitter = Splitter::after(output.last_event.clone());
-    let Reply { mut body, connection, .. } = reply;
+    let Reply { head, mut body, connection } = reply;
     let mut last_event_at: Option<time::Instant> = None;
     let mut pause = Duration::ZERO;
     let broken = loop {
@@ -266,16 +269,26 @@
         None => {
             output.finish();
             return_connection(control, connection, &response);
-            report(
-                control,
-                call,
-                &response,
-                Outcome::Completed { events: splitter.events(), pause },
-            );
+            let (events, framed) = (splitter.events(), is_framed(&head));
+            report(control, call, &response, Outcome::Completed { events, pause, framed });
         }
     }
 }
 
+/// Returns whether a response states its own end, by a length or by chunks. Any other response ends
+/// with its connection.
+fn is_framed(head: &response::Parts) -> bool {
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter().peekable();
+    match codings.peek() {
+        None => head.headers.contains_key(CONTENT_LENGTH),
+        Some(_) => codings
+            .last()
+            .and_then(|it| it.to_str().ok())
+            .and_then(|it| it.rsplit(',').next())
+            .is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked")),
+    }
+}
+
 fn return_connection(control: &Control, connection: Connection, response: &ResponseHead) {
     control.client.put_idle(connection, response.keep_alive);
 }
