Gateway: a close-delimited stream without an event is not a success

Callers saw a complete, empty stream with status 200 if an engine closed the connection right after a head that stated neither a length nor chunks: the end of the connection counted as the end of the stream. Such a stream is now broken off, or goes on at another engine on a resumable route.

--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -234,7 +234,8 @@
         output.last_event.get_or_insert_with(|| last_id.clone());
     }
     let mut splitter = Splitter::after(output.last_event.clone());
-    let Reply { head, mut body, connection } = reply;
+    let framed = is_framed(&reply.head);
+    let Reply { mut body, connection, .. } = reply;
     let mut last_event_at: Option<time::Instant> = None;
     let mut pause = Duration::ZERO;
     let broken = loop {
@@ -242,6 +243,7 @@
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(_)) => break Some("stream cut"),
             None if splitter.is_partial() => break Some("stream ends in an event"),
+            None if !framed && splitter.events() == 0 => break Some("stream without events"),
             None => break None,
         };
         let events = splitter.push(&chunk);
@@ -269,7 +271,7 @@
         None => {
             output.finish();
             return_connection(control, connection, &response);
-            let (events, framed) = (splitter.events(), is_framed(&head));
+            let events = splitter.events();
             report(control, call, &response, Outcome::Completed { events, pause, framed });
         }
     }
