Gateway: limit the head of a response to 64 KiB

An endpoint that sent header bytes, a status line or empty lines without end was read up to the HTTP library's default of 408 KiB, on each of the connections to it. With some hundred connections that is the memory of a whole machine. A connection's buffer is now 64 KiB at most, which also bounds the chunks of a body that are read at once.

--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -25,6 +25,8 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Safety margin by which an idle connection is retired before the server closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Size limit of the head of a response, and of the buffer that a connection reads into.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections for each address.
 const MAX_IDLE: usize = 32;
 
@@ -171,8 +173,10 @@
             Err(_) => return Err(Fault::Unreachable),
         };
         set_socket_options(&stream);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, driver) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| Fault::Unreachable)?;
+            builder.handshake(TokioIo::new(stream)).await.map_err(|_| Fault::Unreachable)?;
         let task = spawn_local(async move {
             if let Err(error) = driver.await {
                 log::debug!("connection to {address} ended: {error}");
