Gateway: limit an event to 64 KiB, and search its bytes once

An engine that sent an event without end was read up to 1 MiB on each stream, and all bytes of the event so far were searched for its end each time more arrived: bytes that come singly cost time with the square of their number, on a quarter of a core. An event holds the text of a few tokens, so 64 KiB is ample; the search now resumes where the last one ended.

--- a/crates/gatewayd/src/stream.rs
+++ b/crates/gatewayd/src/stream.rs
@@ -7,13 +7,15 @@
 const END: &[u8] = b"\n\n";
 /// Prefix of the line that holds an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
-/// Size limit of one event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Size limit of one event, which holds the text of a few tokens.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Buffers the bytes of an event until it is complete.
 #[derive(Debug, Default)]
 pub struct Splitter {
     partial: BytesMut,
+    /// Number of bytes of `partial` that have been searched for the end of the event.
+    searched: usize,
     last_id: Option<Name>,
     events: u64,
 }
@@ -30,8 +32,8 @@
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
-        while let Some(end) = find(&self.partial, END) {
-            let event = self.partial.split_to(end + END.len());
+        while let Some(end) = self.find_end() {
+            let event = self.partial.split_to(end);
             if self.is_next(&event) {
                 self.events += 1;
                 complete.extend_from_slice(&event);
@@ -40,6 +42,22 @@
         complete.freeze()
     }
 
+    /// Returns the length of the first event that is complete.
+    fn find_end(&mut self) -> Option<usize> {
+        // The separator may have begun with the last bytes of the previous search.
+        let start = self.searched.saturating_sub(END.len() - 1);
+        match find(&self.partial[start..], END) {
+            Some(position) => {
+                self.searched = 0;
+                Some(start + position + END.len())
+            }
+            None => {
+                self.searched = self.partial.len();
+                None
+            }
+        }
+    }
+
     /// Returns the number of events that `push` has returned.
     pub fn events(&self) -> u64 {
         self.events
