Gateway: limit the response to a step to 64 KiB, and read a refusal's body for 100 ms at most

The response to a hold, a prefill or a report was read without any limit until the call timed out: an engine whose body has no end could take the memory of a machine. These responses are small objects, so more than 64 KiB is a failure. If the head states that the step has not run, that holds whatever the body is: such a refusal whose body was cut counted as a failure, and one that came slowly as no response at all.

--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -2,7 +2,6 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 use hyper::{
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
@@ -20,7 +19,7 @@
 };
 
 use crate::{
-    client::{Connection, Fault, Reply},
+    client::{self, BodyFault, Connection, Fault, Reply},
     control::Control,
     protocol::{Original, ResponseHead},
     stream::Splitter,
@@ -28,6 +27,10 @@
 
 /// Size limit of a response that is buffered before it is relayed.
 const MAX_BYTES: usize = 16 << 20;
+/// Size limit of the response to a step other than a run, which is a small object.
+const MAX_STEP_BYTES: usize = 64 << 10;
+/// Time limit for the body of a refusal, which is only read so that the connection can be reused.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The open calls.
 #[derive(Debug, Default)]
@@ -102,6 +105,15 @@
     }
 }
 
+impl From<BodyFault> for Failed {
+    fn from(fault: BodyFault) -> Failed {
+        match fault {
+            BodyFault::Cut => Failed::broken("answer cut"),
+            BodyFault::TooLarge => Failed::broken("answer too large"),
+        }
+    }
+}
+
 async fn run(control: &Rc<Control>, call: &Call) {
     let exchange = call.request.and_then(|it| control.exchanges.original(it));
     if call.request.is_some() && exchange.is_none() {
@@ -150,16 +162,22 @@
 
 /// Processes the response to a step other than a run; the caller does not get it.
 async fn process_step(control: &Rc<Control>, call: &Call, reply: Reply, response: ResponseHead) {
-    let Reply { head, body, connection } = reply;
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => {
-            let failed = Failed::broken("answer cut");
-            return report_failed(control, call, Some(&response), failed, None);
+    let Reply { head, mut body, connection } = reply;
+    let status = head.status.as_u16();
+    let read = client::read_body(&mut body, MAX_STEP_BYTES);
+    let result = match response.not_run {
+        true => time::timeout(REFUSAL_BODY_TIMEOUT, read).await.unwrap_or(Err(BodyFault::Cut)),
+        false => read.await,
+    };
+    let body = match result {
+        Ok(body) => body,
+        Err(_) if response.not_run => {
+            // The head alone states the refusal. The connection is closed.
+            return report(control, call, &response, Outcome::Refused { status });
         }
+        Err(fault) => return report_failed(control, call, Some(&response), fault.into(), None),
     };
     return_connection(control, connection, &response);
-    let status = head.status.as_u16();
     let protocol = &control.protocol;
     let outcome = match call.step {
         _ if response.not_run || !head.status.is_success() => Outcome::Refused { status },
@@ -192,21 +210,10 @@
 
 async fn buffer_response(control: &Rc<Control>, call: &Call, reply: Reply, response: ResponseHead) {
     let Reply { head, mut body, connection } = reply;
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        match frame.map(|it| it.into_data()) {
-            Ok(Ok(data)) if bytes.len() + data.len() <= MAX_BYTES => bytes.extend_from_slice(&data),
-            Ok(Ok(_)) => {
-                let failed = Failed::broken("answer too large");
-                return report_failed(control, call, Some(&response), failed, None);
-            }
-            Ok(Err(_)) => {}
-            Err(_) => {
-                let failed = Failed::broken("answer cut");
-                return report_failed(control, call, Some(&response), failed, None);
-            }
-        }
-    }
+    let bytes = match client::read_body(&mut body, MAX_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(fault) => return report_failed(control, call, Some(&response), fault.into(), None),
+    };
     return_connection(control, connection, &response);
     let relay_allowed = control.calls.await_relay(call.id);
     report(control, call, &response, Outcome::Buffered { status: head.status.as_u16() });
@@ -214,7 +221,7 @@
         && let Some(request) = call.request
     {
         let headers = control.protocol.relayed_headers(&head);
-        control.exchanges.respond(request, (head.status, headers), bytes.freeze());
+        control.exchanges.respond(request, (head.status, headers), bytes);
     }
 }
 
