Gateway: limit a plain response to 4 MiB, and all that are buffered to 16 MiB

A plain response is buffered until it is complete, up to 16 MiB for each and without a limit for all: seven endless bodies were more than the memory of a machine. One response may now have 4 MiB, the default limit of a request's body, and all together 16 MiB, of which a growing buffer may reserve twice as much. Beyond the limit for all, a response of up to 64 KiB is still buffered, so that large bodies do not displace the usual ones.

--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -19,14 +19,15 @@
 };
 
 use crate::{
-    client::{self, BodyFault, Connection, Fault, Reply},
+    body,
+    client::{Connection, Fault, Reply},
     control::Control,
     protocol::{Original, ResponseHead},
     stream::Splitter,
 };
 
 /// Size limit of a response that is buffered before it is relayed.
-const MAX_BYTES: usize = 16 << 20;
+const MAX_PLAIN_BYTES: usize = 4 << 20;
 /// Size limit of the response to a step other than a run, which is a small object.
 const MAX_STEP_BYTES: usize = 64 << 10;
 /// Time limit for the body of a refusal, which is only read so that the connection can be reused.
@@ -38,6 +39,8 @@
     tasks: RefCell<HashMap<call::Id, AbortHandle>>,
     /// Calls that may not relay their response yet, each with the sender that permits it.
     awaiting_relay: RefCell<HashMap<call::Id, oneshot::Sender<()>>>,
+    /// The responses that are buffered.
+    memory: body::Memory,
 }
 
 impl Table {
@@ -105,11 +108,11 @@
     }
 }
 
-impl From<BodyFault> for Failed {
-    fn from(fault: BodyFault) -> Failed {
+impl From<body::Fault> for Failed {
+    fn from(fault: body::Fault) -> Failed {
         match fault {
-            BodyFault::Cut => Failed::broken("answer cut"),
-            BodyFault::TooLarge => Failed::broken("answer too large"),
+            body::Fault::Cut => Failed::broken("answer cut"),
+            body::Fault::TooLarge => Failed::broken("answer too large"),
         }
     }
 }
@@ -162,11 +165,11 @@
 
 /// Processes the response to a step other than a run; the caller does not get it.
 async fn process_step(control: &Rc<Control>, call: &Call, reply: Reply, response: ResponseHead) {
-    let Reply { head, mut body, connection } = reply;
+    let Reply { head, body, connection } = reply;
     let status = head.status.as_u16();
-    let read = client::read_body(&mut body, MAX_STEP_BYTES);
+    let read = control.calls.memory.read(body, MAX_STEP_BYTES);
     let result = match response.not_run {
-        true => time::timeout(REFUSAL_BODY_TIMEOUT, read).await.unwrap_or(Err(BodyFault::Cut)),
+        true => time::timeout(REFUSAL_BODY_TIMEOUT, read).await.unwrap_or(Err(body::Fault::Cut)),
         false => read.await,
     };
     let body = match result {
@@ -209,8 +212,8 @@
 }
 
 async fn buffer_response(control: &Rc<Control>, call: &Call, reply: Reply, response: ResponseHead) {
-    let Reply { head, mut body, connection } = reply;
-    let bytes = match client::read_body(&mut body, MAX_BYTES).await {
+    let Reply { head, body, connection } = reply;
+    let bytes = match control.calls.memory.read(body, MAX_PLAIN_BYTES).await {
         Ok(bytes) => bytes,
         Err(fault) => return report_failed(control, call, Some(&response), fault.into(), None),
     };
@@ -221,7 +224,7 @@
         && let Some(request) = call.request
     {
         let headers = control.protocol.relayed_headers(&head);
-        control.exchanges.respond(request, (head.status, headers), bytes);
+        control.exchanges.respond(request, (head.status, headers), bytes.into_bytes());
     }
 }
 
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -1,7 +1,4 @@
 //! HTTP client for endpoints and the store, with a pool of idle connections for each address.
-//!
-//! Bodies are buffered up to a limit for each, so that a peer whose body has no end does not take
-//! the memory of the process.
 
 use std::{
     cell::RefCell,
@@ -11,8 +8,8 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt as _, Full};
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::{Request, body::Incoming, client::conn::http1, http::response};
 use hyper_util::rt::TokioIo;
 use siskinstile_macros::value;
@@ -44,30 +41,6 @@
     Broken,
 }
 
-/// Why a body could not be read to its end.
-#[value(id)]
-pub enum BodyFault {
-    /// The connection broke before the end, or the framing was malformed.
-    Cut,
-    /// The body exceeds its size limit.
-    TooLarge,
-}
-
-/// Reads a body to its end, up to a size limit.
-///
-/// The bytes are copied, since a small part of a body may keep a whole read buffer.
-pub async fn read_body(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, BodyFault> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let data = frame.map_err(|_| BodyFault::Cut)?.into_data().unwrap_or_default();
-        if bytes.len() + data.len() > max_bytes {
-            return Err(BodyFault::TooLarge);
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes.freeze())
-}
-
 /// An open connection.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/gatewayd/src/lib.rs
+++ b/crates/gatewayd/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`peers`] exchanges messages with the other instances. A [`protocol::Protocol`] defines the
 //! message formats of callers, endpoints and the store.
 
+pub mod body;
 pub mod calls;
 pub mod client;
 pub mod clock;
