Gateway: limit an answer of the store to 8 MiB

An answer of the platform's store was read without any limit until the time limit of the call, which for a watch is its wait and 0.7 s more. An object and a page of a list have 1 MiB at most, so more than 8 MiB is no answer. Only the changes that a watch missed can rightly be more: the objects are then listed again, in pages, as the same watch would never succeed.

--- a/crates/gatewayd/src/sync/transport.rs
+++ b/crates/gatewayd/src/sync/transport.rs
@@ -2,15 +2,19 @@
 
 use std::time::Duration;
 
-use http_body_util::BodyExt as _;
 use siskinstile_gateway::record::{self, Record};
 use tokio::time;
 
 use super::Follower;
-use crate::store::{Answer, Call, Fault};
+use crate::{
+    body::{self, Memory},
+    store::{Answer, Call, Fault},
+};
 
 /// Time limit for an answer, in addition to the wait that a watch requests.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Size limit of an answer. An object has 1 MiB at most, and so does a page of a list.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Maximum number of connections to the store.
 const MAX_CONNECTIONS: usize = 8;
 
@@ -39,7 +43,20 @@
         let client = &self.control.client;
         let reply =
             client.send(self.store, request, MAX_CONNECTIONS).await.map_err(|_| Fault::Lost)?;
-        let body = reply.body.collect().await.map_err(|_| Fault::Lost)?.to_bytes();
+        let body = match Memory::default().read(reply.body, MAX_ANSWER_BYTES).await {
+            Ok(body) => body,
+            // A list has the same changes in pages.
+            Err(body::Fault::TooLarge) if matches!(call, Call::Watch { .. }) => {
+                log::warn!(
+                    "a watch of the store has more than {MAX_ANSWER_BYTES} bytes of changes"
+                );
+                return Ok(Answer::Compacted);
+            }
+            Err(fault) => {
+                log::debug!("answer of the store was not read: {fault:?}");
+                return Err(Fault::Lost);
+            }
+        };
         let keep_alive = protocol.read_response(&reply.head).keep_alive;
         let status = reply.head.status.as_u16();
         client.put_idle(reply.connection, keep_alive);
