--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -2,7 +2,6 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 use hyper::{
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
@@ -20,6 +19,7 @@
 };
 
 use crate::{
+    body,
     client::{Connection, Fault, Reply},
     control::Control,
     protocol::{Original, ResponseHead},
@@ -27,7 +27,11 @@
 };
 
 /// Size limit of a response that is buffered before it is relayed.
-const MAX_BYTES: usize = 16 << 20;
+const MAX_PLAIN_BYTES: usize = 16 << 20;
+/// Size limit of the response to a step other than a run, which is a small object.
+const MAX_STEP_BYTES: usize = 64 << 10;
+/// Time limit for the body of a refusal, which is only read so that the connection can be reused.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The open calls.
 #[derive(Debug, Default)]
@@ -35,6 +39,8 @@
     tasks: RefCell<HashMap<call::Id, AbortHandle>>,
     /// Calls that may not relay their response yet, each with the sender that permits it.
     awaiting_relay: RefCell<HashMap<call::Id, oneshot::Sender<()>>>,
+    /// The responses that are buffered.
+    memory: body::Memory,
 }
 
 impl Table {
@@ -102,6 +108,15 @@
     }
 }
 
+impl From<body::Fault> for Failed {
+    fn from(fault: body::Fault) -> Failed {
+        match fault {
+            body::Fault::Cut => Failed::broken("answer cut"),
+            body::Fault::TooLarge => Failed::broken("answer too large"),
+        }
+    }
+}
+
 async fn run(control: &Rc<Control>, call: &Call) {
     let exchange = call.request.and_then(|it| control.exchanges.original(it));
     if call.request.is_some() && exchange.is_none() {
@@ -151,15 +166,21 @@
 /// Processes the response to a step other than a run; the caller does not get it.
 async fn process_step(control: &Rc<Control>, call: &Call, reply: Reply, response: ResponseHead) {
     let Reply { head, body, connection } = reply;
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => {
-            let failed = Failed::broken("answer cut");
-            return report_failed(control, call, Some(&response), failed, None);
+    let status = head.status.as_u16();
+    let read = control.calls.memory.read(body, MAX_STEP_BYTES);
+    let result = match response.not_run {
+        true => time::timeout(REFUSAL_BODY_TIMEOUT, read).await.unwrap_or(Err(body::Fault::Cut)),
+        false => read.await,
+    };
+    let body = match result {
+        Ok(body) => body,
+        Err(_) if response.not_run => {
+            // The head alone states the refusal. The connection is closed.
+            return report(control, call, &response, Outcome::Refused { status });
         }
+        Err(fault) => return report_failed(control, call, Some(&response), fault.into(), None),
     };
     return_connection(control, connection, &response);
-    let status = head.status.as_u16();
     let protocol = &control.protocol;
     let outcome = match call.step {
         _ if response.not_run || !head.status.is_success() => Outcome::Refused { status },
@@ -191,22 +212,11 @@
 }
 
 async fn buffer_response(control: &Rc<Control>, call: &Call, reply: Reply, response: ResponseHead) {
-    let Reply { head, mut body, connection } = reply;
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        match frame.map(|it| it.into_data()) {
-            Ok(Ok(data)) if bytes.len() + data.len() <= MAX_BYTES => bytes.extend_from_slice(&data),
-            Ok(Ok(_)) => {
-                let failed = Failed::broken("answer too large");
-                return report_failed(control, call, Some(&response), failed, None);
-            }
-            Ok(Err(_)) => {}
-            Err(_) => {
-                let failed = Failed::broken("answer cut");
-                return report_failed(control, call, Some(&response), failed, None);
-            }
-        }
-    }
+    let Reply { head, body, connection } = reply;
+    let bytes = match control.calls.memory.read(body, MAX_PLAIN_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(fault) => return report_failed(control, call, Some(&response), fault.into(), None),
+    };
     return_connection(control, connection, &response);
     let relay_allowed = control.calls.await_relay(call.id);
     report(control, call, &response, Outcome::Buffered { status: head.status.as_u16() });
@@ -214,7 +224,7 @@
         && let Some(request) = call.request
     {
         let headers = control.protocol.relayed_headers(&head);
-        control.exchanges.respond(request, (head.status, headers), bytes.freeze());
+        control.exchanges.respond(request, (head.status, headers), bytes.into_bytes());
     }
 }
 
@@ -234,7 +244,8 @@
         output.last_event.get_or_insert_with(|| last_id.clone());
     }
     let mut splitter = Splitter::after(output.last_event.clone());
-    let Reply { head, mut body, connection } = reply;
+    let framed = is_framed(&reply.head);
+    let Reply { mut body, connection, .. } = reply;
     let mut last_event_at: Option<time::Instant> = None;
     let mut pause = Duration::ZERO;
     let broken = loop {
@@ -242,6 +253,7 @@
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(_)) => break Some("stream cut"),
             None if splitter.is_partial() => break Some("stream ends in an event"),
+            None if !framed && splitter.events() == 0 => break Some("stream without events"),
             None => break None,
         };
         let events = splitter.push(&chunk);
@@ -269,7 +281,7 @@
         None => {
             output.finish();
             return_connection(control, connection, &response);
-            let (events, framed) = (splitter.events(), is_framed(&head));
+            let events = splitter.events();
             report(control, call, &response, Outcome::Completed { events, pause, framed });
         }
     }
