Quarantine: count a reported success as earlier by the time that a message may take

Instances that passed a success on to each other took it for a little later each time, until it was later than a crash after it; the crash was then heard of again, with a later time, and both were told without end. success_keeps_its_time failed before (still told after 4 s) and passes.

--- a/crates/gateway/src/quarantine/suspect.rs
+++ b/crates/gateway/src/quarantine/suspect.rs
@@ -33,6 +33,9 @@
 const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of crashes that are kept of a part.
 const MAX_CRASHES: usize = 16;
+/// Time that a message may take. A reported success counts as earlier by it, so that it does not seem
+/// later, and later than a crash, each time that it is passed on.
+const MAX_TRANSIT: Duration = Duration::from_millis(100);
 /// Time by which a report has to be newer than what is known to be news; longer than messages take,
 /// by which the times that instances compute from ages differ.
 const MIN_NEWS: Duration = Duration::from_secs(1);
@@ -116,7 +119,8 @@
     }
 
     pub(super) fn record_report(&mut self, now: Instant, report: &Report) {
-        if let Some(at) = report.cleared_at.filter(|it| self.cleared_at < Some(*it)) {
+        let cleared_at = report.cleared_at.map(|it| it - MAX_TRANSIT);
+        if let Some(at) = cleared_at.filter(|it| self.cleared_at < Some(*it)) {
             self.record_success(now, at);
         }
         for crash in &report.crashes {
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -208,6 +208,35 @@
     assert!(first.quarantine.is_empty() && second.quarantine.is_empty());
 }
 
+/// Guards against a success that becomes later each time instances tell it to each other, until it
+/// seems later than a crash after it: they would tell both for ever.
+#[test]
+fn success_keeps_its_time() {
+    let (mut first, mut second) = (Bench::new(), Bench::new());
+    first.crash(&[&["bad"]]);
+    first.advance(100);
+    first.succeed(&["bad"]);
+    first.advance(500);
+    first.crash(&[&["bad"]]);
+    for _ in 0..400 {
+        let told = first.quarantine.reports(first.now);
+        second.now = first.now + Duration::from_millis(5);
+        second.hear(shifted(told, 5));
+        second.advance(0);
+        let told = second.quarantine.reports(second.now);
+        first.now = second.now + Duration::from_millis(5);
+        first.hear(shifted(told, 5));
+        first.advance(0);
+    }
+    assert_eq!(first.quarantine.reports(first.now), []);
+    for _ in 0..2 {
+        first.crash(&[&["bad"]]);
+        first.succeed(&["other"]);
+        first.advance(400);
+    }
+    assert!(first.is_quarantined("bad"), "the first crash counts");
+}
+
 /// Returns reports as they arrive after a delay, with times computed from ages as of their sending.
 fn shifted(reports: Vec<Report>, ms: u64) -> Vec<Report> {
     let later = |it: Instant| it + Duration::from_millis(ms);
