Gateway: send no run to an engine long after it has begun to leave

Cause: the slot was reserved before the engine began to leave, and the prompt took 3.5 s at a slow prefill engine; the run went to the reserved slot whatever had been learnt since. Now a run whose slot was reserved more than a second ago goes to a leaving or missing engine no more; the request gets another slot, and its computed prompt is kept for it while the engine that computed it keeps it. leaving_reserved_engine: long_after failed before, soon passed; both pass.

--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -30,6 +30,9 @@
 const STREAM_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Retry-after time for requests that have not run and cannot be sent again.
 const EXHAUSTED_RETRY: Duration = Duration::from_millis(200);
+/// Time after a reservation for which its engine may still get the run although it has begun to
+/// leave; less than leaving endpoints go on serving.
+const MAX_LEAVING_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of failed reservations before a request is refused.
 const MAX_HOLD_ATTEMPTS: u32 = 12;
 
@@ -211,12 +214,28 @@
                 prefill.as_ref().map(|it| self.fleet.loads.total(&it.id).prompt_tokens),
             );
         self.log(line);
-        match prefill {
-            Some(prefill) => self.start_prefill(now, id, prefill),
-            None => self.start_run(now, id, None),
+        match (self.kept_prompt(now, id), prefill) {
+            (Some(handle), _) => self.start_run(now, id, Some(handle)),
+            (None, Some(prefill)) => self.start_prefill(now, id, prefill),
+            (None, None) => self.start_run(now, id, None),
         }
     }
 
+    /// Returns the prompt that was computed before the request got another slot; frees one that its
+    /// engine no longer keeps for certain.
+    fn kept_prompt(&mut self, now: Instant, id: request::Id) -> Option<call::Handle> {
+        self.jobs.get(&id)?.prompt.as_ref()?;
+        let mut job = self.jobs.swap_remove(&id)?;
+        let retention = job.service.engine.as_ref().map(|it| it.handle_retention);
+        let is_kept = job.times.computed.zip(retention).is_some_and(|(at, it)| now < at + it);
+        if !is_kept {
+            self.free_prompt(now, &mut job);
+        }
+        let handle = job.prompt.as_ref().map(|it| it.handle.clone());
+        self.jobs.insert(id, job);
+        handle
+    }
+
     fn start_prefill(&mut self, now: Instant, id: request::Id, endpoint: Arc<Endpoint>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let prompt = job.tokens.map_or(0, |it| it.prompt);
@@ -245,7 +264,10 @@
     ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(slot) = &mut job.slot else { return };
-        if self.fleet.health.backoff(now, &slot.endpoint.id).is_some() {
+        let wants_no_calls = self.fleet.health.backoff(now, &slot.endpoint.id).is_some();
+        let is_ready = self.directory.get(&slot.endpoint.id).is_some_and(|it| it.is_ready());
+        let is_late = now.since(slot.reserved_at) > MAX_LEAVING_TIME;
+        if wants_no_calls || is_late && !is_ready {
             return self.replace_slot(now, id);
         }
         let (endpoint, hold) = (slot.endpoint.clone(), slot.hold.take());
@@ -265,10 +287,10 @@
         );
     }
 
-    /// Queues a request again whose engine has asked for no calls since the slot was reserved.
+    /// Queues a request again whose engine has asked for no calls, or begun to leave, since the slot
+    /// was reserved. A computed prompt is kept for the next one.
     fn replace_slot(&mut self, now: Instant, id: request::Id) {
         let Some(mut job) = self.jobs.swap_remove(&id) else { return };
-        self.free_prompt(now, &mut job);
         self.release_slot(now, &mut job);
         self.jobs.insert(id, job);
         self.enqueue(now, id);
--- a/crates/gateway/tests/testsuite/notice.rs
+++ b/crates/gateway/tests/testsuite/notice.rs
@@ -194,6 +194,59 @@
     assert!(calls.iter().any(|it| matches!(it.step, Step::Hold { .. })), "{calls:?}");
 }
 
+/// Guards against a run that reaches an engine long after it began to leave, since the prompt took
+/// that long: the request gets a slot at another engine, and the prompt is not computed again.
+#[rstest]
+#[case::soon(800, false)]
+#[case::long_after(1_500, true)]
+fn leaving_reserved_engine(#[case] prefill_ms: u64, #[case] moves: bool) {
+    let mut site = Site::configured();
+    learn_slow_prompts(&mut site);
+    site.send("/review/");
+    let hold = site.call();
+    site.report(hold.id, Outcome::Held { hold: "h1".into() });
+    let prefill = site.call();
+    let leaving = |mut it: Endpoint| {
+        if it.id == hold.endpoint.id {
+            it.readiness = Readiness::Draining;
+        }
+        it
+    };
+    let listed = endpoints().into_iter().map(leaving);
+    site.post(Event::EndpointsListed(Arc::new(Directory::new(listed))));
+    site.advance(prefill_ms);
+    site.calls();
+    site.report(prefill.id, Outcome::Computed { handle: "kv1".into(), tokens: 5_000 });
+    let mut calls = site.calls();
+    if moves {
+        let again = calls.iter().find(|it| matches!(it.step, Step::Hold { .. }));
+        let again = again.expect("another reservation").clone();
+        assert_ne!(again.endpoint.id, hold.endpoint.id);
+        site.report(again.id, Outcome::Held { hold: "h2".into() });
+        calls = site.calls();
+    }
+    let [run] = &calls[..] else { panic!("{calls:?}") };
+    let Step::Run { source, .. } = &run.step else { panic!("{run:?}") };
+    assert_eq!(run.endpoint.id != hold.endpoint.id, moves);
+    assert_eq!(source.as_ref().map(|it| &*it.name), Some("kv1"));
+}
+
+/// Lets prompts take so long that a prefill has time.
+fn learn_slow_prompts(site: &mut Site) {
+    for _ in 0..20 {
+        site.send("/review/");
+        let hold = site.call();
+        site.report(hold.id, Outcome::Held { hold: "h".into() });
+        let prefill = site.call();
+        site.advance(450);
+        site.report(prefill.id, Outcome::Computed { handle: "kv".into(), tokens: 5_000 });
+        let run = site.call();
+        site.report(run.id, Outcome::Head { status: 200 });
+        let pause = Duration::ZERO;
+        site.report(run.id, Outcome::Completed { events: 12, pause, framed: true });
+    }
+}
+
 /// If all decode engines want no calls for longer than a request can wait, it is refused at once.
 #[test]
 fn backoff_all_decode_engines() {
