Daemon: close the caller's connection in process_end_to_end

The test keeps its end of the stream's connection open after the answer, although it asked for `connection: close`. All assertions stay as they were.

--- a/crates/siskinstiled/tests/testsuite/process.rs
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -153,6 +153,7 @@
     siskinctl(&["drain", "--admin", &admin]);
     wait_until(|| send(one.admin, request("GET", "/ready", "", "")).status == 503);
     text.push_str(&read_all(&open));
+    drop(open);
     assert!(text.contains("[DONE]"), "{text}");
     let (status, log) = one.exit();
     assert_eq!(status.code(), Some(0));
