Daemon: end the process only when answers have been written to the callers

Callers with a slow connection saw an answer cut when the process ended after a planned stop. Cause: a request counts as answered once its last part is in the channel to the connection; the process ended two ticks after the last one, with up to 64 parts and the HTTP buffer not yet written. Now the listener closes when no request is open, and the process waits until callers' connections have closed, which each does after its current answer, for 30 s at most.

--- a/crates/siskinstiled/src/control.rs
+++ b/crates/siskinstiled/src/control.rs
@@ -19,7 +19,11 @@
     error, request, state,
     store::{Call, Tag},
 };
-use tokio::sync::oneshot;
+use siskinstile_macros::value;
+use tokio::{
+    sync::{oneshot, watch},
+    time,
+};
 
 use crate::{
     endpoint::{self, Job},
@@ -33,6 +37,17 @@
 const MAX_CANCEL_ATTEMPTS: u32 = 3;
 /// Pause after a cancel that was not acknowledged.
 const CANCEL_BACKOFF: Duration = Duration::from_millis(500);
+/// Time limit on writing answers to callers and closing their connections after the last request.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How far a graceful stop has got.
+#[value(id)]
+pub enum Phase {
+    /// None has started, or requests are still open.
+    Serving,
+    /// No request is open, and no connection is accepted.
+    Stopped,
+}
 
 /// State shared by the control thread and the threads that serve requests.
 pub struct Shared {
@@ -46,6 +61,44 @@
     pub ready: AtomicBool,
     /// Reply channels of operators' pending queries, by query identifier.
     pub queries: Mutex<IndexMap<u64, oneshot::Sender<Reply>>>,
+    /// How far a graceful stop has got.
+    pub phase: watch::Sender<Phase>,
+    /// Number of callers' open connections.
+    pub connections: watch::Sender<usize>,
+}
+
+impl Shared {
+    /// Waits until a graceful stop has reached a phase.
+    pub async fn reached(&self, phase: Phase) {
+        let mut current = self.phase.subscribe();
+        // The sender is a field of `self`, so the wait cannot fail.
+        let _ = current.wait_for(|it| *it >= phase).await;
+    }
+
+    /// Counts a caller's connection as open until the result is dropped.
+    pub fn open_connection(self: &Arc<Shared>) -> OpenConnection {
+        self.connections.send_modify(|it| *it += 1);
+        OpenConnection(self.clone())
+    }
+
+    /// Waits until no caller's connection is open, but at most for [`CLOSE_TIMEOUT`].
+    async fn connections_closed(&self) {
+        let mut open = self.connections.subscribe();
+        if time::timeout(CLOSE_TIMEOUT, open.wait_for(|it| *it == 0)).await.is_err() {
+            log::warn!(
+                "callers' connections are still open {CLOSE_TIMEOUT:?} after the last request"
+            );
+        }
+    }
+}
+
+/// Counts a caller's connection as open.
+pub struct OpenConnection(Arc<Shared>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.send_modify(|it| *it -= 1);
+    }
 }
 
 /// Executes the effects of the control state.
@@ -58,15 +111,17 @@
     pub platform: Arc<dyn Platform>,
     /// Connections to other instances; `None` if no peer listener is configured.
     pub peers: Option<Arc<Peers>>,
-    /// Runtime on which the last part of an answer waits if the caller's channel is full.
+    /// Runtime on which the last part of an answer waits if the caller's channel is full, and the stop
+    /// for callers' connections to close.
     pub runtime: tokio::runtime::Handle,
-    /// Receives one message when the instance has stopped.
+    /// Receives one message when the instance has stopped and callers' connections have closed.
     pub stopped: Sender<()>,
 }
 
 /// Passes events and ticks to the control state and executes the resulting effects.
 ///
-/// Returns when the instance has stopped or the sender of `halt` is dropped.
+/// Returns when the sender of `halt` is dropped. Until then, also after the instance has stopped,
+/// requests of callers that are still connected are refused and peers' messages answered.
 pub fn run(
     mut state: State,
     initial: Vec<Effect>,
@@ -76,8 +131,8 @@
 ) {
     let start = Clock::now();
     let ticks = channel::tick(state::TICK);
-    let mut stopped = executor.execute(initial);
-    while !stopped {
+    executor.execute(initial);
+    loop {
         let event = crossbeam::select! {
             recv(events) -> event => event.ok(),
             recv(ticks) -> _ => Some(Event::Tick),
@@ -85,20 +140,14 @@
         };
         let Some(event) = event else { break };
         let now = Instant(start.elapsed().as_micros() as u64);
-        stopped = executor.execute(state.step(now, event));
+        executor.execute(state.step(now, event));
     }
-    let _ = executor.stopped.send(());
 }
 
 impl Executor {
-    /// Executes effects in order and returns whether [`Effect::Stopped`] was among them.
-    fn execute(&self, effects: Vec<Effect>) -> bool {
-        let mut stopped = false;
-        for effect in effects {
-            stopped |= matches!(effect, Effect::Stopped);
-            self.execute_one(effect);
-        }
-        stopped
+    /// Executes effects in order.
+    fn execute(&self, effects: Vec<Effect>) {
+        effects.into_iter().for_each(|it| self.execute_one(it));
     }
 
     fn execute_one(&self, effect: Effect) {
@@ -152,10 +201,20 @@
                 }
             }
             Effect::Ready(ready) => shared.ready.store(ready, Ordering::Release),
-            Effect::Stopped => {}
+            Effect::Stopped => self.close(),
         }
     }
 
+    /// Reports the stop once answers have been written and callers' connections have closed.
+    fn close(&self) {
+        self.shared.phase.send_replace(Phase::Stopped);
+        let (shared, stopped) = (self.shared.clone(), self.stopped.clone());
+        self.runtime.spawn(async move {
+            shared.connections_closed().await;
+            let _ = stopped.send(());
+        });
+    }
+
     fn store(&self, tag: Tag, call: Call) {
         let (events, platform) = (self.shared.events.clone(), self.platform.clone());
         self.workers.run(move || {
--- a/crates/siskinstiled/src/daemon.rs
+++ b/crates/siskinstiled/src/daemon.rs
@@ -13,11 +13,11 @@
 use crossbeam::channel::{self, Receiver, Sender};
 use indexmap::IndexMap;
 use siskinstile_core::{Config, Event, State, state};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
     Settings, admin,
-    control::{self, Executor, Shared},
+    control::{self, Executor, Phase, Shared},
     frontend,
     peer::{self, Peers},
     platform::Http,
@@ -61,6 +61,8 @@
             config: ArcSwap::from_pointee(Config::default()),
             ready: AtomicBool::new(false),
             queries: Mutex::new(IndexMap::new()),
+            phase: watch::Sender::new(Phase::Serving),
+            connections: watch::Sender::new(0),
         });
         let (stopped_sender, stopped) = channel::bounded(1);
         let (halt_sender, halt) = channel::bounded(0);
@@ -117,7 +119,7 @@
         self.peer
     }
 
-    /// Begins a graceful stop, which completes open requests first.
+    /// Begins a graceful stop, which completes open requests and writes their answers first.
     pub fn drain(&self) {
         let _ = self.shared.events.send(Event::Drain);
     }
--- a/crates/siskinstiled/src/frontend.rs
+++ b/crates/siskinstiled/src/frontend.rs
@@ -36,7 +36,7 @@
 
 use self::socket::Socket;
 use crate::{
-    control::Shared,
+    control::{Phase, Shared},
     relay::{Part, Payload},
     settings,
 };
@@ -59,11 +59,24 @@
     text.len().div_ceil(BYTES_PER_TOKEN) as u64
 }
 
+/// Accepts and serves callers' connections; closes the listener at the end of a graceful stop.
+pub async fn serve(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    settings: settings::Frontend,
+    tls: Option<watch::Receiver<TlsAcceptor>>,
+) {
+    tokio::select! {
+        () = accept(listener, shared.clone(), settings, tls) => {}
+        () = shared.reached(Phase::Stopped) => {}
+    }
+}
+
 /// Accepts and serves callers' connections.
 ///
 /// Errors on accepting a connection are logged and followed by a pause. At the connection limit, a
 /// new connection replaces the one that has been idle longest; if none is idle, it is refused.
-pub async fn serve(
+async fn accept(
     listener: TcpListener,
     shared: Arc<Shared>,
     settings: settings::Frontend,
@@ -78,7 +91,9 @@
                 Some(slot) => {
                     let (shared, settings) = (shared.clone(), settings.clone());
                     let tls = tls.as_ref().map(|it| it.borrow().clone());
+                    let open = shared.open_connection();
                     tokio::spawn(async move {
+                        let _open = open;
                         tokio::select! {
                             () = serve_tcp(stream, tls, shared, settings, slot.clone()) => {}
                             () = slot.evicted() => {}
@@ -118,7 +133,12 @@
 ) {
     let _ = stream.set_nodelay(true);
     let Some(tls) = tls else { return serve_http(stream, shared, settings, slot).await };
-    if let Ok(Ok(stream)) = time::timeout(settings.head_timeout(), tls.accept(stream)).await {
+    let handshake = time::timeout(settings.head_timeout(), tls.accept(stream));
+    let result = tokio::select! {
+        result = handshake => result,
+        () = shared.reached(Phase::Stopped) => return,
+    };
+    if let Ok(Ok(stream)) = result {
         serve_http(stream, shared, settings, slot).await;
     }
 }
@@ -134,6 +154,7 @@
     let responding = Arc::new(AtomicBool::new(false));
     let socket = Socket::new(stream, responding.clone(), settings.write_timeout());
     let body_timeout = settings.body_timeout();
+    let control = shared.clone();
     let service = service_fn(move |request| {
         responding.store(true, Ordering::Release);
         slot.mark_active();
@@ -150,7 +171,13 @@
         .header_read_timeout(settings.head_timeout())
         .max_buf_size(MAX_HEAD_BYTES);
     let mut connection = builder.serve_connection(TokioIo::new(socket), service);
-    let _ = (&mut connection).await;
+    tokio::select! {
+        _ = &mut connection => {}
+        () = control.reached(Phase::Stopped) => {
+            Pin::new(&mut connection).graceful_shutdown();
+            let _ = (&mut connection).await;
+        }
+    }
     socket::linger(connection.into_parts().io.into_inner()).await;
 }
 
--- a/crates/siskinstiled/tests/testsuite/process.rs
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -3,20 +3,25 @@
 use std::{
     fs,
     io::{BufRead, BufReader, Read, Write},
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
     thread,
+    time::{Duration, Instant},
 };
 
 use clap::Parser as _;
+use rstest::rstest;
 use siskinstile_fakes::engine;
 
 use crate::fixture::{
-    Builder, Fakes, KEY, MAX_WAIT, bearer, completion, connect, read_all, read_until, register,
-    request, send, settings, wait_until,
+    Builder, Fakes, KEY, MAX_WAIT, bearer, canned, completion, connect, read_all, read_until,
+    register, request, send, settings, wait_until,
 };
 
+/// Maximum time that a stopping process may keep its listener open before a slow caller reads on.
+const MAX_CLOSE_WAIT: Duration = Duration::from_secs(5);
+
 /// A daemon process, which is killed when dropped.
 struct Process {
     child: Child,
@@ -75,15 +80,28 @@
         assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
     }
 
+    /// Waits until the process accepts no caller's connection; returns whether that came within
+    /// [`MAX_CLOSE_WAIT`].
+    fn closes_listener(&self) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < MAX_CLOSE_WAIT {
+            if TcpStream::connect(self.frontend).is_err() {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
     /// Waits for the process to exit; returns its status and its log.
     fn exit(mut self) -> (ExitStatus, String) {
-        let start = std::time::Instant::now();
+        let start = Instant::now();
         loop {
             if let Some(status) = self.child.try_wait().unwrap() {
                 return (status, self.log.take().unwrap().join().unwrap());
             }
             assert!(start.elapsed() < MAX_WAIT, "still running");
-            thread::sleep(std::time::Duration::from_millis(10));
+            thread::sleep(Duration::from_millis(10));
         }
     }
 }
@@ -180,6 +198,29 @@
     assert_eq!(status.code(), Some(3), "{log}");
 }
 
+/// Guards against answers that are cut by the end of the process, which came as soon as the last
+/// request was answered, although a slow caller had not received the answer yet. A connection without
+/// a request does not hold up the exit.
+#[rstest]
+#[case::some_in_http_buffer(4 << 20)]
+#[case::some_in_channel(9 << 19)]
+fn process_slow_caller_gets_whole_answer(#[case] size: usize) {
+    let mut answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n").into_bytes();
+    answer.resize(answer.len() + size, b'Z');
+    let fakes = Builder { raw: Some(canned(answer)), ..Builder::default() }.fakes();
+    let process = Process::spawn("one", &fakes);
+    let _idle = connect(process.frontend);
+    let mut caller = connect(process.frontend);
+    caller.write_all(request("GET", "/raw", &bearer(KEY), "").as_bytes()).unwrap();
+    caller.peek(&mut [0]).unwrap();
+    process.signal();
+    // An answer that does not fit into the buffers keeps its request open, and the listener too.
+    let _ = process.closes_listener();
+    let text = read_all(&caller);
+    assert_eq!(text.matches('Z').count(), size);
+    assert_eq!(process.exit().0.code(), Some(0));
+}
+
 #[test]
 fn process_address_in_use() {
     let fakes = Builder::default().fakes();
@@ -207,7 +248,7 @@
     let process = Process::start(command, "one", &fakes, 1);
     process.wait_ready();
     let connections: Vec<_> = (0..2 * DESCRIPTORS).map(|_| connect(process.frontend)).collect();
-    thread::sleep(std::time::Duration::from_millis(200));
+    thread::sleep(Duration::from_millis(200));
     drop(connections);
     wait_until(|| {
         let mut stream = connect(process.frontend);
