Daemon: close callers' connections gracefully during a drain

Callers that keep connections open, and load balancers that pool them, went on sending on a connection to an instance that was about to exit: no response said that the connection would close, and the request that met the exit got no answer. Cause: the listener for callers did not know of the drain. Now each response during a drain has `connection: close`, after which its connection closes. Connections without a request stay until the instance stops, since their callers may be sending; they then close too.

--- a/crates/siskinstiled/src/control.rs
+++ b/crates/siskinstiled/src/control.rs
@@ -43,8 +43,10 @@
 /// How far a graceful stop has got.
 #[value(id)]
 pub enum Phase {
-    /// None has started, or requests are still open.
+    /// None has started.
     Serving,
+    /// Open requests complete; each connection closes after its next response.
+    Draining,
     /// No request is open, and no connection is accepted.
     Stopped,
 }
@@ -68,6 +70,16 @@
 }
 
 impl Shared {
+    /// Returns how far a graceful stop has got.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Enters a phase of a graceful stop, unless a later one has been reached.
+    fn enter(&self, phase: Phase) {
+        self.phase.send_modify(|it| *it = phase.max(*it));
+    }
+
     /// Waits until a graceful stop has reached a phase.
     pub async fn reached(&self, phase: Phase) {
         let mut current = self.phase.subscribe();
@@ -139,6 +151,9 @@
             recv(halt) -> _ => None,
         };
         let Some(event) = event else { break };
+        if matches!(event, Event::Drain) {
+            executor.shared.enter(Phase::Draining);
+        }
         let now = Instant(start.elapsed().as_micros() as u64);
         executor.execute(state.step(now, event));
     }
@@ -207,7 +222,7 @@
 
     /// Reports the stop once answers have been written and callers' connections have closed.
     fn close(&self) {
-        self.shared.phase.send_replace(Phase::Stopped);
+        self.shared.enter(Phase::Stopped);
         let (shared, stopped) = (self.shared.clone(), self.stopped.clone());
         self.runtime.spawn(async move {
             shared.connections_closed().await;
--- a/crates/siskinstiled/src/frontend.rs
+++ b/crates/siskinstiled/src/frontend.rs
@@ -20,7 +20,12 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
-use hyper::{Request, Response, body::Incoming, header, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{self, HeaderValue},
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use siskinstile_core::{
     Event, error::Failure, error::Kind, key, key::Secret, log as events, request,
@@ -195,7 +200,11 @@
         "/v1/models" => completion::models(id, &request, &shared),
         _ => plain::serve(id, request, &shared, body_timeout).await,
     };
-    result.unwrap_or_else(|failure| response::failure(id, &failure))
+    let mut response = result.unwrap_or_else(|failure| response::failure(id, &failure));
+    if shared.phase() != Phase::Serving {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 /// Returns the size of a request's head in bytes.
--- a/crates/siskinstiled/tests/testsuite/process.rs
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     io::{BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
     thread,
@@ -15,8 +15,8 @@
 use siskinstile_fakes::engine;
 
 use crate::fixture::{
-    Builder, Fakes, KEY, MAX_WAIT, bearer, canned, completion, connect, read_all, read_until,
-    register, request, send, settings, wait_until,
+    Builder, Fakes, KEY, MAX_WAIT, Response, bearer, canned, completion, connect, read_all,
+    read_until, register, request, send, settings, wait_until,
 };
 
 /// Maximum time that a stopping process may keep its listener open before a slow caller reads on.
@@ -221,6 +221,52 @@
     assert_eq!(process.exit().0.code(), Some(0));
 }
 
+/// Guards against callers that go on sending on a connection to an instance that is about to stop:
+/// each response during a drain says that the connection closes, on old connections and on new ones.
+#[test]
+fn process_connection_closes_while_draining() {
+    // A service that does not respond keeps its request open, and so the drain going.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let fakes = Builder { raw: silent.local_addr().ok(), ..Builder::default() }.fakes();
+    let process = Process::spawn("one", &fakes);
+    let mut open = connect(process.frontend);
+    open.write_all(request("POST", "/raw", &bearer(KEY), "").as_bytes()).unwrap();
+    let _service = silent.accept().unwrap();
+    let early = connect(process.frontend);
+    process.signal();
+    wait_until(|| send(process.admin, request("GET", "/ready", "", "")).status == 503);
+    for mut caller in [early, connect(process.frontend)] {
+        let keep_alive =
+            request("GET", "/look", &bearer(KEY), "").replace("connection: close\r\n", "");
+        caller.write_all(keep_alive.as_bytes()).unwrap();
+        let response = Response::parse(&read_all(&caller));
+        assert!([200, 503].contains(&response.status), "{response:?}");
+        assert_eq!(response.header("connection"), Some("close"));
+    }
+}
+
+/// Guards against requests without an answer: one that is still being received when the instance
+/// stops is refused.
+#[test]
+fn process_arrival_at_stop() {
+    let fakes = Builder::default().fakes();
+    let process = Process::spawn("one", &fakes);
+    let charge = request("POST", "/charge", &bearer(KEY), "{}");
+    let (start, end) = charge.split_at(charge.len() - 1);
+    let mut caller = connect(process.frontend);
+    caller.write_all(start.as_bytes()).unwrap();
+    process.signal();
+    assert!(process.closes_listener());
+    caller.write_all(end.as_bytes()).unwrap();
+    let response = Response::parse(&read_all(&caller));
+    assert_eq!((response.status, response.header("connection")), (503, Some("close")));
+    let error = response.error();
+    assert_eq!((&error["kind"], &error["ran"]), (&"draining".into(), &"no".into()));
+    drop(caller);
+    assert_eq!(process.exit().0.code(), Some(0));
+    assert!(fakes.plain.runs().is_empty());
+}
+
 #[test]
 fn process_address_in_use() {
     let fakes = Builder::default().fakes();
