Daemon: keep a connection's slot active until its answer has been written

When all connections of the listener for callers were taken, a new one could replace a connection whose answer was still being written to a slow caller, and cut it. Cause: the slot turned idle when the response's body was dropped, which is when its last bytes are in the HTTP library's buffer (64 KiB and a part), not when they are written. Now the slot turns idle at the first complete flush of the connection after that.

--- a/crates/siskinstiled/src/frontend.rs
+++ b/crates/siskinstiled/src/frontend.rs
@@ -11,10 +11,7 @@
 use std::{
     convert::Infallible,
     io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
@@ -156,15 +153,12 @@
 ) where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let responding = Arc::new(AtomicBool::new(false));
-    let socket = Socket::new(stream, responding.clone(), settings.write_timeout());
+    let progress = Arc::new(guard::Progress::new(slot));
+    let socket = Socket::new(stream, progress.clone(), settings.write_timeout());
     let body_timeout = settings.body_timeout();
     let control = shared.clone();
     let service = service_fn(move |request| {
-        responding.store(true, Ordering::Release);
-        slot.mark_active();
-        let (shared, active) =
-            (shared.clone(), guard::Active::new(responding.clone(), slot.clone()));
+        let (shared, active) = (shared.clone(), guard::Active::new(progress.clone()));
         async move {
             let response = handle(request, shared, body_timeout).await;
             Ok::<_, Infallible>(response.map(|body| guard::Body::new(body, active)))
--- a/crates/siskinstiled/src/frontend/guard.rs
+++ b/crates/siskinstiled/src/frontend/guard.rs
@@ -1,4 +1,4 @@
-//! Marks a connection as active from the arrival of a request until its response body is dropped.
+//! Marks a connection as active from the arrival of a request until its response has been written.
 
 use std::{
     io,
@@ -15,26 +15,55 @@
 use hyper::body::{Frame, SizeHint};
 use siskinstile_net::Slot;
 
-/// Marks a connection as responding and its slot as active until it is dropped.
-pub(super) struct Active {
-    responding: Arc<AtomicBool>,
+/// How far the current response of a connection has got, and the connection's slot.
+pub(super) struct Progress {
+    /// Whether a request has arrived and the body of its response is not yet dropped.
+    responding: AtomicBool,
+    /// Whether the end of a response may still have to be written.
+    ending: AtomicBool,
     slot: Arc<Slot>,
 }
 
+impl Progress {
+    pub(super) fn new(slot: Arc<Slot>) -> Progress {
+        Progress { responding: AtomicBool::new(false), ending: AtomicBool::new(false), slot }
+    }
+
+    pub(super) fn is_responding(&self) -> bool {
+        self.responding.load(Ordering::Acquire)
+    }
+
+    /// Marks the slot as idle if the response has ended; called when all its bytes have been written.
+    pub(super) fn flushed(&self) {
+        if self.ending.swap(false, Ordering::AcqRel) {
+            self.slot.mark_idle();
+        }
+    }
+}
+
+/// Marks a connection as responding until it is dropped, and its slot as active until the bytes of
+/// the response have been written after that.
+pub(super) struct Active {
+    progress: Arc<Progress>,
+}
+
 impl Active {
-    pub(super) fn new(responding: Arc<AtomicBool>, slot: Arc<Slot>) -> Active {
-        Active { responding, slot }
+    pub(super) fn new(progress: Arc<Progress>) -> Active {
+        progress.responding.store(true, Ordering::Release);
+        progress.ending.store(false, Ordering::Release);
+        progress.slot.mark_active();
+        Active { progress }
     }
 }
 
 impl Drop for Active {
     fn drop(&mut self) {
-        self.responding.store(false, Ordering::Release);
-        self.slot.mark_idle();
+        self.progress.responding.store(false, Ordering::Release);
+        self.progress.ending.store(true, Ordering::Release);
     }
 }
 
-/// A response body that keeps its connection marked as active.
+/// A response body that keeps its connection marked as responding.
 pub(super) struct Body {
     inner: BoxBody<Bytes, io::Error>,
     _active: Active,
--- a/crates/siskinstiled/src/frontend/socket.rs
+++ b/crates/siskinstiled/src/frontend/socket.rs
@@ -3,10 +3,7 @@
 use std::{
     io,
     pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -20,7 +17,7 @@
     time::{self, Sleep},
 };
 
-use super::response;
+use super::{guard::Progress, response};
 
 /// Maximum number of bytes read and discarded after the last response.
 ///
@@ -37,8 +34,8 @@
 /// response is replaced by one with a request identifier and the JSON description of the error.
 pub(super) struct Socket<S> {
     stream: S,
-    /// Whether a response of this instance is being written, as opposed to one of the library.
-    responding: Arc<AtomicBool>,
+    /// Tells a response of this instance from one of the library, and learns when it is written.
+    progress: Arc<Progress>,
     write_timeout: Duration,
     /// Timer that runs while the caller accepts no bytes.
     write_timer: Option<Pin<Box<Sleep>>>,
@@ -47,12 +44,8 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Socket<S> {
-    pub(super) fn new(
-        stream: S,
-        responding: Arc<AtomicBool>,
-        write_timeout: Duration,
-    ) -> Socket<S> {
-        Socket { stream, responding, write_timeout, write_timer: None, replacement: Vec::new() }
+    pub(super) fn new(stream: S, progress: Arc<Progress>, write_timeout: Duration) -> Socket<S> {
+        Socket { stream, progress, write_timeout, write_timer: None, replacement: Vec::new() }
     }
 
     /// Turns a write that has been pending for the write time-out into a `TimedOut` error.
@@ -101,7 +94,7 @@
     ) -> Poll<io::Result<usize>> {
         ready!(self.poll_replacement(cx))?;
         match library_error(buf) {
-            Some(kind) if !self.responding.load(Ordering::Acquire) => {
+            Some(kind) if !self.progress.is_responding() => {
                 self.replacement = closing_response(&Failure::not_run(kind));
                 Poll::Ready(Ok(buf.len()))
             }
@@ -114,7 +107,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_replacement(cx))?;
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.progress.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/siskinstiled/tests/testsuite/plain.rs
+++ b/crates/siskinstiled/tests/testsuite/plain.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -97,3 +97,48 @@
     let text = read_all(&stream);
     assert_eq!(text.matches('Z').count(), CHUNK * CHUNKS);
 }
+
+/// Guards against answers that are cut when all connections are taken: the one that a new connection
+/// replaced could have its last bytes still waiting for a slow caller.
+///
+/// The sizes of the answers go in small steps through what the system buffers for a connection, so
+/// that for some of them only the last bytes wait.
+#[test]
+fn response_whole_at_connection_limit() {
+    const STEP: usize = 16 << 10;
+    let sizes: Vec<usize> = (225..261).map(|n| n * STEP).collect();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let served = sizes.clone();
+    thread::spawn(move || {
+        for size in served {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = stream.read(&mut [0; 4_096]);
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n");
+            thread::spawn(move || {
+                let _ = stream.write_all(head.as_bytes());
+                let _ = stream.write_all(&vec![b'Z'; size]);
+            });
+        }
+    });
+    let mut builder = Builder { raw: Some(address), ..Builder::default() };
+    builder.frontend.max_connections = sizes.len();
+    let fixture = builder.spawn();
+    let callers: Vec<TcpStream> = sizes
+        .iter()
+        .map(|_| {
+            let mut caller = connect(fixture.daemon.frontend());
+            caller.write_all(request("POST", "/raw", &bearer(KEY), "").as_bytes()).unwrap();
+            caller.peek(&mut [0]).unwrap();
+            caller
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let _others: Vec<TcpStream> =
+        sizes.iter().map(|_| connect(fixture.daemon.frontend())).collect();
+    // Connections are accepted in order, so that all others are when this one has been served.
+    let last = send(fixture.daemon.frontend(), request("GET", "/v1/models", &bearer(KEY), ""));
+    assert_eq!(last.status, 200);
+    let received: Vec<usize> = callers.iter().map(|it| read_all(it).matches('Z').count()).collect();
+    assert_eq!(received, sizes);
+}
