Daemon: test that a connection gives up its slot after an answer

No test showed that a connection can be replaced once it has been answered; the ones there replace connections without a complete request. connections_served_evicted passes; with `Progress::flushed` changed so that it marks no slot as idle (a trial) it fails with 503 on the 21st connection.

--- a/crates/siskinstiled/tests/testsuite/bad_input.rs
+++ b/crates/siskinstiled/tests/testsuite/bad_input.rs
@@ -8,7 +8,7 @@
 
 use crate::fixture::{
     BODY_LIMIT, Builder, Fixture, KEY, NARROW_LIMIT, bearer, completion, connect, read_all,
-    request, send, wait_until,
+    read_until, request, send, wait_until,
 };
 
 /// Time limit on receiving a head or a body in these tests, in milliseconds.
@@ -191,3 +191,23 @@
     }
     drop(connections);
 }
+
+/// Guards against connections that keep their slots after an answer: callers that wait between two
+/// requests do not lock out others.
+#[test]
+fn connections_served_evicted() {
+    let builder = Builder::default();
+    let frontend = Frontend { max_connections: 20, ..builder.frontend };
+    let fixture = Builder { frontend, ..builder }.spawn();
+    let keep_alive = request("GET", "/look", &bearer(KEY), "").replace("connection: close\r\n", "");
+    let connections: Vec<_> = (0..40)
+        .map(|_| {
+            let mut stream = connect(fixture.daemon.frontend());
+            stream.write_all(keep_alive.as_bytes()).unwrap();
+            assert!(read_until(&stream, "\"endpoint\"").starts_with("HTTP/1.1 200"));
+            stream
+        })
+        .collect();
+    assert_serves(&fixture);
+    drop(connections);
+}
