--- a/crates/siskinstiled/src/frontend.rs
+++ b/crates/siskinstiled/src/frontend.rs
@@ -11,16 +11,18 @@
 use std::{
     convert::Infallible,
     io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
-use hyper::{Request, Response, body::Incoming, header, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{self, HeaderValue},
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use siskinstile_core::{
     Event, error::Failure, error::Kind, key, key::Secret, log as events, request,
@@ -36,7 +38,7 @@
 
 use self::socket::Socket;
 use crate::{
-    control::Shared,
+    control::{Phase, Shared},
     relay::{Part, Payload},
     settings,
 };
@@ -59,11 +61,24 @@
     text.len().div_ceil(BYTES_PER_TOKEN) as u64
 }
 
+/// Accepts and serves callers' connections; closes the listener at the end of a graceful stop.
+pub async fn serve(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    settings: settings::Frontend,
+    tls: Option<watch::Receiver<TlsAcceptor>>,
+) {
+    tokio::select! {
+        () = accept(listener, shared.clone(), settings, tls) => {}
+        () = shared.reached(Phase::Stopped) => {}
+    }
+}
+
 /// Accepts and serves callers' connections.
 ///
 /// Errors on accepting a connection are logged and followed by a pause. At the connection limit, a
 /// new connection replaces the one that has been idle longest; if none is idle, it is refused.
-pub async fn serve(
+async fn accept(
     listener: TcpListener,
     shared: Arc<Shared>,
     settings: settings::Frontend,
@@ -78,7 +93,9 @@
                 Some(slot) => {
                     let (shared, settings) = (shared.clone(), settings.clone());
                     let tls = tls.as_ref().map(|it| it.borrow().clone());
+                    let open = shared.open_connection();
                     tokio::spawn(async move {
+                        let _open = open;
                         tokio::select! {
                             () = serve_tcp(stream, tls, shared, settings, slot.clone()) => {}
                             () = slot.evicted() => {}
@@ -118,7 +135,12 @@
 ) {
     let _ = stream.set_nodelay(true);
     let Some(tls) = tls else { return serve_http(stream, shared, settings, slot).await };
-    if let Ok(Ok(stream)) = time::timeout(settings.head_timeout(), tls.accept(stream)).await {
+    let handshake = time::timeout(settings.head_timeout(), tls.accept(stream));
+    let result = tokio::select! {
+        result = handshake => result,
+        () = shared.reached(Phase::Stopped) => return,
+    };
+    if let Ok(Ok(stream)) = result {
         serve_http(stream, shared, settings, slot).await;
     }
 }
@@ -131,14 +153,12 @@
 ) where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let responding = Arc::new(AtomicBool::new(false));
-    let socket = Socket::new(stream, responding.clone(), settings.write_timeout());
+    let progress = Arc::new(guard::Progress::new(slot));
+    let socket = Socket::new(stream, progress.clone(), settings.write_timeout());
     let body_timeout = settings.body_timeout();
+    let control = shared.clone();
     let service = service_fn(move |request| {
-        responding.store(true, Ordering::Release);
-        slot.mark_active();
-        let (shared, active) =
-            (shared.clone(), guard::Active::new(responding.clone(), slot.clone()));
+        let (shared, active) = (shared.clone(), guard::Active::new(progress.clone()));
         async move {
             let response = handle(request, shared, body_timeout).await;
             Ok::<_, Infallible>(response.map(|body| guard::Body::new(body, active)))
@@ -150,7 +170,13 @@
         .header_read_timeout(settings.head_timeout())
         .max_buf_size(MAX_HEAD_BYTES);
     let mut connection = builder.serve_connection(TokioIo::new(socket), service);
-    let _ = (&mut connection).await;
+    tokio::select! {
+        _ = &mut connection => {}
+        () = control.reached(Phase::Stopped) => {
+            Pin::new(&mut connection).graceful_shutdown();
+            let _ = (&mut connection).await;
+        }
+    }
     socket::linger(connection.into_parts().io.into_inner()).await;
 }
 
@@ -168,7 +194,11 @@
         "/v1/models" => completion::models(id, &request, &shared),
         _ => plain::serve(id, request, &shared, body_timeout).await,
     };
-    result.unwrap_or_else(|failure| response::failure(id, &failure))
+    let mut response = result.unwrap_or_else(|failure| response::failure(id, &failure));
+    if shared.phase() != Phase::Serving {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 /// Returns the size of a request's head in bytes.
