Gateway: close connections whose callers accept no bytes for 30 s

Since a connection is not idle until its answer has been written, callers that stop reading could keep all places of the listener. The kernel now closes such a connection after 30 s, also with an empty window. By reading; no test, as it would take those 30 s.

--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -25,6 +25,7 @@
 use siskinstile_core::error::{Failure, Kind};
 use siskinstile_gateway::{Catalog, Event, catalog::Limits, request as gateway};
 use siskinstile_net::Slots;
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -52,6 +53,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after the end of a drain in which a caller may send the rest of a request.
 const PARTIAL_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a caller may accept no bytes of its response before the kernel closes its
+/// connection, which cannot be evicted meanwhile.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause after an error on accepting a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Share of the process's file descriptors that callers' connections may use, in percent.
@@ -103,8 +107,12 @@
     last_id: Rc<Cell<u64>>,
     activity: Rc<Activity>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("setting TCP_NODELAY failed: {error}");
+    let options = SockRef::from(&stream);
+    let result = stream
+        .set_nodelay(true)
+        .and_then(|()| options.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
+    if let Err(error) = result {
+        log::debug!("socket options not set: {error}");
     }
     let limits = limits(&control);
     let socket = Socket::new(stream, activity.clone());
