--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -109,8 +109,8 @@
         new
     }
 
-    /// Quarantines the parts whose suspicion has been confirmed, and forgets what is over; returns the
-    /// newly quarantined parts.
+    /// Quarantines the parts whose suspicion has been confirmed, and forgets what is over; returns
+    /// the newly quarantined parts.
     pub fn update(&mut self, now: Instant) -> Vec<Report> {
         let mut new = Vec::new();
         while let Some((part, time)) = self.next_confirmed(now) {
@@ -122,16 +122,15 @@
         new
     }
 
-    /// Returns the first of these parts that is quarantined, with the remaining time.
-    pub fn find(&self, now: Instant, parts: &[NameHash]) -> Option<(NameHash, Duration)> {
-        parts.iter().find_map(|part| {
-            let until = self.suspects.get(part)?.quarantined_until?;
-            (until > now).then(|| (*part, until.since(now)))
-        })
+    /// Returns the remaining time for which a prompt with these parts must not be run; `None` if it
+    /// may be.
+    pub fn remaining(&self, now: Instant, parts: &[NameHash]) -> Option<Duration> {
+        let ends = parts.iter().filter_map(|it| self.suspects.get(it)?.quarantined_until);
+        ends.max().filter(|it| *it > now).map(|it| it.since(now))
     }
 
-    /// Returns what peers have to be told: all quarantined parts and news of others, up to a limit
-    /// those with the most crashes.
+    /// Returns what peers have to be told: all quarantined parts and news of others; if there are too
+    /// many, those with the most crashes.
     pub fn reports(&self, now: Instant) -> Vec<Report> {
         let is_told = |it: &Suspect| it.is_quarantined(now) || it.has_news(now);
         let told = self.suspects.iter().filter(|(_, it)| is_told(it));
@@ -163,8 +162,8 @@
         self.suspects.get(&part).is_some_and(|it| it.is_quarantined(now))
     }
 
-    /// Returns the part with the most crashes of those whose suspicion has been confirmed, with the time
-    /// for which it has to be quarantined; of several, the one that is furthest behind in prompts.
+    /// Returns the part with the most crashes of those whose suspicion has been confirmed, with the
+    /// time for which it has to be quarantined; of several, the one furthest behind in prompts.
     fn next_confirmed(&self, now: Instant) -> Option<(NameHash, Duration)> {
         let confirmed_time = |(part, it): (&NameHash, &Suspect)| {
             let time = it.quarantine_time(now, self.last_success)?;
--- a/crates/gateway/src/state/quarantine.rs
+++ b/crates/gateway/src/state/quarantine.rs
@@ -68,8 +68,8 @@
         now: Instant,
         shared_parts: &[Name],
     ) -> Result<(), (Failure, &'static str)> {
-        match self.fleet.quarantine.find(now, &hashes(shared_parts)) {
-            Some((_, remaining)) => Err((quarantined(remaining), "part quarantined")),
+        match self.fleet.quarantine.remaining(now, &hashes(shared_parts)) {
+            Some(remaining) => Err((quarantined(remaining), "part quarantined")),
             None => Ok(()),
         }
     }
@@ -77,7 +77,7 @@
     /// Returns whether a part of a request's prompt is quarantined, so that it must not be sent.
     pub(super) fn is_quarantined(&self, now: Instant, id: request::Id) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
-        self.fleet.quarantine.find(now, &job.hashed_parts()).is_some()
+        self.fleet.quarantine.remaining(now, &job.hashed_parts()).is_some()
     }
 
     /// Handles what a peer suspects.
@@ -118,7 +118,7 @@
         let unsent: Vec<(request::Id, Vec<NameHash>)> =
             unsent.map(|it| (it.id, it.hashed_parts())).collect();
         for (id, parts) in unsent {
-            if let Some((_, remaining)) = self.fleet.quarantine.find(now, &parts) {
+            if let Some(remaining) = self.fleet.quarantine.remaining(now, &parts) {
                 self.fail(now, id, quarantined(remaining), "part quarantined");
             }
         }
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -39,7 +39,7 @@
     }
 
     fn is_quarantined(&self, part: &str) -> bool {
-        self.quarantine.find(self.now, &[NameHash::of(part)]).is_some()
+        self.quarantine.remaining(self.now, &[NameHash::of(part)]).is_some()
     }
 
     /// Takes over what another instance tells.
