--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,10 +2,10 @@
 //!
 //! `admission` checks the route, API key and rate limit of a request. `plain` sends it to an
 //! endpoint of a plain service; `engine` takes it through hold, prefill and run at model engines.
-//! `reports` handles the outcomes of calls, `quarantine` what they show of prompt parts,
-//! `fleet` the heartbeats of other instances, `heartbeat`
-//! and `relays` the sending of own and relayed ones, `orders` the reconfiguration of engines and `clock` everything that depends on time. `job` contains the
-//! requests in progress and their open calls.
+//! `reports` handles the outcomes of calls, `quarantine` what they show of prompt parts, `fleet` the
+//! heartbeats of other instances, `heartbeat` and `relays` the sending of own and relayed ones,
+//! `orders` the reconfiguration of engines and `clock` everything that depends on time. `job`
+//! contains the requests in progress and their open calls.
 
 mod admission;
 mod clock;
