Gatewayd: send the datagrams of a digest in bursts of limited size

What callers could see: a team ran more than its rate, burst and tolerance allow (1,270,715 tokens in 8 s, 1,261,341 allowed).

Cause: a relay sent a digest to all members of its data centre at once, up to 124 KB. What exceeds the queue of a link is lost, and as receivers are sorted by address, and both relays sort alike, that was always the last ones.

Change: a pause of 1 ms after each 8 KB.

--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -27,6 +27,10 @@
 
 /// Size limit of a heartbeat; one datagram carries a whole heartbeat.
 const MAX_HEARTBEAT_BYTES: usize = 60 << 10;
+/// Size limit of the datagrams that are sent without a pause.
+const MAX_BURST_BYTES: usize = 8 << 10;
+/// Pause between two such bursts.
+const BURST_PAUSE: Duration = Duration::from_millis(1);
 /// Size limit of a snapshot.
 const MAX_SNAPSHOT_BYTES: usize = 16 << 20;
 /// Time limit for pulling a snapshot from a peer, and for serving one.
@@ -151,16 +155,31 @@
         targets.extend(plain(addresses.seeds_if_alone()));
         targets.sort_unstable();
         targets.dedup_by_key(|it| it.0);
-        for (address, part) in targets.into_iter().filter(|(it, _)| *it != own) {
+        let datagrams = targets
+            .into_iter()
+            .filter(|(it, _)| *it != own)
             // Fields of an encoded message may follow in a second one.
-            let sent = match part.is_empty() {
-                true => socket.try_send_to(&bytes, address),
-                false => socket.try_send_to(&[&bytes[..], &part].concat(), address),
-            };
-            // A heartbeat that cannot be sent counts as lost in transit.
-            if let Err(error) = sent {
-                log::debug!("heartbeat to {address} not sent: {error}");
-            }
+            .map(|(it, part)| (it, [&bytes[..], &part].concat()));
+        send_paced(&socket, datagrams).await;
+    }
+}
+
+/// Sends datagrams in bursts of limited size: those that exceed the queue of a link are lost, which
+/// would always be those to the last receivers.
+pub async fn send_paced(
+    socket: &UdpSocket,
+    datagrams: impl Iterator<Item = (SocketAddr, Vec<u8>)>,
+) {
+    let mut burst = 0;
+    for (address, datagram) in datagrams {
+        if burst > 0 && burst + datagram.len() > MAX_BURST_BYTES {
+            time::sleep(BURST_PAUSE).await;
+            burst = 0;
+        }
+        burst += datagram.len();
+        // A heartbeat that cannot be sent counts as lost in transit.
+        if let Err(error) = socket.try_send_to(&datagram, address) {
+            log::debug!("heartbeat to {address} not sent: {error}");
         }
     }
 }
--- a/crates/gatewayd/tests/testsuite/main.rs
+++ b/crates/gatewayd/tests/testsuite/main.rs
@@ -2,3 +2,4 @@
 
 mod logger;
 mod mirror;
+mod peers;
