--- a/crates/gatewayd/tests/testsuite/main.rs
+++ b/crates/gatewayd/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod logger;
 mod mirror;
+mod peers;
 mod stream;
