Gateway: requests that wait in a file of their own

Functions are moved as they are, four of them now visible in the module's parent; imports and the heads of the files differ, by a comparison of sorted lines. No behaviour changes.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,11 +1,11 @@
 //! The reducer: the entire control state of a gateway and the step from an event to effects.
 //!
 //! `admission` checks the route, API key and rate limit of a request. `plain` sends it to an
-//! endpoint of a plain service; `engine` takes it through hold, prefill and run at model engines.
-//! `reports` handles the outcomes of calls, `quarantine` what they show of prompt parts, `fleet` the
-//! heartbeats of other instances, `heartbeat` and `relays` the sending of own and relayed ones,
-//! `orders` the reconfiguration of engines and `clock` everything that depends on time. `job`
-//! contains the requests in progress and their open calls.
+//! endpoint of a plain service; `queue` lets it wait for a slot at a model engine, and `engine` takes
+//! it through hold, prefill and run. `reports` handles the outcomes of calls, `quarantine` what they
+//! show of prompt parts, `fleet` the heartbeats of other instances, `heartbeat` and `relays` the
+//! sending of own and relayed ones, `orders` the reconfiguration of engines and `clock` everything
+//! that depends on time. `job` contains the requests in progress and their open calls.
 
 mod admission;
 mod clock;
@@ -16,6 +16,7 @@
 mod orders;
 mod plain;
 mod quarantine;
+mod queue;
 mod relays;
 mod reports;
 
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -1,4 +1,4 @@
-//! Processing of a request at model engines: queue, hold, prefill, run.
+//! Processing of a request at model engines: hold, prefill, run. `queue` handles requests that wait.
 
 use std::{sync::Arc, time::Duration};
 
@@ -9,7 +9,7 @@
     call::Start,
     catalog::Retry,
     directory::Endpoint,
-    engine::{Placement, Rank, Spread, View, Waiting, expected_memory},
+    engine::{Placement, Spread, View, expected_memory},
     health::Signal,
     load::Load,
     record, request,
@@ -22,10 +22,6 @@
 
 /// Timeout of calls that an endpoint answers without computing anything.
 pub(super) const SHORT_CALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Part of the latency target reserved for the steps after the prompt has been computed.
-const RUN_START_ALLOWANCE: Duration = Duration::from_millis(120);
-/// Maximum queueing time of a request that can no longer meet its latency target.
-const LATE_MAX_WAIT: Duration = Duration::from_millis(400);
 /// Time without any response after which a resumable stream is moved to another engine.
 const STREAM_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Retry-after time for requests that have not run and cannot be sent again.
@@ -37,63 +33,8 @@
 const MAX_HOLD_ATTEMPTS: u32 = 12;
 
 impl State {
-    /// Queues a request for a decode slot, or refuses it if none is expected before its deadline.
-    pub(super) fn enqueue(&mut self, now: Instant, id: request::Id) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let (service, rank) = (job.service.name.clone(), job.rank(now));
-        let backoff = self.shortest_backoff(now, &service).unwrap_or_default();
-        let wait = self.expected_wait(now, &service, rank).max(backoff);
-        match now + wait > self.wait_deadline(now, id) && !self.has_room(now, id) {
-            true => self.refuse_no_slot(now, id, wait, "no place in time"),
-            false => self.join_queue(now, id),
-        }
-    }
-
-    fn join_queue(&mut self, now: Instant, id: request::Id) {
-        let deadline = self.wait_deadline(now, id);
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.phase = Phase::Queued;
-        let (service, rank, arrived) = (job.service.name.clone(), job.rank(now), job.arrived);
-        self.queue.push(Waiting { request: id, service, rank, arrived, deadline });
-    }
-
-    /// Returns the time at which a request that is still waiting for a decode slot is refused.
-    fn wait_deadline(&self, now: Instant, id: request::Id) -> Instant {
-        let Some(job) = self.jobs.get(&id) else { return now };
-        let forecast = self.fleet.forecasts.get(&job.service.name).cloned().unwrap_or_default();
-        let prompt = job.tokens.map_or(0, |it| it.prompt);
-        let compute = Duration::from_secs_f64(forecast.prompt_latency_ms(prompt) / 1_000.0);
-        let target_deadline =
-            job.first_attempt + job.route.target_latency - compute - RUN_START_ALLOWANCE;
-        let late_deadline = now + LATE_MAX_WAIT;
-        match target_deadline > now {
-            true => target_deadline,
-            false => late_deadline.min(job.deadline),
-        }
-    }
-
-    fn expected_wait(&self, now: Instant, service: &str, rank: Rank) -> Duration {
-        let ahead = self.queue.ahead(service, rank) + self.fleet.members.waiting(now, service);
-        let forecast = self.fleet.forecasts.get(service).cloned().unwrap_or_default();
-        forecast.queue_wait(ahead, self.running_requests(service))
-    }
-
-    /// Returns the number of requests at a service's endpoints over all instances.
-    fn running_requests(&self, service: &str) -> u32 {
-        let endpoints = self.directory.of_service(service);
-        endpoints.iter().map(|it| self.fleet.loads.total(&it.id).requests).sum()
-    }
-
-    fn has_room(&self, now: Instant, id: request::Id) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return false };
-        let Some(tokens) = job.tokens else { return false };
-        let has_predecessors = self.queue.ahead(&job.service.name, job.rank(now)) > 0;
-        !has_predecessors
-            && self.with_view(now, job, |view| view.place(tokens, &job.excluded)).is_some()
-    }
-
     /// Calls `decide` with the inputs of a placement; returns `None` if the service has no engines.
-    fn with_view<T>(
+    pub(super) fn with_view<T>(
         &self,
         now: Instant,
         job: &Job,
@@ -148,28 +89,8 @@
         unreachable
     }
 
-    /// Places queued requests in order of rank; one that does not fit blocks those behind it for
-    /// the same service.
-    pub(super) fn place_waiting(&mut self, now: Instant) {
-        self.times.last_placement = now;
-        let mut blocked: Vec<Name> = Vec::new();
-        let waiting: Vec<(request::Id, Name)> =
-            self.queue.iter().map(|it| (it.request, it.service.clone())).collect();
-        for (id, service) in waiting {
-            if blocked.contains(&service) {
-                continue;
-            }
-            let Some(job) = self.jobs.get(&id) else { continue };
-            let Some(tokens) = job.tokens else { continue };
-            match self.with_view(now, job, |view| view.place(tokens, &job.excluded)) {
-                Some(placement) => self.reserve_slot(now, id, placement),
-                None => blocked.push(service),
-            }
-        }
-    }
-
     /// Reserves a slot at a decode engine.
-    fn reserve_slot(&mut self, now: Instant, id: request::Id, placement: Placement) {
+    pub(super) fn reserve_slot(&mut self, now: Instant, id: request::Id, placement: Placement) {
         self.queue.remove(id);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (Some(tokens), Some(engine)) = (job.tokens, job.service.engine.clone()) else {
@@ -392,39 +313,6 @@
         };
         self.fail(now, id, failure, reason);
     }
-
-    /// Refuses a request for which no decode slot is available before its deadline.
-    pub(super) fn refuse_no_slot(
-        &mut self,
-        now: Instant,
-        id: request::Id,
-        wait: Duration,
-        reason: &'static str,
-    ) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let service = job.service.name.clone();
-        let forecast = self.fleet.forecasts.get(&service).cloned().unwrap_or_default();
-        let slot_interval = forecast.slot_interval(self.running_requests(&service))
-            * self.fleet.members.len() as u32;
-        let retry_after =
-            self.fleet.retry_afters.entry(service).or_default().schedule(now, wait, slot_interval);
-        let failure = Failure::not_run(ErrorKind::TooLate).with_retry_after(retry_after);
-        self.fail(now, id, failure, reason);
-    }
-
-    /// Refuses queued requests whose wait deadline has passed.
-    pub(super) fn refuse_expired(&mut self, now: Instant) {
-        let expired: Vec<(request::Id, Name, Rank)> = self
-            .queue
-            .iter()
-            .filter(|it| it.deadline <= now)
-            .map(|it| (it.request, it.service.clone(), it.rank))
-            .collect();
-        for (id, service, rank) in expired {
-            let wait = self.expected_wait(now, &service, rank);
-            self.refuse_no_slot(now, id, wait, "waited in vain");
-        }
-    }
 }
 
 impl Job {
--- /dev/null
+++ b/crates/gateway/src/state/queue.rs
@@ -0,0 +1,128 @@
+//! Requests that wait for a slot at a decode engine, and refusals of those that get none in time.
+
+use std::time::Duration;
+
+use siskinstile_core::error::{Failure, Kind as ErrorKind};
+
+use crate::{
+    Instant, Name,
+    engine::{Rank, Waiting},
+    request,
+};
+
+use super::{State, job::Phase};
+
+/// Part of the latency target reserved for the steps after the prompt has been computed.
+const RUN_START_ALLOWANCE: Duration = Duration::from_millis(120);
+/// Maximum queueing time of a request that can no longer meet its latency target.
+const LATE_MAX_WAIT: Duration = Duration::from_millis(400);
+
+impl State {
+    /// Queues a request for a decode slot, or refuses it if none is expected before its deadline.
+    pub(super) fn enqueue(&mut self, now: Instant, id: request::Id) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (service, rank) = (job.service.name.clone(), job.rank(now));
+        let backoff = self.shortest_backoff(now, &service).unwrap_or_default();
+        let wait = self.expected_wait(now, &service, rank).max(backoff);
+        match now + wait > self.wait_deadline(now, id) && !self.has_room(now, id) {
+            true => self.refuse_no_slot(now, id, wait, "no place in time"),
+            false => self.join_queue(now, id),
+        }
+    }
+
+    pub(super) fn join_queue(&mut self, now: Instant, id: request::Id) {
+        let deadline = self.wait_deadline(now, id);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.phase = Phase::Queued;
+        let (service, rank, arrived) = (job.service.name.clone(), job.rank(now), job.arrived);
+        self.queue.push(Waiting { request: id, service, rank, arrived, deadline });
+    }
+
+    /// Returns the time at which a request that is still waiting for a decode slot is refused.
+    fn wait_deadline(&self, now: Instant, id: request::Id) -> Instant {
+        let Some(job) = self.jobs.get(&id) else { return now };
+        let forecast = self.fleet.forecasts.get(&job.service.name).cloned().unwrap_or_default();
+        let prompt = job.tokens.map_or(0, |it| it.prompt);
+        let compute = Duration::from_secs_f64(forecast.prompt_latency_ms(prompt) / 1_000.0);
+        let target_deadline =
+            job.first_attempt + job.route.target_latency - compute - RUN_START_ALLOWANCE;
+        let late_deadline = now + LATE_MAX_WAIT;
+        match target_deadline > now {
+            true => target_deadline,
+            false => late_deadline.min(job.deadline),
+        }
+    }
+
+    pub(super) fn expected_wait(&self, now: Instant, service: &str, rank: Rank) -> Duration {
+        let ahead = self.queue.ahead(service, rank) + self.fleet.members.waiting(now, service);
+        let forecast = self.fleet.forecasts.get(service).cloned().unwrap_or_default();
+        forecast.queue_wait(ahead, self.running_requests(service))
+    }
+
+    /// Returns the number of requests at a service's endpoints over all instances.
+    fn running_requests(&self, service: &str) -> u32 {
+        let endpoints = self.directory.of_service(service);
+        endpoints.iter().map(|it| self.fleet.loads.total(&it.id).requests).sum()
+    }
+
+    fn has_room(&self, now: Instant, id: request::Id) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let Some(tokens) = job.tokens else { return false };
+        let has_predecessors = self.queue.ahead(&job.service.name, job.rank(now)) > 0;
+        !has_predecessors
+            && self.with_view(now, job, |view| view.place(tokens, &job.excluded)).is_some()
+    }
+
+    /// Places queued requests in order of rank; one that does not fit blocks those behind it for
+    /// the same service.
+    pub(super) fn place_waiting(&mut self, now: Instant) {
+        self.times.last_placement = now;
+        let mut blocked: Vec<Name> = Vec::new();
+        let waiting: Vec<(request::Id, Name)> =
+            self.queue.iter().map(|it| (it.request, it.service.clone())).collect();
+        for (id, service) in waiting {
+            if blocked.contains(&service) {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(tokens) = job.tokens else { continue };
+            match self.with_view(now, job, |view| view.place(tokens, &job.excluded)) {
+                Some(placement) => self.reserve_slot(now, id, placement),
+                None => blocked.push(service),
+            }
+        }
+    }
+
+    /// Refuses a request for which no decode slot is available before its deadline.
+    pub(super) fn refuse_no_slot(
+        &mut self,
+        now: Instant,
+        id: request::Id,
+        wait: Duration,
+        reason: &'static str,
+    ) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let service = job.service.name.clone();
+        let forecast = self.fleet.forecasts.get(&service).cloned().unwrap_or_default();
+        let slot_interval = forecast.slot_interval(self.running_requests(&service))
+            * self.fleet.members.len() as u32;
+        let retry_after =
+            self.fleet.retry_afters.entry(service).or_default().schedule(now, wait, slot_interval);
+        let failure = Failure::not_run(ErrorKind::TooLate).with_retry_after(retry_after);
+        self.fail(now, id, failure, reason);
+    }
+
+    /// Refuses queued requests whose wait deadline has passed.
+    pub(super) fn refuse_expired(&mut self, now: Instant) {
+        let expired: Vec<(request::Id, Name, Rank)> = self
+            .queue
+            .iter()
+            .filter(|it| it.deadline <= now)
+            .map(|it| (it.request, it.service.clone(), it.rank))
+            .collect();
+        for (id, service, rank) in expired {
+            let wait = self.expected_wait(now, &service, rank);
+            self.refuse_no_slot(now, id, wait, "waited in vain");
+        }
+    }
+}
