--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -46,6 +46,8 @@
 pub const STORE_OUTDATED: Code = code(727, Level::Warn, "outdated answer of the store dropped");
 /// The store lists an older configuration than the one in force, which is kept.
 pub const CONFIG_OUTDATED: Code = code(728, Level::Warn, "older configuration ignored");
+/// The transfer of a snapshot from a peer has broken off.
+pub const SNAPSHOT_BROKEN: Code = code(729, Level::Warn, "snapshot from a peer broke off");
 /// A request was refused and has not run.
 pub const REFUSED: Code = code(730, Level::Info, "request refused");
 /// Endpoints were chosen for a request.
@@ -68,11 +70,13 @@
 pub const PART_QUARANTINED: Code = code(743, Level::Warn, "prompt part quarantined");
 /// A quarantined part of prompts is free again, since a run with it went well.
 pub const PART_FREED: Code = code(744, Level::Info, "prompt part free again");
+/// A peer has pulled a snapshot.
+pub const SNAPSHOT_SERVED: Code = code(745, Level::Info, "snapshot sent to a peer");
 /// An error outside of request processing, or debugging information.
 pub const DIAGNOSTIC: Code = code(750, Level::Warn, "diagnostic");
 
 /// All codes, in the order of the catalogue.
-pub const CODES: [Code; 29] = [
+pub const CODES: [Code; 31] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -90,6 +94,7 @@
     STORE_RESTORED,
     STORE_OUTDATED,
     CONFIG_OUTDATED,
+    SNAPSHOT_BROKEN,
     REFUSED,
     PLACED,
     CALL_FAILED,
@@ -101,6 +106,7 @@
     ENDPOINT_BACKOFF,
     PART_QUARANTINED,
     PART_FREED,
+    SNAPSHOT_SERVED,
     DIAGNOSTIC,
 ];
 
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -105,7 +105,7 @@
         spawn_local(frontend::serve(control.clone(), front, descriptors));
         spawn_local(status::serve_ready(control.clone(), ready));
         spawn_local(status::serve_metrics(metrics, metrics_listener));
-        spawn_local(peers::serve_snapshots(snapshots, self.follower.clone()));
+        spawn_local(peers::transfer::serve(control.clone(), snapshots, self.follower.clone()));
         spawn_local(peers::send_heartbeats(
             datagrams.clone(),
             self.addresses.clone(),
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -1,29 +1,19 @@
 //! Messages between instances: heartbeats as datagrams, snapshots over connections.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+pub mod transfer;
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use futures_util::{SinkExt as _, StreamExt as _};
 use indexmap::IndexMap;
 use prost::Message as _;
 use siskinstile_gateway::{
     Event, Name,
     effect::{Recipient, Recipients},
 };
-use siskinstile_wire::message::heartbeat::{Group, Heartbeat, Member, Pull, Snapshot};
-use tokio::{
-    net::{TcpListener, TcpStream, UdpSocket},
-    sync::mpsc,
-    task::spawn_local,
-    time,
-};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use siskinstile_wire::message::heartbeat::{Group, Heartbeat, Member};
+use tokio::{net::UdpSocket, sync::mpsc, time};
 
-use crate::{
-    control::Control,
-    store::{Kind, Position},
-    sync::Follower,
-};
+use crate::{control::Control, store::Kind, sync::Follower};
 
 /// Size limit of a heartbeat; one datagram carries a whole heartbeat.
 const MAX_HEARTBEAT_BYTES: usize = 60 << 10;
@@ -31,10 +21,6 @@
 const MAX_BURST_BYTES: usize = 8 << 10;
 /// Pause between two such bursts.
 const BURST_PAUSE: Duration = Duration::from_millis(1);
-/// Size limit of a snapshot.
-const MAX_SNAPSHOT_BYTES: usize = 16 << 20;
-/// Time limit for pulling a snapshot from a peer, and for serving one.
-const PULL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time after a heartbeat for which its sender's address goes before the one that the platform lists.
 const HEARD_TIME: Duration = Duration::from_secs(5);
 /// Pause after an error on accepting a connection or receiving a datagram.
@@ -243,53 +229,3 @@
 fn relayed_members(heartbeat: &Heartbeat) -> impl Iterator<Item = (&Group, &Member)> {
     heartbeat.groups.iter().flat_map(|group| group.members.iter().map(move |it| (group, it)))
 }
-
-/// Serves snapshots to peers.
-pub async fn serve_snapshots(listener: TcpListener, follower: Rc<Follower>) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("accepting a peer's connection failed: {error}");
-                time::sleep(ERROR_DELAY).await;
-                continue;
-            }
-        };
-        let follower = follower.clone();
-        spawn_local(async move {
-            let served = time::timeout(PULL_TIMEOUT, serve_snapshot(stream, &follower)).await;
-            if let Err(error) = served.unwrap_or_else(|timeout| Err(timeout.into())) {
-                log::info!("snapshot not served: {error}");
-            }
-        });
-    }
-}
-
-async fn serve_snapshot(stream: TcpStream, follower: &Follower) -> io::Result<()> {
-    let mut frames = framed(stream);
-    let Some(frame) = frames.next().await else { return Ok(()) };
-    let pull = Pull::decode(frame?).map_err(io::Error::other)?;
-    let kind =
-        [Kind::Configuration, Kind::Endpoints].into_iter().find(|it| it.as_str() == pull.kind);
-    let since = Position::new(pull.era, pull.since);
-    let snapshot = kind.map(|it| follower.snapshot(it, since)).unwrap_or_default();
-    frames.send(Bytes::from(snapshot.encode_to_vec())).await
-}
-
-/// Requests the objects of a kind that have changed since a position from a peer.
-pub async fn pull(address: SocketAddr, kind: Kind, since: Position) -> io::Result<Snapshot> {
-    time::timeout(PULL_TIMEOUT, async {
-        let mut frames = framed(TcpStream::connect(address).await?);
-        let Position { era, revision: since } = since;
-        let pull = Pull { kind: kind.as_str().to_owned(), since, era };
-        frames.send(Bytes::from(pull.encode_to_vec())).await?;
-        let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
-        Snapshot::decode(frame).map_err(io::Error::other)
-    })
-    .await?
-}
-
-fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
-    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_SNAPSHOT_BYTES).new_codec();
-    Framed::new(stream, codec)
-}
--- a/crates/gatewayd/src/sync/snapshot.rs
+++ b/crates/gatewayd/src/sync/snapshot.rs
@@ -10,7 +10,7 @@
 
 use super::Follower;
 use crate::{
-    peers,
+    peers::transfer,
     store::{Kind, Object, Position},
 };
 
@@ -107,17 +107,37 @@
     /// Pulls the changes since a position from a peer; returns false if this copy lacks unchanged
     /// objects, so that a full snapshot is needed.
     async fn pull(&self, kind: Kind, peer: SocketAddr, since: Position) -> bool {
-        match peers::pull(peer, kind, since).await {
-            Ok(snapshot) if snapshot.revision > 0 => self.merge_snapshot(kind, peer, snapshot),
+        let started = self.control.now();
+        let took_ms = || self.control.now().since(started).as_millis() as u64;
+        match transfer::pull(peer, kind, since).await {
+            Ok((snapshot, bytes)) if snapshot.revision > 0 => {
+                let line = Record::new(record::SNAPSHOT_TAKEN)
+                    .with("bytes", bytes)
+                    .with("took_ms", took_ms());
+                self.merge_snapshot(kind, peer, snapshot, line)
+            }
             Ok(_) => true,
-            Err(error) => {
-                log::info!("pulling a snapshot from {peer} failed: {error}");
+            Err(broken) => {
+                let line = Record::new(record::SNAPSHOT_BROKEN)
+                    .with("kind", kind.as_str())
+                    .with("peer", peer.to_string())
+                    .with("problem", broken.error.to_string())
+                    .with("bytes", broken.bytes)
+                    .with("took_ms", took_ms());
+                self.control.logger.write(&line);
                 true
             }
         }
     }
 
-    fn merge_snapshot(&self, kind: Kind, peer: SocketAddr, snapshot: Snapshot) -> bool {
+    /// Applies a peer's snapshot, and then writes `line` with what it held.
+    fn merge_snapshot(
+        &self,
+        kind: Kind,
+        peer: SocketAddr,
+        snapshot: Snapshot,
+        line: Record,
+    ) -> bool {
         let position = Position::new(snapshot.era, snapshot.revision);
         let changed: Vec<Object> = snapshot.objects.into_iter().filter_map(parse_object).collect();
         let is_later = position > self.replica(kind).borrow().mirror.position();
@@ -127,7 +147,7 @@
         }
         let names: Vec<Name> = snapshot.names.iter().map(|it| it.as_str().into()).collect();
         let kept: Vec<(Name, Duration)> = snapshot.kept.iter().map(kept).collect();
-        let line = Record::new(record::SNAPSHOT_TAKEN)
+        let line = line
             .with("kind", kind.as_str())
             .with("peer", peer.to_string())
             .with("revision", position.revision)
