--- a/crates/gatewayd/src/peers/transfer.rs
+++ b/crates/gatewayd/src/peers/transfer.rs
@@ -21,11 +21,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::ERROR_DELAY;
-use crate::{
-    control::Control,
-    store::{Kind, Position},
-    sync::Follower,
-};
+use crate::{control::Control, store::Kind, sync::Follower};
 
 /// Size limit of a snapshot.
 const MAX_SNAPSHOT_BYTES: usize = 16 << 20;
@@ -76,8 +72,7 @@
     let pull = Pull::decode(frame?).map_err(io::Error::other)?;
     let kind =
         [Kind::Configuration, Kind::Endpoints].into_iter().find(|it| it.as_str() == pull.kind);
-    let since = Position::new(pull.era, pull.since);
-    let snapshot = kind.map(|it| follower.snapshot(it, since)).unwrap_or_default();
+    let snapshot = kind.map(|it| follower.snapshot(it, &pull)).unwrap_or_default();
     let bytes = snapshot.encode_to_vec();
     let len = bytes.len();
     metrics::counter!("siskinstile_snapshot_bytes").increment(len as u64);
@@ -85,15 +80,10 @@
     Ok(len)
 }
 
-/// Requests the objects of a kind that have changed since a position from a peer; returns them and
-/// the size of the answer in bytes.
-pub async fn pull(
-    address: SocketAddr,
-    kind: Kind,
-    since: Position,
-) -> Result<(Snapshot, usize), Broken> {
+/// Requests objects from a peer; returns them and the size of the answer in bytes.
+pub async fn pull(address: SocketAddr, pull: &Pull) -> Result<(Snapshot, usize), Broken> {
     let mut buffer = BytesMut::new();
-    let received = time::timeout(PULL_TIMEOUT, receive(address, kind, since, &mut buffer)).await;
+    let received = time::timeout(PULL_TIMEOUT, receive(address, pull, &mut buffer)).await;
     let snapshot = match received {
         Ok(Ok(())) => Snapshot::decode(&buffer[..]).map_err(io::Error::other),
         Ok(Err(error)) => Err(error),
@@ -106,15 +96,8 @@
 }
 
 /// Sends a pull and reads the encoded answer into `buffer`.
-async fn receive(
-    address: SocketAddr,
-    kind: Kind,
-    since: Position,
-    buffer: &mut BytesMut,
-) -> io::Result<()> {
+async fn receive(address: SocketAddr, pull: &Pull, buffer: &mut BytesMut) -> io::Result<()> {
     let mut frames = framed(TcpStream::connect(address).await?);
-    let Position { era, revision: since } = since;
-    let pull = Pull { kind: kind.as_str().to_owned(), since, era };
     frames.send(Bytes::from(pull.encode_to_vec())).await?;
     let mut stream = frames.into_inner();
     // The codec begins a frame with its length as 32 bits.
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -1,6 +1,7 @@
 //! Replication of the platform's store by lists and watches, with peers' snapshots as the fallback
 //! during a store outage.
 
+pub mod archive;
 mod follow;
 mod members;
 mod quarantine;
@@ -8,6 +9,7 @@
 mod transport;
 mod update;
 
+use archive::Archive;
 pub use members::Member;
 
 use std::{
@@ -36,13 +38,18 @@
 #[derive(Debug)]
 struct Replica {
     mirror: Mirror,
+    archive: Archive,
     /// Position of a peer that is ahead, since when it has been ahead, and its address.
     peer_ahead: Option<(Position, Instant, SocketAddr)>,
 }
 
 impl Replica {
     fn new(removal_limit: Duration) -> RefCell<Replica> {
-        RefCell::new(Replica { mirror: Mirror::new(removal_limit), peer_ahead: None })
+        RefCell::new(Replica {
+            mirror: Mirror::new(removal_limit),
+            archive: Archive::default(),
+            peer_ahead: None,
+        })
     }
 }
 
--- a/crates/gatewayd/src/sync/snapshot.rs
+++ b/crates/gatewayd/src/sync/snapshot.rs
@@ -6,9 +6,15 @@
     Name,
     record::{self, Record},
 };
-use siskinstile_wire::message::heartbeat::{Heartbeat, Kept, Object as SnapshotObject, Snapshot};
+use siskinstile_macros::value;
+use siskinstile_wire::message::heartbeat::{
+    Heartbeat, Kept, Object as SnapshotObject, Pull, Snapshot, Version,
+};
 
-use super::Follower;
+use super::{
+    Follower, Replica,
+    archive::{Archive, Difference},
+};
 use crate::{
     peers::transfer,
     store::{Kind, Object, Position},
@@ -18,6 +24,15 @@
 /// itself pulls a snapshot from it.
 const MAX_LAG: Duration = Duration::from_millis(500);
 
+/// What to pull from a peer.
+#[value(id)]
+enum Extent {
+    /// What has changed since the position of this copy.
+    Changes,
+    /// All objects.
+    All,
+}
+
 impl Follower {
     /// Records what a peer's heartbeat says of its copies.
     pub fn note_peer(&self, heartbeat: &Heartbeat, peer: SocketAddr) {
@@ -45,29 +60,26 @@
         }
     }
 
-    /// Returns the objects of a kind that have changed since a position, and the names of all
-    /// objects; an empty snapshot with revision 0 before the first list.
-    pub fn snapshot(&self, kind: Kind, since: Position) -> Snapshot {
-        let replica = self.replica(kind).borrow();
-        if !replica.mirror.is_listed() {
+    /// Returns the objects of a kind that have changed since the position of a pull, and the names of
+    /// all objects; an empty snapshot with revision 0 before the first list.
+    pub fn snapshot(&self, kind: Kind, pull: &Pull) -> Snapshot {
+        let mut replica = self.replica(kind).borrow_mut();
+        let Replica { mirror, archive, .. } = &mut *replica;
+        if !mirror.is_listed() {
             return Snapshot::default();
         }
-        let changed = replica.mirror.objects().filter(|it| it.position > since);
-        let objects = changed.map(|it| SnapshotObject {
-            name: it.name.to_string(),
-            revision: it.position.revision,
-            value: it.value.to_string().into_bytes(),
-            era: it.position.era,
-        });
-        let kept = replica.mirror.kept(self.control.now()).map(|(name, remaining)| Kept {
+        let since = Position::new(pull.era, pull.since);
+        let changed = mirror.objects().filter(|it| it.position > since);
+        let objects = changed.map(|it| sent_object(it, archive.encode(it, &pull.held))).collect();
+        let kept = mirror.kept(self.control.now()).map(|(name, remaining)| Kept {
             name: name.to_string(),
             remaining_ms: remaining.as_millis() as u64,
         });
-        let position = replica.mirror.changed_position();
+        let position = mirror.changed_position();
         Snapshot {
             revision: position.revision,
-            objects: objects.collect(),
-            names: replica.mirror.objects().map(|it| it.name.to_string()).collect(),
+            objects,
+            names: mirror.objects().map(|it| it.name.to_string()).collect(),
             era: position.era,
             kept: kept.collect(),
         }
@@ -83,7 +95,7 @@
         }
         self.newer_configuration.set(None);
         if !is_in_force {
-            self.pull(Kind::Configuration, peer, Position::default()).await;
+            self.pull(Kind::Configuration, peer, Extent::All).await;
         }
     }
 
@@ -98,18 +110,31 @@
             return;
         }
         self.replica(kind).borrow_mut().peer_ahead = None;
-        let own_position = self.changed_position(kind);
-        if !self.pull(kind, peer, own_position).await {
-            self.pull(kind, peer, Position::default()).await;
+        if !self.pull(kind, peer, Extent::Changes).await {
+            self.pull(kind, peer, Extent::All).await;
+        }
+    }
+
+    /// Returns the request for what this copy of a kind lacks.
+    fn request(&self, kind: Kind, extent: Extent) -> Pull {
+        let name = kind.as_str().to_owned();
+        match extent {
+            Extent::All => Pull { kind: name, ..Pull::default() },
+            Extent::Changes => {
+                let replica = self.replica(kind).borrow();
+                let Position { era, revision } = replica.mirror.changed_position();
+                Pull { kind: name, since: revision, era, held: replica.archive.versions() }
+            }
         }
     }
 
-    /// Pulls the changes since a position from a peer; returns false if this copy lacks unchanged
-    /// objects, so that a full snapshot is needed.
-    async fn pull(&self, kind: Kind, peer: SocketAddr, since: Position) -> bool {
+    /// Pulls objects from a peer; returns false if this copy lacks unchanged objects or earlier
+    /// versions, so that all of them are needed.
+    async fn pull(&self, kind: Kind, peer: SocketAddr, extent: Extent) -> bool {
         let started = self.control.now();
         let took_ms = || self.control.now().since(started).as_millis() as u64;
-        match transfer::pull(peer, kind, since).await {
+        let request = self.request(kind, extent);
+        match transfer::pull(peer, &request).await {
             Ok((snapshot, bytes)) if snapshot.revision > 0 => {
                 let line = Record::new(record::SNAPSHOT_TAKEN)
                     .with("bytes", bytes)
@@ -139,7 +164,12 @@
         line: Record,
     ) -> bool {
         let position = Position::new(snapshot.era, snapshot.revision);
-        let changed: Vec<Object> = snapshot.objects.into_iter().filter_map(parse_object).collect();
+        let received = snapshot.objects.len();
+        let changed: Vec<Object> =
+            snapshot.objects.into_iter().filter_map(|it| self.read_object(kind, it)).collect();
+        if changed.len() < received {
+            return false;
+        }
         let is_later = position > self.replica(kind).borrow().mirror.position();
         let is_useful = is_later || kind == Kind::Configuration && self.is_newer(&changed);
         if !is_useful {
@@ -161,6 +191,19 @@
         is_merged
     }
 
+    /// Parses an object that a peer has sent; `None` if it cannot be read.
+    fn read_object(&self, kind: Kind, received: SnapshotObject) -> Option<Object> {
+        let name: Name = received.name.as_str().into();
+        let position = Position::new(received.era, received.revision);
+        match read_value(&self.replica(kind).borrow().archive, &name, received) {
+            Ok(value) => Some(Object { name, position, value }),
+            Err(error) => {
+                log::warn!("object {name} in a peer's snapshot was not read: {error}");
+                None
+            }
+        }
+    }
+
     /// Returns whether objects are a configuration of a newer version than that in force.
     fn is_newer(&self, objects: &[Object]) -> bool {
         let catalog = self.control.protocol.read_catalog(&mut objects.iter());
@@ -172,16 +215,33 @@
     (received.name.as_str().into(), Duration::from_millis(received.remaining_ms))
 }
 
-fn parse_object(received: SnapshotObject) -> Option<Object> {
-    match serde_json::from_slice(&received.value) {
-        Ok(value) => Some(Object {
-            name: received.name.as_str().into(),
-            position: Position::new(received.era, received.revision),
-            value,
-        }),
-        Err(error) => {
-            log::warn!("unreadable object {} in a peer's snapshot: {error}", received.name);
-            None
+/// Returns an object as it is sent: compressed if it is large.
+fn sent_object(object: &Object, difference: Option<Difference>) -> SnapshotObject {
+    let name = object.name.to_string();
+    let Position { era, revision } = object.position;
+    let text_bytes = difference.as_ref().map_or(0, |it| it.text_bytes as u64);
+    let base = difference.as_ref().and_then(|it| it.base);
+    let base = base.map(|it| Version { name: name.clone(), era: it.era, revision: it.revision });
+    let value = match difference {
+        Some(difference) => difference.bytes.to_vec(),
+        None => object.value.to_string().into_bytes(),
+    };
+    SnapshotObject { name, revision, value, era, text_bytes, base }
+}
+
+fn read_value(
+    archive: &Archive,
+    name: &Name,
+    received: SnapshotObject,
+) -> anyhow::Result<serde_json::Value> {
+    let text = match received.text_bytes {
+        0 => received.value,
+        text_bytes => {
+            let base = received.base.map(|it| Position::new(it.era, it.revision));
+            let text_bytes = usize::try_from(text_bytes)?;
+            let bytes = received.value.into();
+            archive.decode(name, &Difference { base, text_bytes, bytes })?
         }
-    }
+    };
+    Ok(serde_json::from_slice(&text)?)
 }
--- a/crates/gatewayd/src/sync/update.rs
+++ b/crates/gatewayd/src/sync/update.rs
@@ -7,7 +7,7 @@
     record::{self, Record},
 };
 
-use super::Follower;
+use super::{Follower, Replica};
 use crate::{mirror::Mirror, store::Kind};
 
 impl Follower {
@@ -27,6 +27,10 @@
             let mut replica = self.replica(kind).borrow_mut();
             let position = replica.mirror.position();
             replica.peer_ahead = replica.peer_ahead.filter(|it| it.0 > position);
+            if has_changed && kind == Kind::Configuration {
+                let Replica { mirror, archive, .. } = &mut *replica;
+                archive.record(mirror.objects());
+            }
         }
         match before {
             _ if !has_changed => {}
--- a/crates/gatewayd/tests/testsuite/main.rs
+++ b/crates/gatewayd/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's adapters without a network.
 
+mod archive;
 mod logger;
 mod mirror;
 mod peers;
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -255,12 +255,32 @@
     /// Revision of its last change.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// Value of the object, in JSON.
+    /// Value of the object, in JSON; compressed by zstd if `text_bytes` is set.
     #[prost(bytes = "vec", tag = "3")]
     pub value: Vec<u8>,
     /// Era of the store to which `revision` belongs.
     #[prost(uint64, tag = "4")]
     pub era: u64,
+    /// Size of the value before its compression, in bytes; 0 if it is not compressed.
+    #[prost(uint64, tag = "5")]
+    pub text_bytes: u64,
+    /// Earlier version whose text is the prefix for the compression; none for no prefix.
+    #[prost(message, optional, tag = "6")]
+    pub base: Option<Version>,
+}
+
+/// A version of an object.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Version {
+    /// Name of the object.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Era of the store to which `revision` belongs.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+    /// Store revision of the version.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
 }
 
 /// A request for a snapshot from a peer.
@@ -275,4 +295,7 @@
     /// Era of the store to which `since` belongs.
     #[prost(uint64, tag = "3")]
     pub era: u64,
+    /// Versions of large objects that the sender has, which may serve as prefixes for compression.
+    #[prost(message, repeated, tag = "4")]
+    pub held: Vec<Version>,
 }
