--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod quota;
 pub mod record;
 pub mod relay;
+pub mod replication;
 pub mod request;
 pub mod state;
 
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -77,7 +77,7 @@
         let (sender, heartbeats) = mpsc::unbounded_channel();
         let (quarantine, quarantine_changes) = mpsc::unbounded_channel();
         let control = Control::new(protocol, state, clock, logger, sender, quarantine);
-        let follower = Follower::new(control.clone(), settings.store, settings.removal_limit);
+        let follower = Follower::new(control.clone(), &settings);
         let daemon = Daemon { control, follower, addresses: Rc::default(), settings };
         daemon.set_seeds(&daemon.settings);
         daemon.spawn_listeners(heartbeats).await?;
@@ -126,6 +126,8 @@
         let follower = &self.follower;
         spawn_local(follower.clone().follow(Kind::Configuration));
         spawn_local(follower.clone().follow(Kind::Endpoints));
+        spawn_local(follower.clone().pull_changes(Kind::Configuration));
+        spawn_local(follower.clone().pull_changes(Kind::Endpoints));
         spawn_local(follower.clone().maintain());
         let name = self.settings.name.clone();
         let member = Member {
--- a/crates/gatewayd/src/peers/transfer.rs
+++ b/crates/gatewayd/src/peers/transfer.rs
@@ -25,8 +25,10 @@
 
 /// Size limit of a snapshot.
 const MAX_SNAPSHOT_BYTES: usize = 16 << 20;
-/// Time limit for pulling a snapshot from a peer, and for serving one.
-const PULL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time limit for opening a connection, for the first bytes of a message, and for each further part.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(600);
+/// Rate below which the sending of an answer is given up, in bytes per second.
+const MIN_BYTES_PER_SECOND: u32 = 50_000;
 /// Bytes by which the buffer for a snapshot grows.
 const READ_BYTES: usize = 16 << 10;
 
@@ -53,8 +55,7 @@
         let (control, follower) = (control.clone(), follower.clone());
         spawn_local(async move {
             let started = Instant::now();
-            let served = time::timeout(PULL_TIMEOUT, serve_pull(stream, &follower)).await;
-            let served = served.unwrap_or_else(|timeout| Err(timeout.into()));
+            let served = serve_pull(stream, &follower).await;
             let line = Record::new(record::SNAPSHOT_SERVED)
                 .with("peer", peer.to_string())
                 .with("bytes", served.as_ref().ok().copied())
@@ -66,28 +67,36 @@
 }
 
 /// Answers the pull on a connection; returns the size of the answer in bytes.
-async fn serve_pull(stream: TcpStream, follower: &Follower) -> io::Result<usize> {
+async fn serve_pull(stream: TcpStream, follower: &Rc<Follower>) -> io::Result<usize> {
     let mut frames = framed(stream);
-    let Some(frame) = frames.next().await else { return Ok(0) };
+    let Some(frame) = time::timeout(PROGRESS_TIMEOUT, frames.next()).await? else { return Ok(0) };
     let pull = Pull::decode(frame?).map_err(io::Error::other)?;
-    let kind =
-        [Kind::Configuration, Kind::Endpoints].into_iter().find(|it| it.as_str() == pull.kind);
-    let snapshot = kind.map(|it| follower.snapshot(it, &pull)).unwrap_or_default();
-    let bytes = snapshot.encode_to_vec();
+    let kind = [Kind::Configuration, Kind::Endpoints]
+        .into_iter()
+        .find(|it| it.as_str() == pull.kind)
+        .ok_or_else(|| io::Error::other(format!("a pull of {}", pull.kind)))?;
+    let (bytes, upload) = follower.answer(kind, &pull);
     let len = bytes.len();
     metrics::counter!("siskinstile_snapshot_bytes").increment(len as u64);
-    frames.send(Bytes::from(bytes)).await?;
+    let limit = Duration::from_secs(len as u64) / MIN_BYTES_PER_SECOND + PROGRESS_TIMEOUT;
+    let receipt = time::timeout(limit, async {
+        frames.send(bytes).await?;
+        frames.next().await.transpose()
+    });
+    match (receipt.await??, upload) {
+        (Some(_), Some(upload)) => upload.complete(),
+        (None, Some(_)) => return Err(io::ErrorKind::UnexpectedEof.into()),
+        (_, None) => {}
+    }
     Ok(len)
 }
 
 /// Requests objects from a peer; returns them and the size of the answer in bytes.
 pub async fn pull(address: SocketAddr, pull: &Pull) -> Result<(Snapshot, usize), Broken> {
     let mut buffer = BytesMut::new();
-    let received = time::timeout(PULL_TIMEOUT, receive(address, pull, &mut buffer)).await;
-    let snapshot = match received {
-        Ok(Ok(())) => Snapshot::decode(&buffer[..]).map_err(io::Error::other),
-        Ok(Err(error)) => Err(error),
-        Err(timeout) => Err(timeout.into()),
+    let snapshot = match receive(address, pull, &mut buffer).await {
+        Ok(()) => Snapshot::decode(&buffer[..]).map_err(io::Error::other),
+        Err(error) => Err(error),
     };
     match snapshot {
         Ok(snapshot) => Ok((snapshot, buffer.len())),
@@ -95,23 +104,33 @@
     }
 }
 
-/// Sends a pull and reads the encoded answer into `buffer`.
+/// Sends a pull, reads the encoded answer into `buffer` and confirms its receipt.
+///
+/// The time is limited for each part only, since a large answer may take long on a slow link.
 async fn receive(address: SocketAddr, pull: &Pull, buffer: &mut BytesMut) -> io::Result<()> {
-    let mut frames = framed(TcpStream::connect(address).await?);
-    frames.send(Bytes::from(pull.encode_to_vec())).await?;
-    let mut stream = frames.into_inner();
+    let request = async {
+        let mut frames = framed(TcpStream::connect(address).await?);
+        frames.send(Bytes::from(pull.encode_to_vec())).await?;
+        Ok::<_, io::Error>(frames.into_inner())
+    };
+    let mut stream = time::timeout(PROGRESS_TIMEOUT, request).await??;
     // The codec begins a frame with its length as 32 bits.
-    let len = stream.read_u32().await? as usize;
+    let len = time::timeout(PROGRESS_TIMEOUT, stream.read_u32()).await?? as usize;
     if len > MAX_SNAPSHOT_BYTES {
         return Err(io::Error::other(format!("a snapshot of {len} bytes")));
     }
-    let mut body = stream.take(len as u64);
+    let mut body = (&mut stream).take(len as u64);
     while buffer.len() < len {
         buffer.reserve(READ_BYTES.min(len - buffer.len()));
-        if body.read_buf(buffer).await? == 0 {
+        if time::timeout(PROGRESS_TIMEOUT, body.read_buf(buffer)).await?? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
+    // An empty frame is the receipt. Without it the peer refers nobody to this instance.
+    let receipt = time::timeout(PROGRESS_TIMEOUT, framed(stream).send(Bytes::new())).await;
+    if let Err(error) = receipt.unwrap_or_else(|timeout| Err(timeout.into())) {
+        log::debug!("receipt to {address} not sent: {error}");
+    }
     Ok(())
 }
 
--- a/crates/gatewayd/src/store.rs
+++ b/crates/gatewayd/src/store.rs
@@ -4,6 +4,7 @@
 
 use serde_json::Value;
 use siskinstile_gateway::Name;
+pub use siskinstile_gateway::replication::Position;
 use siskinstile_macros::value;
 
 /// A kind of objects in the store.
@@ -34,25 +35,6 @@
     }
 }
 
-/// A point in the history of the store.
-///
-/// The era rises whenever the store is restored from an older copy. Its revisions then go back and
-/// are given out again, so revisions of different eras cannot be compared.
-#[value(id, default)]
-pub struct Position {
-    /// Number of the era.
-    pub era: u64,
-    /// Store revision within the era.
-    pub revision: u64,
-}
-
-impl Position {
-    /// Creates a position.
-    pub fn new(era: u64, revision: u64) -> Position {
-        Position { era, revision }
-    }
-}
-
 /// An object in the store.
 #[value]
 pub struct Object {
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -19,10 +19,14 @@
     time::Duration,
 };
 
-use siskinstile_gateway::Instant;
+use siskinstile_gateway::{
+    Instant,
+    replication::{Sources, Uploads},
+};
 use tokio::{sync::watch, time};
 
 use crate::{
+    Settings,
     control::Control,
     mirror::Mirror,
     store::{Kind, Position},
@@ -34,13 +38,14 @@
 /// Time between two checks for a rank, for peers that are ahead and for deleted objects to remove.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The local copy of one kind, and the peer that has a later one, if any.
+/// The local copy of one kind, and the peers that have a later one.
 #[derive(Debug)]
 struct Replica {
     mirror: Mirror,
     archive: Archive,
-    /// Position of a peer that is ahead, since when it has been ahead, and its address.
-    peer_ahead: Option<(Position, Instant, SocketAddr)>,
+    sources: Sources,
+    /// Snapshots of this copy that are being sent.
+    uploads: Uploads,
 }
 
 impl Replica {
@@ -48,7 +53,8 @@
         RefCell::new(Replica {
             mirror: Mirror::new(removal_limit),
             archive: Archive::default(),
-            peer_ahead: None,
+            sources: Sources::default(),
+            uploads: Uploads::default(),
         })
     }
 }
@@ -58,6 +64,8 @@
 pub struct Follower {
     control: Rc<Control>,
     store: SocketAddr,
+    /// Address of this instance for messages of other instances.
+    address: SocketAddr,
     configuration: RefCell<Replica>,
     endpoints: RefCell<Replica>,
     down_since: RefCell<Option<Instant>>,
@@ -73,12 +81,13 @@
 }
 
 impl Follower {
-    /// Creates a follower of the store at `store`, with empty copies. `removal_limit` is the time
-    /// after which an endpoint that has left must not be in use any more.
-    pub fn new(control: Rc<Control>, store: SocketAddr, removal_limit: Duration) -> Rc<Follower> {
+    /// Creates a follower of the store, with empty copies.
+    pub fn new(control: Rc<Control>, settings: &Settings) -> Rc<Follower> {
+        let removal_limit = settings.removal_limit;
         Rc::new(Follower {
             control,
-            store,
+            store: settings.store,
+            address: settings.listen.peers,
             configuration: Replica::new(removal_limit),
             endpoints: Replica::new(removal_limit),
             down_since: RefCell::default(),
@@ -120,15 +129,22 @@
         self.control.read(|state| state.follow_rank(now))
     }
 
-    /// Runs periodic work: pulls snapshots from peers that are ahead, removes deleted objects whose
-    /// grace period has ended, and closes expired idle connections.
-    pub async fn maintain(self: Rc<Follower>) {
+    /// Pulls snapshots of a kind from peers that are ahead, until the process ends.
+    pub async fn pull_changes(self: Rc<Follower>, kind: Kind) {
         loop {
             time::sleep(POLL_INTERVAL).await;
-            for kind in [Kind::Configuration, Kind::Endpoints] {
-                self.pull_if_behind(kind).await;
+            self.pull_if_behind(kind).await;
+            if kind == Kind::Configuration {
+                self.pull_newer_configuration().await;
             }
-            self.pull_newer_configuration().await;
+        }
+    }
+
+    /// Removes deleted objects whose grace period has ended, and closes expired idle connections,
+    /// until the process ends.
+    pub async fn maintain(self: Rc<Follower>) {
+        loop {
+            time::sleep(POLL_INTERVAL).await;
             let now = self.control.now();
             if self.endpoints.borrow_mut().mirror.expire(now) {
                 self.apply_endpoints();
--- a/crates/gatewayd/src/sync/snapshot.rs
+++ b/crates/gatewayd/src/sync/snapshot.rs
@@ -1,7 +1,9 @@
 //! Snapshots of the local copies, exchanged with peers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use bytes::Bytes;
+use prost::Message as _;
 use siskinstile_gateway::{
     Name,
     record::{self, Record},
@@ -24,6 +26,32 @@
 /// itself pulls a snapshot from it.
 const MAX_LAG: Duration = Duration::from_millis(500);
 
+/// An answer to a pull that is being sent, until it is dropped.
+#[derive(Debug)]
+pub struct Upload {
+    follower: Rc<Follower>,
+    kind: Kind,
+    /// Size of the answer, in bytes.
+    len: usize,
+    /// Address of the receiver, and the position of what it gets.
+    receiver: Option<(SocketAddr, Position)>,
+    is_received: bool,
+}
+
+impl Upload {
+    /// Records that the receiver has got all of the answer.
+    pub fn complete(mut self) {
+        self.is_received = true;
+    }
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        let receiver = self.receiver.filter(|_| self.is_received);
+        self.follower.replica(self.kind).borrow_mut().uploads.end(self.len, receiver);
+    }
+}
+
 /// What to pull from a peer.
 #[value(id)]
 enum Extent {
@@ -52,17 +80,31 @@
 
     fn note_peer_position(&self, kind: Kind, position: Position, peer: SocketAddr) {
         let mut replica = self.replica(kind).borrow_mut();
-        if position > replica.mirror.position()
-            && replica.peer_ahead.is_none_or(|it| it.0 < position)
-        {
-            let since = replica.peer_ahead.map_or(self.control.now(), |it| it.1);
-            replica.peer_ahead = Some((position, since, peer));
+        let own = replica.mirror.position();
+        replica.sources.record(self.control.now(), peer, position, own);
+    }
+
+    /// Returns the encoded answer to a pull of a kind; one without an upload refers to others, as too
+    /// many are being sent.
+    pub fn answer(self: &Rc<Follower>, kind: Kind, pull: &Pull) -> (Bytes, Option<Upload>) {
+        let snapshot = self.snapshot(kind, pull);
+        let bytes = Bytes::from(snapshot.encode_to_vec());
+        let Snapshot { revision, era, .. } = snapshot;
+        let position = Position::new(era, revision);
+        let uploads = &mut self.replica(kind).borrow_mut().uploads;
+        if uploads.begin(bytes.len()) {
+            let (follower, len) = (self.clone(), bytes.len());
+            let receiver = pull.address.parse().ok().map(|it| (it, position));
+            return (bytes, Some(Upload { follower, kind, len, receiver, is_received: false }));
         }
+        let holders = uploads.refer(position).iter().map(SocketAddr::to_string).collect();
+        let busy = Snapshot { revision, era, busy: true, holders, ..Snapshot::default() };
+        (Bytes::from(busy.encode_to_vec()), None)
     }
 
     /// Returns the objects of a kind that have changed since the position of a pull, and the names of
     /// all objects; an empty snapshot with revision 0 before the first list.
-    pub fn snapshot(&self, kind: Kind, pull: &Pull) -> Snapshot {
+    fn snapshot(&self, kind: Kind, pull: &Pull) -> Snapshot {
         let mut replica = self.replica(kind).borrow_mut();
         let Replica { mirror, archive, .. } = &mut *replica;
         if !mirror.is_listed() {
@@ -82,6 +124,7 @@
             names: mirror.objects().map(|it| it.name.to_string()).collect(),
             era: position.era,
             kept: kept.collect(),
+            ..Snapshot::default()
         }
     }
 
@@ -103,13 +146,16 @@
     /// peers or has no copy yet, otherwise after [`MAX_LAG`].
     pub(super) async fn pull_if_behind(&self, kind: Kind) {
         let now = self.control.now();
-        let peer_ahead = self.replica(kind).borrow().peer_ahead;
-        let Some((_, since, peer)) = peer_ahead else { return };
-        let is_listed = self.replica(kind).borrow().mirror.is_listed();
-        if is_listed && self.rank().is_some() && now.since(since) < MAX_LAG {
+        let (peer, since) = {
+            let replica = self.replica(kind).borrow();
+            let Some(since) = replica.sources.ahead_since() else { return };
+            let waits = replica.mirror.is_listed() && self.rank().is_some();
+            let Some(peer) = replica.sources.choose(now, rand::random()) else { return };
+            (peer, since + if waits { MAX_LAG } else { Duration::ZERO })
+        };
+        if now < since {
             return;
         }
-        self.replica(kind).borrow_mut().peer_ahead = None;
         if !self.pull(kind, peer, Extent::Changes).await {
             self.pull(kind, peer, Extent::All).await;
         }
@@ -118,12 +164,14 @@
     /// Returns the request for what this copy of a kind lacks.
     fn request(&self, kind: Kind, extent: Extent) -> Pull {
         let name = kind.as_str().to_owned();
+        let address = self.address.to_string();
         match extent {
-            Extent::All => Pull { kind: name, ..Pull::default() },
+            Extent::All => Pull { kind: name, address, ..Pull::default() },
             Extent::Changes => {
                 let replica = self.replica(kind).borrow();
                 let Position { era, revision } = replica.mirror.changed_position();
-                Pull { kind: name, since: revision, era, held: replica.archive.versions() }
+                let held = replica.archive.versions();
+                Pull { kind: name, since: revision, era, held, address }
             }
         }
     }
@@ -132,29 +180,44 @@
     /// versions, so that all of them are needed.
     async fn pull(&self, kind: Kind, peer: SocketAddr, extent: Extent) -> bool {
         let started = self.control.now();
-        let took_ms = || self.control.now().since(started).as_millis() as u64;
         let request = self.request(kind, extent);
-        match transfer::pull(peer, &request).await {
-            Ok((snapshot, bytes)) if snapshot.revision > 0 => {
+        let pulled = transfer::pull(peer, &request).await;
+        let took_ms = self.control.now().since(started).as_millis() as u64;
+        match pulled {
+            Ok((snapshot, _)) if snapshot.busy => {
+                let holders = snapshot.holders.iter().filter_map(|it| it.parse().ok());
+                self.defer(kind, peer, &holders.collect::<Vec<_>>());
+                true
+            }
+            Ok((snapshot, bytes)) => {
+                // A peer that was referred to may not have the changes yet.
+                self.defer(kind, peer, &[]);
                 let line = Record::new(record::SNAPSHOT_TAKEN)
                     .with("bytes", bytes)
-                    .with("took_ms", took_ms());
-                self.merge_snapshot(kind, peer, snapshot, line)
+                    .with("took_ms", took_ms);
+                snapshot.revision == 0 || self.merge_snapshot(kind, peer, snapshot, line)
             }
-            Ok(_) => true,
             Err(broken) => {
+                self.replica(kind).borrow_mut().sources.remove(peer);
                 let line = Record::new(record::SNAPSHOT_BROKEN)
                     .with("kind", kind.as_str())
                     .with("peer", peer.to_string())
                     .with("problem", broken.error.to_string())
                     .with("bytes", broken.bytes)
-                    .with("took_ms", took_ms());
+                    .with("took_ms", took_ms);
                 self.control.logger.write(&line);
                 true
             }
         }
     }
 
+    fn defer(&self, kind: Kind, peer: SocketAddr, holders: &[SocketAddr]) {
+        let now = self.control.now();
+        let mut replica = self.replica(kind).borrow_mut();
+        let own = replica.mirror.position();
+        replica.sources.defer(now, peer, holders, own);
+    }
+
     /// Applies a peer's snapshot, and then writes `line` with what it held.
     fn merge_snapshot(
         &self,
--- a/crates/gatewayd/src/sync/update.rs
+++ b/crates/gatewayd/src/sync/update.rs
@@ -26,7 +26,7 @@
         {
             let mut replica = self.replica(kind).borrow_mut();
             let position = replica.mirror.position();
-            replica.peer_ahead = replica.peer_ahead.filter(|it| it.0 > position);
+            replica.sources.advance(position);
             if has_changed && kind == Kind::Configuration {
                 let Replica { mirror, archive, .. } = &mut *replica;
                 archive.record(mirror.objects());
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -233,6 +233,13 @@
     /// Objects among `names` that the store no longer has and that the sender keeps for a while.
     #[prost(message, repeated, tag = "5")]
     pub kept: Vec<Kept>,
+    /// Whether the sender is busy, so that this is no snapshot; the only other fields are then
+    /// `revision`, `era` and `holders`.
+    #[prost(bool, tag = "6")]
+    pub busy: bool,
+    /// Addresses of instances that should have the same.
+    #[prost(string, repeated, tag = "7")]
+    pub holders: Vec<String>,
 }
 
 /// An object that its sender keeps for a while after the store has lost it.
@@ -298,4 +305,7 @@
     /// Versions of large objects that the sender has, which may serve as prefixes for compression.
     #[prost(message, repeated, tag = "4")]
     pub held: Vec<Version>,
+    /// Address of the sender for messages of other instances.
+    #[prost(string, tag = "5")]
+    pub address: String,
 }
