Store: limit the parts of an answer in time, not all of it

Now the head has that time, and each part of the body; all of it 10 s and 8 MiB. Test answer_slow: before, the change was not in force within 20 s; passes now.

--- a/crates/gateway/tests/testsuite/replication.rs
+++ b/crates/gateway/tests/testsuite/replication.rs
@@ -115,11 +115,8 @@
     fn follow_store(&mut self) {
         let (number, since_ms) = self.follower;
         let fetch_ms = (STORED_BYTES / LINK_BYTES_PER_MS) as u64 + APPLY_MS;
-        let arrived = self
-            .changes
-            .iter()
-            .filter(|it| it.0.max(since_ms) + fetch_ms <= self.now_ms)
-            .next_back();
+        let has_arrived = |it: &&(u64, Position)| it.0.max(since_ms) + fetch_ms <= self.now_ms;
+        let arrived = self.changes.iter().rfind(has_arrived);
         let instance = &mut self.instances[number];
         if let Some((_, position)) = arrived.filter(|it| it.1 > instance.own) {
             instance.applying = Some((self.now_ms, *position));
--- a/crates/gatewayd/src/body.rs
+++ b/crates/gatewayd/src/body.rs
@@ -3,12 +3,13 @@
 //! Bodies are buffered up to a limit for each and one for all, so that peers whose bodies have no
 //! end do not take the memory of the process.
 
-use std::{cell::Cell, ops::Deref, rc::Rc};
+use std::{cell::Cell, ops::Deref, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use siskinstile_macros::value;
+use tokio::time;
 
 /// Size limit of all bodies together that are buffered in one memory.
 const MAX_TOTAL_BYTES: usize = 16 << 20;
@@ -23,6 +24,8 @@
     Cut,
     /// The body exceeds its size limit, or all bodies together exceed theirs.
     TooLarge,
+    /// No part of the body has arrived for too long.
+    Stalled,
 }
 
 /// Counts the bytes of the bodies that are buffered.
@@ -44,6 +47,22 @@
         Ok(buffer)
     }
 
+    /// Reads a body to its end, up to a size limit, with a time limit for each part.
+    pub async fn read_parts(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+        part_timeout: Duration,
+    ) -> Result<Buffer, Fault> {
+        let mut buffer = Buffer { bytes: BytesMut::new(), memory: self.clone() };
+        loop {
+            let frame = time::timeout(part_timeout, body.frame()).await;
+            let Some(frame) = frame.map_err(|_| Fault::Stalled)? else { return Ok(buffer) };
+            let data = frame.map_err(|_| Fault::Cut)?.into_data().unwrap_or_default();
+            buffer.extend(&data, max_bytes)?;
+        }
+    }
+
     fn release(&self, bytes: usize) {
         self.total.set(self.total.get() - bytes);
     }
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -113,6 +113,7 @@
         match fault {
             body::Fault::Cut => Failed::broken("answer cut"),
             body::Fault::TooLarge => Failed::broken("answer too large"),
+            body::Fault::Stalled => Failed::broken("answer stalled"),
         }
     }
 }
--- a/crates/gatewayd/src/sync/transport.rs
+++ b/crates/gatewayd/src/sync/transport.rs
@@ -11,40 +11,48 @@
     store::{Answer, Call, Fault},
 };
 
-/// Time limit for an answer, in addition to the wait that a watch requests.
+/// Time limit for the head of an answer, in addition to the wait that a watch requests, and for each
+/// part of its body: a large one takes long on a slow link.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time limit for all of a body.
+const MAX_BODY_TIME: Duration = Duration::from_secs(10);
 /// Size limit of an answer. An object has 1 MiB at most, and so does a page of a list.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Maximum number of connections to the store.
 const MAX_CONNECTIONS: usize = 8;
 
 impl Follower {
-    /// Calls the store; no answer within the time limit counts as lost.
+    /// Calls the store; an answer that does not progress within the time limits counts as lost.
     pub async fn call(&self, call: &Call) -> Result<Answer, Fault> {
-        let wait = match call {
-            Call::Watch { wait, .. } => *wait,
-            _ => Duration::ZERO,
-        };
         metrics::counter!("siskinstile_store_calls").increment(1);
-        let result = match time::timeout(wait + RESPONSE_TIMEOUT, self.send(call)).await {
-            Ok(result) => result,
-            Err(_) => {
-                self.control.client.close_idle(self.store);
-                Err(Fault::Lost)
-            }
-        };
+        let result = self.send(call).await;
         self.record_result(&result);
         result
     }
 
+    /// Records that an answer did not come in time, as the connections may be dead.
+    fn time_out(&self) -> Fault {
+        self.control.client.close_idle(self.store);
+        Fault::Lost
+    }
+
     async fn send(&self, call: &Call) -> Result<Answer, Fault> {
         let protocol = &self.control.protocol;
         let request = protocol.store_request(call);
         let client = &self.control.client;
-        let reply =
-            client.send(self.store, request, MAX_CONNECTIONS).await.map_err(|_| Fault::Lost)?;
-        let body = match Memory::default().read(reply.body, MAX_ANSWER_BYTES).await {
+        let wait = match call {
+            Call::Watch { wait, .. } => *wait,
+            _ => Duration::ZERO,
+        };
+        let reply = client.send(self.store, request, MAX_CONNECTIONS);
+        let reply = time::timeout(wait + RESPONSE_TIMEOUT, reply).await;
+        let reply = reply.map_err(|_| self.time_out())?.map_err(|_| Fault::Lost)?;
+        let memory = Memory::default();
+        let body = memory.read_parts(reply.body, MAX_ANSWER_BYTES, RESPONSE_TIMEOUT);
+        let body = time::timeout(MAX_BODY_TIME, body).await.unwrap_or(Err(body::Fault::Stalled));
+        let body = match body {
             Ok(body) => body,
+            Err(body::Fault::Stalled) => return Err(self.time_out()),
             // A list has the same changes in pages.
             Err(body::Fault::TooLarge) if matches!(call, Call::Watch { .. }) => {
                 log::warn!(
