--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod quota;
 mod record;
+mod repeats;
 mod replication;
 mod retry_after;
 mod simulation;
