--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -169,6 +169,20 @@
     pub leaving: bool,
     /// Time for which it must not be called after a refusal.
     pub backoff: Option<Duration>,
+    /// Limit on the requests from all instances together.
+    pub limit: StatedLimit,
+}
+
+/// What an endpoint states about the requests that it takes from all instances together.
+#[value(id, default)]
+pub enum StatedLimit {
+    /// There is no response that could state a limit, or it states none that can be read.
+    #[default]
+    Unknown,
+    /// It states no limit.
+    None,
+    /// Requests per 1,000 seconds.
+    Rate(u64),
 }
 
 /// Load that an endpoint reports with a response.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod engine;
 pub mod event;
 pub mod health;
+pub mod limit;
 pub mod load;
 pub mod member;
 pub mod name_hash;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -72,11 +72,13 @@
 pub const PART_FREED: Code = code(744, Level::Info, "prompt part free again");
 /// A peer has pulled a snapshot.
 pub const SNAPSHOT_SERVED: Code = code(745, Level::Info, "snapshot sent to a peer");
+/// An endpoint has begun to limit the requests that it takes, or ended it.
+pub const ENDPOINT_LIMIT: Code = code(746, Level::Info, "endpoint limit");
 /// An error outside of request processing, or debugging information.
 pub const DIAGNOSTIC: Code = code(750, Level::Warn, "diagnostic");
 
 /// All codes, in the order of the catalogue.
-pub const CODES: [Code; 31] = [
+pub const CODES: [Code; 32] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -107,6 +109,7 @@
     PART_QUARANTINED,
     PART_FREED,
     SNAPSHOT_SERVED,
+    ENDPOINT_LIMIT,
     DIAGNOSTIC,
 ];
 
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod follow;
 mod generation;
+mod limits;
 mod load;
 mod notice;
 mod orders;
--- a/crates/gateway/tests/testsuite/notice.rs
+++ b/crates/gateway/tests/testsuite/notice.rs
@@ -5,14 +5,15 @@
 use rstest::rstest;
 use siskinstile_gateway::{
     Directory, Effect, Event,
-    call::{Notice, Outcome, Step},
+    call::{Notice, Outcome, StatedLimit, Step},
     directory::{Endpoint, Readiness},
 };
 use siskinstile_wire::message::heartbeat::Heartbeat;
 
 use crate::site::{Site, endpoints, failed};
 
-const LEAVING: Notice = Notice { load: None, leaving: true, backoff: None };
+const LEAVING: Notice =
+    Notice { load: None, leaving: true, backoff: None, limit: StatedLimit::Unknown };
 
 fn backoff(ms: u64) -> Notice {
     Notice { backoff: Some(Duration::from_millis(ms)), ..Notice::default() }
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -69,10 +69,23 @@
         Site::start(Tolerance::default())
     }
 
+    /// Starts one of the gateways of a fleet, with a configuration and a list of endpoints.
+    pub(crate) fn member(number: u64, members: u64) -> Site {
+        let mut site = Site::start_named(&format!("i-{number}"), number, Tolerance::default());
+        let all = (0..members).map(|it| (format!("i-{it}").into(), "north".into()));
+        site.post(Event::Members(all.collect()));
+        site.configure();
+        site
+    }
+
     fn start(quota_tolerance: Tolerance) -> Site {
+        Site::start_named("one", 1, quota_tolerance)
+    }
+
+    fn start_named(name: &str, incarnation: u64, quota_tolerance: Tolerance) -> Site {
         let state = State::new(Settings {
-            name: "one".into(),
-            incarnation: 1,
+            name: name.into(),
+            incarnation,
             datacentre: "north".into(),
             first_start: true,
             retries: Bound { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) },
