--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// Returns whether an endpoint is known to limit the requests that it takes.
+    pub fn is_limited(&self, now: Instant, endpoint: &str) -> bool {
+        let endpoint = self.directory.get(endpoint);
+        endpoint.is_some_and(|it| self.fleet.limits.is_limited(now, it))
+    }
+
     fn log_limit(&mut self, endpoint: &str, rate: Option<u64>, source: Option<&str>) {
         let line = Record::new(record::ENDPOINT_LIMIT)
             .with("endpoint", endpoint)
--- a/crates/gateway/tests/testsuite/limits.rs
+++ b/crates/gateway/tests/testsuite/limits.rs
@@ -10,7 +10,7 @@
 };
 use siskinstile_wire::message::heartbeat::Heartbeat;
 
-use crate::site::Site;
+use crate::{simulation, site::Site};
 
 /// Time until all instances have to know a limit.
 const CONTACT_MS: u64 = 3_000;
@@ -168,6 +168,28 @@
     assert!(lookup(&mut sites[2], Notice::default()).is_some());
 }
 
+/// In a fleet with relays, all instances of all data centres know of a limit, and of its end, within the
+/// time in which they have to.
+#[rstest]
+#[case::fleet_100(100)]
+#[case::fleet_295(295)]
+fn limit_known_in_time(#[case] members: usize) {
+    let mut fleet = simulation::Fleet::start(members);
+    fleet.advance(3_000);
+    let (engine, name) = ("e-dc-0", fleet.members("dc-0")[20].clone());
+    let runs = [1, 2].map(|request| fleet.run(&name, request, &[]).expect("a run"));
+    let statements = [(StatedLimit::Rate(2_000), members), (StatedLimit::None, 0)];
+    for (run, (limit, expected)) in runs.iter().zip(statements) {
+        assert_eq!(&*run.endpoint.id, engine);
+        let notice = Notice { limit, ..Notice::default() };
+        fleet.report_with(&name, run, Outcome::Head { status: 200 }, notice);
+        fleet.advance(CONTACT_MS);
+        let knows = |name: &Name| fleet.instances[name].state.is_limited(fleet.now, engine);
+        let known = fleet.datacentres.keys().filter(|it| knows(it)).count();
+        assert_eq!(known, expected, "{limit:?}");
+    }
+}
+
 /// Hands what each instance sends on to the next one, the last excepted.
 fn pass_on(sites: &mut [Site]) {
     for number in 1..sites.len() {
--- a/crates/gateway/tests/testsuite/simulation.rs
+++ b/crates/gateway/tests/testsuite/simulation.rs
@@ -279,7 +279,18 @@
     }
 
     fn report(&mut self, name: &Name, call: &Call, outcome: Outcome) {
-        let report = Report { call: call.id, outcome, notice: Notice::default() };
+        self.report_with(name, call, outcome, Notice::default());
+    }
+
+    /// Reports the outcome of a call with what the endpoint states about itself.
+    pub(crate) fn report_with(
+        &mut self,
+        name: &Name,
+        call: &Call,
+        outcome: Outcome,
+        notice: Notice,
+    ) {
+        let report = Report { call: call.id, outcome, notice };
         self.post(name, Event::Report(report));
     }
 
