Gateway: a prompt that is computed again takes a retry from the budget

Now it takes a retry; without one the engine of the slot computes it in the run. prompt_computed_again::none_left failed before (a prefill without a retry), passes now.

--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -127,6 +127,7 @@
         let prefill = job.prefill.clone().filter(|_| job.may_prefill());
         let prefill = prefill.filter(|it| self.pause(now, it).is_none());
         let Some(job) = self.jobs.get(&id) else { return };
+        let was_computed = job.times.computed.is_some();
         let line = job
             .log_record(record::PLACED, now)
             .with("decode", &*decode.id)
@@ -139,8 +140,11 @@
         self.log(line);
         match (self.kept_prompt(now, id), prefill) {
             (Some(handle), _) => self.start_run(now, id, Some(handle)),
-            (None, Some(prefill)) => self.start_prefill(now, id, prefill),
-            (None, None) => self.start_run(now, id, None),
+            // Computing a prompt once more is a retry.
+            (None, Some(prefill)) if !was_computed || self.take_retry(now, id) => {
+                self.start_prefill(now, id, prefill);
+            }
+            (None, _) => self.start_run(now, id, None),
         }
     }
 
--- a/crates/gateway/tests/testsuite/repeats.rs
+++ b/crates/gateway/tests/testsuite/repeats.rs
@@ -1,10 +1,11 @@
 //! How often requests reach engines, against the bound on retries.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use rstest::rstest;
 use siskinstile_gateway::{
-    call::{Outcome, Step},
+    call::{Notice, Outcome, Step},
+    effect::Call,
     request::Id,
 };
 
@@ -56,3 +57,55 @@
     let repeats = repeats(refuses_runs);
     assert!(repeats <= MAX_REPEATS, "{repeats} repeats of {REQUESTS} requests");
 }
+
+/// Lets engines refuse prompts until a refused one is not tried again, as no retry is left.
+fn spend_retries(site: &mut Site) {
+    for _ in 0..20 {
+        let id = site.send("/review/");
+        for _ in 0..30 {
+            for call in site.calls() {
+                let outcome = match call.step {
+                    Step::Hold { .. } => Outcome::Held { hold: "h".into() },
+                    _ => Outcome::Refused { status: 503 },
+                };
+                site.report(call.id, outcome);
+                if call.step == Step::Prefill && site.failure(id).is_some() {
+                    return;
+                }
+            }
+        }
+        site.advance(400);
+    }
+    panic!("there are retries left");
+}
+
+/// Guards against prompts that are computed again although no retry is left: a prompt has been
+/// computed, its reserved engine wants no calls, and when there is another slot the prompt is not kept
+/// any more. The engine of that slot then computes it itself.
+#[rstest]
+#[case::retries_left(false)]
+#[case::none_left(true)]
+fn prompt_computed_again(#[case] is_spent: bool) {
+    let mut site = Site::with_engines(40);
+    if is_spent {
+        spend_retries(&mut site);
+        site.advance(2_000);
+        site.calls();
+    }
+    site.send("/review/");
+    let hold = site.call();
+    let notice = Notice { backoff: Some(Duration::from_secs(9)), ..Notice::default() };
+    site.report_with(hold.id, Outcome::Held { hold: "h1".into() }, notice);
+    let prefill = site.call();
+    site.report(prefill.id, Outcome::Computed { handle: "kv1".into(), tokens: 5_000 });
+    let is_hold = |it: &Call| matches!(it.step, Step::Hold { .. });
+    let second = site.calls().into_iter().find(is_hold).expect("another reservation");
+    site.advance(300);
+    site.report(second.id, Outcome::Refused { status: 503 });
+    let third = site.calls().into_iter().find(is_hold).expect("a third one");
+    site.advance(300);
+    site.report(third.id, Outcome::Held { hold: "h3".into() });
+    let next = site.calls().into_iter().find(|it| it.request == prefill.request);
+    let step = next.expect("a call").step;
+    assert_eq!(step == Step::Prefill, !is_spent, "{step:?}");
+}
