--- a/crates/gatewayd/src/peers/transfer.rs
+++ b/crates/gatewayd/src/peers/transfer.rs
@@ -1,11 +1,6 @@
 //! Transfer of snapshots between instances, each over a connection of its own.
 
-use std::{
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt as _, StreamExt as _};
@@ -54,13 +49,13 @@
         };
         let (control, follower) = (control.clone(), follower.clone());
         spawn_local(async move {
-            let started = Instant::now();
+            let started = control.now();
             let served = serve_pull(stream, &follower).await;
             let line = Record::new(record::SNAPSHOT_SERVED)
                 .with("peer", peer.to_string())
                 .with("bytes", served.as_ref().ok().copied())
                 .with("problem", served.err().map(|it| it.to_string()))
-                .with("took_ms", started.elapsed().as_millis() as u64);
+                .with("took_ms", control.now().since(started).as_millis() as u64);
             control.logger.write(&line);
         });
     }
--- a/crates/gatewayd/src/sync/snapshot.rs
+++ b/crates/gatewayd/src/sync/snapshot.rs
@@ -84,8 +84,8 @@
         replica.sources.record(self.control.now(), peer, position, own);
     }
 
-    /// Returns the encoded answer to a pull of a kind; one without an upload refers to others, as too
-    /// many are being sent.
+    /// Returns the encoded answer to a pull of a kind; as long as too many are being
+    /// sent, it refers to others and has no upload.
     pub fn answer(self: &Rc<Follower>, kind: Kind, pull: &Pull) -> (Bytes, Option<Upload>) {
         let snapshot = self.snapshot(kind, pull);
         let bytes = Bytes::from(snapshot.encode_to_vec());
@@ -97,6 +97,9 @@
             let receiver = pull.address.parse().ok().map(|it| (it, position));
             return (bytes, Some(Upload { follower, kind, len, receiver, is_received: false }));
         }
+        if !pull.reads_all() {
+            return (bytes, None);
+        }
         let holders = uploads.refer(position).iter().map(SocketAddr::to_string).collect();
         let busy = Snapshot { revision, era, busy: true, holders, ..Snapshot::default() };
         (Bytes::from(busy.encode_to_vec()), None)
@@ -112,7 +115,8 @@
         }
         let since = Position::new(pull.era, pull.since);
         let changed = mirror.objects().filter(|it| it.position > since);
-        let objects = changed.map(|it| sent_object(it, archive.encode(it, &pull.held))).collect();
+        let mut encode = |it: &Object| archive.encode(it, &pull.held).filter(|_| pull.reads_all());
+        let objects = changed.map(|it| sent_object(it, encode(it))).collect();
         let kept = mirror.kept(self.control.now()).map(|(name, remaining)| Kept {
             name: name.to_string(),
             remaining_ms: remaining.as_millis() as u64,
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -328,7 +328,15 @@
     /// Versions of large objects that the sender has, which may serve as prefixes for compression.
     #[prost(message, repeated, tag = "4")]
     pub held: Vec<Version>,
-    /// Address of the sender for messages of other instances.
+    /// Address of the sender for messages of other instances; none from earlier versions, which read
+    /// neither compressed objects nor referrals.
     #[prost(string, tag = "5")]
     pub address: String,
 }
+
+impl Pull {
+    /// Returns whether the sender reads compressed objects and referrals.
+    pub fn reads_all(&self) -> bool {
+        !self.address.is_empty()
+    }
+}
