Gateway: a refusal for want of a slot states the longer of the queue's time and the endpoints' pause

Found on reading the change: with all engines of a service paused, the time that callers were told was cut to the pause, although the queue takes longer. Test generation_refused_at_limit: refused at once, told the time in which the fleet may call an engine.

--- a/crates/gateway/src/state/queue.rs
+++ b/crates/gateway/src/state/queue.rs
@@ -22,10 +22,14 @@
     pub(super) fn enqueue(&mut self, now: Instant, id: request::Id) {
         let Some(job) = self.jobs.get(&id) else { return };
         let (service, rank) = (job.service.name.clone(), job.rank(now));
+        let expected = self.expected_wait(now, &service, rank);
         let pause = self.shortest_pause(now, &service).unwrap_or_default();
-        let wait = self.expected_wait(now, &service, rank).max(pause);
-        match now + wait > self.wait_deadline(now, id) && !self.has_room(now, id) {
-            true => self.refuse_no_slot(now, id, wait, "no place in time"),
+        let deadline = self.wait_deadline(now, id);
+        match now + expected.max(pause) > deadline && !self.has_room(now, id) {
+            true => {
+                let pause = self.shortest_fleet_pause(now, &service).unwrap_or_default();
+                self.refuse_no_slot(now, id, expected.max(pause), "no place in time");
+            }
             false => self.join_queue(now, id),
         }
     }
@@ -103,7 +107,6 @@
     ) {
         let Some(job) = self.jobs.get(&id) else { return };
         let service = job.service.name.clone();
-        let wait = self.shortest_fleet_pause(now, &service).map_or(wait, |it| wait.min(it));
         let forecast = self.fleet.forecasts.get(&service).cloned().unwrap_or_default();
         let slot_interval = forecast.slot_interval(self.running_requests(&service))
             * self.fleet.members.len() as u32;
--- a/crates/gateway/tests/testsuite/limits.rs
+++ b/crates/gateway/tests/testsuite/limits.rs
@@ -128,6 +128,28 @@
     assert_eq!(lookup(&mut site, Notice::default()), Some(called), "its limit has ended");
 }
 
+/// A generation is refused at once if the limits of all decode engines allow none, and told when the
+/// fleet may call one again.
+#[test]
+fn generation_refused_at_limit() {
+    let mut site = Site::member(0, 6);
+    let limited = Notice { limit: StatedLimit::Rate(100), ..Notice::default() };
+    for _ in 0..2 {
+        site.send("/review/");
+        let hold = site.calls().into_iter().find(|it| matches!(it.step, Step::Hold { .. }));
+        let hold = hold.expect("a reservation");
+        site.report_with(hold.id, Outcome::Refused { status: 503 }, limited);
+        site.calls();
+    }
+    let id = site.send("/review/");
+    assert!(site.calls().is_empty(), "no engine may be called");
+    let (status, retry_after) = site.failure(id).expect("refused at once");
+    assert_eq!(status, 503);
+    // Until the next call of this instance it may take 75 s, until one of the fleet 12.5 s.
+    let range = Duration::from_secs(4)..Duration::from_secs(20);
+    assert!(retry_after.is_some_and(|it| range.contains(&it)), "{retry_after:?}");
+}
+
 /// Sends a lookup and lets the endpoint answer; returns the endpoint.
 fn lookup(site: &mut Site, notice: Notice) -> Option<Name> {
     site.send("/lookup/");
