Gateway: quarantine requests that crash the endpoints that run them

Cause: only shared parts of prompts were suspected, and only once an answer had begun. A plain request has no parts and its endpoint ends before it answers, so that nothing learnt; the repeat within an idempotent route ended a second endpoint. Ruled out: the repeats as the main part (a route with one attempt crashed as many), and the loss of a rack (each crash has a run of the same route and team, one after the other). Change: a request as a whole (host, method, path with query, body, team) is a subject of the quarantine beside parts. It is suspected of a crash if its endpoint refuses connections after the break, so that grey endpoints tell nothing. Three crashes in turn, no success in between, no rival with the same crashes; two withhold repeats. Told and kept as parts are.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -50,7 +50,8 @@
     TooLate,
     /// No endpoint can execute the request.
     NoEndpoint,
-    /// Engines that answered prompts with a part of this one crashed, so it is not run for a while.
+    /// Endpoints that ran the request, or prompts with a part of this one, crashed, so it is not run for
+    /// a while.
     Quarantined,
     /// The instance is draining and accepts no new requests.
     Draining,
@@ -99,7 +100,7 @@
     row(Kind::QueueFull, 503, true, "the queue of the pool is full"),
     row(Kind::TooLate, 503, true, "the latency targets cannot be met now"),
     row(Kind::NoEndpoint, 503, true, "no endpoint can run the request now"),
-    row(Kind::Quarantined, 503, true, "a part of the prompt crashes engines"),
+    row(Kind::Quarantined, 503, true, "the request, or a part of its prompt, crashes endpoints"),
     row(Kind::Draining, 503, true, "the instance is leaving"),
     row(Kind::PlatformUnavailable, 503, true, "the platform is out of reach"),
     row(Kind::NotReady, 503, true, "no configuration is in force yet"),
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -1,4 +1,4 @@
-//! A part of prompts that is suspected of crashing engines.
+//! A request, or a part of prompts, that is suspected of crashing endpoints.
 
 use std::time::Duration;
 
@@ -7,7 +7,9 @@
 
 use crate::{Instant, name_hash::NameHash};
 
-/// Number of crashes, one after the other, for which a part is quarantined.
+use super::{Subject, WHOLE_REQUEST};
+
+/// Number of crashes, one after the other, for which a subject is quarantined.
 const MIN_CRASHES: usize = 3;
 /// Number of crashes for which a part is quarantined although they were at the same time, or nothing
 /// else has run.
@@ -15,23 +17,26 @@
 /// Time after the last of [`MIN_CRASHES`] in which other instances may still report that a run with
 /// the part went well.
 const CONFIRMATION_TIME: Duration = Duration::from_millis(300);
+/// Time after its last crash in which a request may still turn out to have been run beside the one that
+/// crashed the endpoints.
+const RIVAL_TIME: Duration = Duration::from_secs(1);
 /// Time for which runs with other parts, and none with this one, have to go well after
 /// [`MIN_ENGINES`] crashes, so that the loss of many engines at once is not taken for the part's.
 const OTHER_SUCCESS_TIME: Duration = Duration::from_millis(700);
-/// Time after the last crash for which a part is quarantined. A single crash within
+/// Time after the last crash for which a subject is quarantined. A single crash within
 /// [`CRASH_EXPIRY`] then renews it.
 const QUARANTINE_TIME: Duration = Duration::from_secs(300);
-/// The same if no run at all has gone well meanwhile, so that the part is not known to be the cause.
+/// The same if no run at all has gone well meanwhile, so that the subject is not known to be the cause.
 const SHORT_QUARANTINE_TIME: Duration = Duration::from_secs(30);
 /// Time for which a crash counts.
 const CRASH_EXPIRY: Duration = Duration::from_secs(600);
-/// Time without a crash after which a part that has been cleared is forgotten.
+/// Time without a crash after which a subject that has been cleared is forgotten.
 const CLEARED_EXPIRY: Duration = Duration::from_secs(10);
 /// Time for which news of a suspect are told to peers.
 const REPEAT_TIME: Duration = Duration::from_secs(3);
 /// Time between two crashes that may not have a cause in common, such as the loss of a rack.
 const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum number of crashes that are kept of a part.
+/// Maximum number of crashes that are kept of a subject.
 const MAX_CRASHES: usize = 16;
 /// Time that a message may take. A reported success counts as earlier by it, so that it does not seem
 /// later, and later than a crash, each time that it is passed on.
@@ -40,11 +45,13 @@
 /// by which the times that instances compute from ages differ.
 const MIN_NEWS: Duration = Duration::from_secs(1);
 
-/// The crash of an engine.
+/// The crash of an endpoint.
 #[value(id)]
 pub struct Crash {
-    /// Stands for one start of the engine.
+    /// Stands for one start of the endpoint, which can crash only once.
     pub engine: NameHash,
+    /// When the run began that it broke off.
+    pub began_at: Instant,
     /// When it was noticed.
     pub at: Instant,
 }
@@ -52,13 +59,11 @@
 /// What an instance tells of a suspect.
 #[value(eq)]
 pub struct Report {
-    /// Hash of the part.
-    pub part: NameHash,
-    /// Position in prompts, from 1; the largest that was seen.
-    pub depth: u32,
-    /// Crashes since a run with the part last went well.
+    /// The request, or the part, at the largest depth that was seen.
+    pub subject: Subject,
+    /// Crashes since a run with the subject last went well.
     pub crashes: Vec<Crash>,
-    /// When a run with the part last went well.
+    /// When a run with the subject last went well.
     pub cleared_at: Option<Instant>,
     /// End of the quarantine.
     pub quarantined_until: Option<Instant>,
@@ -68,8 +73,8 @@
 #[value(default)]
 pub(super) struct Suspect {
     pub(super) depth: u32,
-    /// When each engine crashed, since a run with the part last went well.
-    crashes: IndexMap<NameHash, Instant>,
+    /// The crashes since a run with the subject last went well, by endpoint.
+    crashes: IndexMap<NameHash, Crash>,
     last_crash: Instant,
     /// When a run with other parts first went well after the last crash.
     other_success_since: Option<Instant>,
@@ -93,7 +98,7 @@
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.shift_remove_index(0);
         }
-        self.crashes.insert(crash.engine, crash.at);
+        self.crashes.insert(crash.engine, crash);
         self.last_crash = self.last_crash.max(crash.at);
         self.other_success_since = None;
         self.told_until = now + REPEAT_TIME;
@@ -105,7 +110,7 @@
             self.told_until = now + REPEAT_TIME;
         }
         self.cleared_at = self.cleared_at.max(Some(at));
-        self.crashes.retain(|_, crashed_at| *crashed_at > at);
+        self.crashes.retain(|_, it| it.at > at);
         if self.crashes.is_empty() {
             self.quarantined_until = None;
         }
@@ -140,21 +145,16 @@
         }
     }
 
-    pub(super) fn report(&self, part: NameHash) -> Report {
+    pub(super) fn report(&self, hash: NameHash) -> Report {
         Report {
-            part,
-            depth: self.depth,
-            crashes: self
-                .crashes
-                .iter()
-                .map(|(engine, at)| Crash { engine: *engine, at: *at })
-                .collect(),
+            subject: Subject { hash, depth: self.depth },
+            crashes: self.crashes.values().copied().collect(),
             cleared_at: self.cleared_at,
             quarantined_until: self.quarantined_until,
         }
     }
 
-    /// Quarantines the part for a time after its last crash.
+    /// Quarantines the subject for a time after its last crash.
     pub(super) fn quarantine(&mut self, now: Instant, time: Duration) {
         self.quarantined_until = Some(self.last_crash + time);
         self.told_until = now + REPEAT_TIME;
@@ -164,20 +164,22 @@
         self.quarantined_until.is_some_and(|it| it > now)
     }
 
-    /// Returns for how long after the last crash the part has to be quarantined, once enough engines
-    /// have crashed and other instances had time to clear it; `last_success` is the time of the last
-    /// run that went well, whatever its parts.
+    /// Returns for how long after the last crash the subject has to be quarantined, once enough
+    /// endpoints have crashed and other instances had time to clear it; `last_success` is the time of
+    /// the last run that went well, whatever its subjects.
     pub(super) fn quarantine_time(&self, now: Instant, last_success: Instant) -> Option<Duration> {
         if self.is_quarantined(now) {
             return None;
         }
         let age = now.since(self.last_crash);
-        let first_crash = self.crashes.values().min().copied().unwrap_or(now);
+        let first_crash = self.crashes.values().map(|it| it.at).min().unwrap_or(now);
         let in_turn = if age >= CONFIRMATION_TIME { self.crash_count() } else { 0 };
         let has_other_success =
             self.other_success_since.is_some_and(|it| now.since(it) >= OTHER_SUCCESS_TIME);
         let time = match in_turn {
             MIN_CRASHES.. if last_success > first_crash => QUARANTINE_TIME,
+            MIN_CRASHES.. if self.is_request() => SHORT_QUARANTINE_TIME,
+            _ if self.is_request() => return None,
             _ if self.crashes.len() >= MIN_ENGINES && has_other_success => QUARANTINE_TIME,
             MIN_ENGINES.. => SHORT_QUARANTINE_TIME,
             _ => return None,
@@ -185,19 +187,42 @@
         (age < time).then_some(time)
     }
 
-    /// Returns the number of crashes; those at the same time count once.
+    /// Returns the number of crashes; those at the same time count once, unless the run of the later
+    /// one began after the earlier one.
+    ///
+    /// A request has to have crashed endpoints over some time as a whole: what a lost rack breaks at
+    /// once may seem to be apart by the delays of messages.
     pub(super) fn crash_count(&self) -> usize {
-        let mut times: Vec<Instant> = self.crashes.values().copied().collect();
-        times.sort_unstable();
+        let mut crashes: Vec<Crash> = self.crashes.values().copied().collect();
+        crashes.sort_unstable_by_key(|it| it.at);
+        let time = match (crashes.first(), crashes.last()) {
+            (Some(first), Some(last)) => last.at.since(first.at),
+            _ => return 0,
+        };
+        let is_request = self.is_request();
         let mut last: Option<Instant> = None;
-        times.retain(|it| {
-            let counts = last.is_none_or(|last| it.since(last) >= MIN_CRASH_INTERVAL);
+        crashes.retain(|it| {
+            let counts = last.is_none_or(|last| {
+                it.at.since(last) >= MIN_CRASH_INTERVAL || is_request && it.began_at >= last
+            });
             if counts {
-                last = Some(*it);
+                last = Some(it.at);
             }
             counts
         });
-        times.len()
+        match time < MIN_CRASH_INTERVAL {
+            true => crashes.len().min(MIN_CRASHES - 1),
+            false => crashes.len(),
+        }
+    }
+
+    fn is_request(&self) -> bool {
+        self.depth == WHOLE_REQUEST
+    }
+
+    /// Returns whether requests that cannot be told apart from this one by now are not going to be.
+    pub(super) fn is_rival_time_over(&self, now: Instant) -> bool {
+        now.since(self.last_crash) >= RIVAL_TIME
     }
 
     pub(super) fn has_crashed(&self, engine: NameHash) -> bool {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -142,6 +142,8 @@
         sent: bool,
         /// Whether the endpoint could not be reached or did not respond in time.
         unresponsive: bool,
+        /// Whether the endpoint has ended with it: it refused a connection right afterwards.
+        ended: bool,
         /// Identifier of the last event that was relayed.
         last_event: Option<Name>,
         /// Observed cause, for the log.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -26,7 +26,7 @@
     Report(call::Report),
     /// A heartbeat of another instance has arrived.
     Heartbeat(Box<Heartbeat>),
-    /// The quarantined prompt parts that the platform's store listed at the start.
+    /// The quarantined requests and prompt parts that the platform's store listed at the start.
     Quarantined(Vec<Report>),
     /// This instance has acquired or renewed the order lease, or lost it.
     Lease(Option<Lease>),
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -74,11 +74,15 @@
 pub const SNAPSHOT_SERVED: Code = code(745, Level::Info, "snapshot sent to a peer");
 /// An endpoint has begun to limit the requests that it takes, or ended it.
 pub const ENDPOINT_LIMIT: Code = code(746, Level::Info, "endpoint limit");
+/// A request is quarantined, since endpoints ended that ran it.
+pub const REQUEST_QUARANTINED: Code = code(747, Level::Warn, "request quarantined");
+/// A quarantined request is free again, since a run of it went well.
+pub const REQUEST_FREED: Code = code(748, Level::Info, "request free again");
 /// An error outside of request processing, or debugging information.
 pub const DIAGNOSTIC: Code = code(750, Level::Warn, "diagnostic");
 
 /// All codes, in the order of the catalogue.
-pub const CODES: [Code; 32] = [
+pub const CODES: [Code; 34] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -110,6 +114,8 @@
     PART_FREED,
     SNAPSHOT_SERVED,
     ENDPOINT_LIMIT,
+    REQUEST_QUARANTINED,
+    REQUEST_FREED,
     DIAGNOSTIC,
 ];
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,7 +4,7 @@
 
 use siskinstile_macros::value;
 
-use crate::Name;
+use crate::{Name, name_hash::NameHash};
 
 /// Limit on the shared parts of a prompt that are looked at.
 const MAX_SHARED_PARTS: usize = 64;
@@ -53,6 +53,8 @@
     pub host: Name,
     /// Path without the query.
     pub path: Name,
+    /// Hash of the host, method, path, query and body.
+    pub content: NameHash,
     /// API key sent with it.
     pub key: Option<Name>,
     /// Token counts, if stated.
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -8,6 +8,8 @@
     Catalog, Effect, Instant,
     catalog::{Retry, Route, Service, Team},
     directory::Stage,
+    name_hash::NameHash,
+    quarantine::Subject,
     quota::{Grant, Status},
     record::{self, Record},
     request::{Arrival, Tokens},
@@ -63,6 +65,7 @@
                 .with("reach", status.reachable_share);
         }
         if failure.kind == Kind::Quarantined {
+            line = line.with("request_hash", self.request_hash(arrival));
             let parts = arrival.shared_parts().iter().map(|it| it.to_string());
             line = line.with("parts", parts.collect::<Vec<_>>());
         }
@@ -70,6 +73,14 @@
         self.emit(Effect::Fail { request: arrival.id, failure });
     }
 
+    /// Returns the hash by which the quarantine knows a request, as log lines show it.
+    fn request_hash(&self, arrival: &Arrival) -> Option<String> {
+        let catalog = self.catalog.as_ref()?;
+        let route = catalog.route(&arrival.host, &arrival.path)?;
+        let team = team_of(catalog, route, arrival).ok()?;
+        Some(subjects(arrival, team.as_deref())[0].hash.to_string())
+    }
+
     /// Returns the team of a request and the status of its quota bucket.
     fn quota_status(&self, arrival: &Arrival) -> Option<(&Team, Status)> {
         let team = self.catalog.as_ref()?.team_of(arrival.key.as_ref()?)?;
@@ -86,7 +97,8 @@
         };
         let team = team_of(&catalog, route, arrival)?;
         self.check_drain(now, route)?;
-        self.check_quarantine(now, arrival.shared_parts())?;
+        let subjects = subjects(arrival, team.as_deref());
+        self.check_quarantine(now, &subjects)?;
         let service =
             catalog.service(route.pick_service(arrival.id.0)).expect("routes are checked");
         let charged = self.charge(now, team.as_ref(), service, arrival)?;
@@ -100,6 +112,7 @@
             team,
             tokens: arrival.tokens,
             shared_parts: arrival.shared_parts().to_vec(),
+            subjects,
             charged,
             arrived: now,
             first_attempt,
@@ -207,6 +220,15 @@
     }
 }
 
+/// Returns what of a request may be quarantined: the content together with the team, and the parts of
+/// its prompt.
+fn subjects(arrival: &Arrival, team: Option<&Team>) -> Vec<Subject> {
+    let content = arrival.content.0.to_le_bytes();
+    let team = team.map_or(&[][..], |it| it.name.as_bytes());
+    let request = Subject::request(NameHash::of_all([&content[..], team]));
+    std::iter::once(request).chain(Subject::parts(arrival.shared_parts())).collect()
+}
+
 fn team_of(
     catalog: &Catalog,
     route: &Route,
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -261,8 +261,12 @@
         }
     }
 
-    /// Starts the run without a computed prompt, so that the decode engine computes it.
+    /// Starts the run without a computed prompt, so that the decode engine computes it, unless the
+    /// request has ended several engines.
     pub(super) fn prefill_failed(&mut self, now: Instant, id: request::Id) {
+        if self.is_too_suspect(id) {
+            return self.fail_exhausted(now, id, "the engine ended");
+        }
         if let Some(job) = self.jobs.get_mut(&id) {
             job.prefill = None;
         }
--- a/crates/gateway/src/state/job.rs
+++ b/crates/gateway/src/state/job.rs
@@ -12,6 +12,7 @@
     effect,
     engine::Rank,
     load::Load,
+    quarantine::Subject,
     record::Record,
     request,
 };
@@ -65,6 +66,8 @@
     pub(super) tokens: Option<request::Tokens>,
     /// Parts of the prompt that other requests may share.
     pub(super) shared_parts: Vec<Name>,
+    /// What of the request may be quarantined: the whole first, then the shared parts.
+    pub(super) subjects: Vec<Subject>,
     /// Units that its team has been charged.
     pub(super) charged: u64,
     pub(super) arrived: Instant,
--- a/crates/gateway/src/state/plain.rs
+++ b/crates/gateway/src/state/plain.rs
@@ -135,10 +135,10 @@
         }
     }
 
-    /// Takes a retry from the budget of a request's service; returns whether the budget and the
-    /// quarantine allow it.
+    /// Takes a retry from the budget of a request's service; returns whether the budget, the quarantine
+    /// and the crashes after runs of the request allow it.
     pub(super) fn take_retry(&mut self, now: Instant, id: request::Id) -> bool {
-        if self.is_quarantined(now, id) {
+        if self.is_quarantined(now, id) || self.is_too_suspect(id) {
             return false;
         }
         let Some(job) = self.jobs.get(&id) else { return false };
--- a/crates/gateway/src/state/quarantine.rs
+++ b/crates/gateway/src/state/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantine of prompt parts: what runs show of them, and what requests with them get.
+//! Quarantine of requests and prompt parts: what runs show of them, and what requests with them get.
 
 use std::time::Duration;
 
@@ -6,78 +6,116 @@
 use siskinstile_wire::message::heartbeat::{Crash as SentCrash, Heartbeat, Suspect as SentSuspect};
 
 use crate::{
-    Effect, Instant, Name,
+    Effect, Instant,
     directory::Endpoint,
     name_hash::NameHash,
-    quarantine::{Change, Crash, Report},
+    quarantine::{Change, Crash, Report, Subject, WHOLE_REQUEST},
     record::{self, Record},
     request,
 };
 
 use super::{
     State,
-    job::{Job, Phase},
+    job::{Job, OpenCall, Phase},
 };
 
 /// Time after the beginning of an answer from which its end does not count as a crash caused by the
-/// prompt.
+/// request.
 const MIN_ANSWER_TIME: Duration = Duration::from_secs(1);
 
 impl State {
     /// Records that a run has ended with a complete answer.
     ///
     /// An answer that ends with its connection is complete in the eyes of the caller, but does not
-    /// show that the engine went on.
+    /// show that the endpoint went on.
     pub(super) fn record_run_success(&mut self, now: Instant, id: request::Id, framed: bool) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let parts = job.hashed_parts();
-        if !parts.is_empty() && (framed || job.has_answered_for(now, MIN_ANSWER_TIME)) {
-            self.record_success(now, &parts);
+        if framed || job.has_answered_for(now, MIN_ANSWER_TIME) {
+            self.record_success(now, &job.subjects.clone());
         }
     }
 
-    fn record_success(&mut self, now: Instant, parts: &[NameHash]) {
-        for part in self.fleet.quarantine.record_success(now, parts) {
-            self.log(Record::new(record::PART_FREED).with("part_hash", part_text(part)));
+    fn record_success(&mut self, now: Instant, subjects: &[Subject]) {
+        for subject in self.fleet.quarantine.record_success(now, subjects) {
+            let line = match subject.depth {
+                WHOLE_REQUEST => Record::new(record::REQUEST_FREED)
+                    .with("request_hash", subject.hash.to_string()),
+                _ => Record::new(record::PART_FREED).with("part_hash", subject.hash.to_string()),
+            };
+            self.log(line);
             self.announce();
-            self.emit(Effect::Quarantine(Change::Ended(part)));
+            self.emit(Effect::Quarantine(Change::Ended(subject.hash)));
         }
     }
 
-    /// Records that an endpoint has broken off a run.
+    /// Records that an endpoint has broken off a run; `ended` is whether the endpoint has ended with it.
     ///
-    /// A connection that breaks before the answer has begun shows nothing of the prompt.
-    pub(super) fn record_run_break(&mut self, now: Instant, id: request::Id, endpoint: &Endpoint) {
+    /// A connection that breaks before the answer has begun shows nothing of the prompt's parts, and
+    /// one of an endpoint that lives on shows nothing of the request.
+    pub(super) fn record_run_break(
+        &mut self,
+        now: Instant,
+        id: request::Id,
+        run: &OpenCall,
+        ended: bool,
+    ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let parts = job.hashed_parts();
         let has_answered = job.has_answered_for(now, MIN_ANSWER_TIME);
-        match job.answering_since.take() {
-            None => {}
-            Some(_) if parts.is_empty() => {}
-            Some(_) if has_answered => self.record_success(now, &parts),
-            Some(_) => {
-                self.fleet.quarantine.record_crash(now, &parts, engine_hash(endpoint));
-                self.announce();
+        let has_begun = job.answering_since.take().is_some();
+        let subjects = job.subjects.clone();
+        let is_suspect = |it: &Subject| if it.depth == WHOLE_REQUEST { ended } else { has_begun };
+        match has_answered {
+            true => self.record_success(now, &subjects),
+            false => {
+                let suspects: Vec<Subject> = subjects.into_iter().filter(is_suspect).collect();
+                self.record_crash(now, run, &suspects);
             }
         }
     }
 
-    /// Refuses a request if a part of its prompt is quarantined.
+    /// Records that an engine has ended while it computed the prompt of a request.
+    pub(super) fn record_prefill_break(
+        &mut self,
+        now: Instant,
+        id: request::Id,
+        prefill: &OpenCall,
+    ) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        self.record_crash(now, prefill, &[job.request_subject()]);
+    }
+
+    fn record_crash(&mut self, now: Instant, call: &OpenCall, suspects: &[Subject]) {
+        if suspects.is_empty() {
+            return;
+        }
+        let crash = Crash { engine: engine_hash(&call.endpoint), began_at: call.started, at: now };
+        self.fleet.quarantine.record_crash(now, suspects, crash);
+        self.announce();
+    }
+
+    /// Refuses a request if it, or a part of its prompt, is quarantined.
     pub(super) fn check_quarantine(
         &self,
         now: Instant,
-        shared_parts: &[Name],
+        subjects: &[Subject],
     ) -> Result<(), (Failure, &'static str)> {
-        match self.fleet.quarantine.remaining(now, &hashes(shared_parts)) {
-            Some(remaining) => Err((quarantined(remaining), "part quarantined")),
+        match self.fleet.quarantine.find(now, subjects) {
+            Some(found) => Err(refusal(found)),
             None => Ok(()),
         }
     }
 
-    /// Returns whether a part of a request's prompt is quarantined, so that it must not be sent.
+    /// Returns whether a request, or a part of its prompt, is quarantined, so that it must not be
+    /// sent.
     pub(super) fn is_quarantined(&self, now: Instant, id: request::Id) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
-        self.fleet.quarantine.remaining(now, &job.hashed_parts()).is_some()
+        self.fleet.quarantine.find(now, &job.subjects).is_some()
+    }
+
+    /// Returns whether a request has crashed so many endpoints that it must not be repeated.
+    pub(super) fn is_too_suspect(&self, id: request::Id) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        !self.fleet.quarantine.may_repeat(job.request_subject())
     }
 
     /// Handles what a peer suspects.
@@ -93,8 +131,8 @@
         reports: impl Iterator<Item = Report>,
         source: &str,
     ) {
-        for part in self.fleet.quarantine.record_reports(now, reports) {
-            self.log_quarantine(part, Some(source));
+        for subject in self.fleet.quarantine.record_reports(now, reports) {
+            self.log_quarantine(subject, Some(source));
         }
     }
 
@@ -103,11 +141,11 @@
         self.fleet.quarantine.reports(now).iter().map(|it| sent(now, it)).collect()
     }
 
-    /// Quarantines the parts whose suspicion has been confirmed, and refuses the requests with a
-    /// quarantined part that have not been sent yet.
+    /// Quarantines the subjects whose suspicion has been confirmed, and refuses the requests with a
+    /// quarantined one that have not been sent yet.
     pub(super) fn update_quarantine(&mut self, now: Instant) {
         for report in self.fleet.quarantine.update(now) {
-            self.log_quarantine(report.part, None);
+            self.log_quarantine(report.subject, None);
             self.announce();
             self.emit(Effect::Quarantine(Change::Begun(report)));
         }
@@ -115,26 +153,28 @@
             return;
         }
         let unsent = self.jobs.values().filter(|it| it.is_unsent());
-        let unsent: Vec<(request::Id, Vec<NameHash>)> =
-            unsent.map(|it| (it.id, it.hashed_parts())).collect();
-        for (id, parts) in unsent {
-            if let Some(remaining) = self.fleet.quarantine.remaining(now, &parts) {
-                self.fail(now, id, quarantined(remaining), "part quarantined");
-            }
+        let find = |it: &Job| self.fleet.quarantine.find(now, &it.subjects);
+        let refused: Vec<_> = unsent.filter_map(|it| Some((it.id, find(it)?))).collect();
+        for (id, found) in refused {
+            let (failure, reason) = refusal(found);
+            self.fail(now, id, failure, reason);
         }
     }
 
-    fn log_quarantine(&mut self, part: NameHash, source: Option<&str>) {
-        let line = Record::new(record::PART_QUARANTINED)
-            .with("part_hash", part_text(part))
-            .with("source", source);
-        self.log(line);
+    fn log_quarantine(&mut self, subject: Subject, source: Option<&str>) {
+        let hash = subject.hash.to_string();
+        let line = match subject.depth {
+            WHOLE_REQUEST => Record::new(record::REQUEST_QUARANTINED).with("request_hash", hash),
+            _ => Record::new(record::PART_QUARANTINED).with("part_hash", hash),
+        };
+        self.log(line.with("source", source));
     }
 }
 
 impl Job {
-    fn hashed_parts(&self) -> Vec<NameHash> {
-        hashes(&self.shared_parts)
+    /// Returns the request as a whole, as it may be quarantined.
+    pub(super) fn request_subject(&self) -> Subject {
+        self.subjects[0]
     }
 
     /// Returns whether the request waits, or is being prepared, for an endpoint to run it.
@@ -147,17 +187,13 @@
     }
 }
 
-/// Returns the hash of a part as log lines and the entries on the store show it.
-fn part_text(part: NameHash) -> String {
-    format!("{:016x}", part.0)
-}
-
-fn quarantined(remaining: Duration) -> Failure {
-    Failure::not_run(Kind::Quarantined).with_retry_after(remaining)
-}
-
-fn hashes(parts: &[Name]) -> Vec<NameHash> {
-    parts.iter().map(|it| NameHash::of(it)).collect()
+/// Returns how a request fails, and why, for as long as one of its subjects is quarantined.
+fn refusal((subject, remaining): (Subject, Duration)) -> (Failure, &'static str) {
+    let reason = match subject.depth {
+        WHOLE_REQUEST => "request quarantined",
+        _ => "part quarantined",
+    };
+    (Failure::not_run(Kind::Quarantined).with_retry_after(remaining), reason)
 }
 
 /// Returns a hash of an endpoint's name and start.
@@ -168,10 +204,13 @@
 
 fn received(now: Instant, sent: &SentSuspect) -> Report {
     let at = |age_ms| now - Duration::from_millis(age_ms);
-    let crash = |it: &SentCrash| Crash { engine: NameHash(it.engine), at: at(it.age_ms) };
+    let crash = |it: &SentCrash| Crash {
+        engine: NameHash(it.engine),
+        began_at: at(it.age_ms + it.took_ms),
+        at: at(it.age_ms),
+    };
     Report {
-        part: NameHash(sent.part),
-        depth: sent.depth,
+        subject: Subject { hash: NameHash(sent.part), depth: sent.depth },
         crashes: sent.crashes.iter().map(crash).collect(),
         cleared_at: sent.cleared_age_ms.map(at),
         quarantined_until: sent.quarantined_ms.map(|it| now + Duration::from_millis(it)),
@@ -180,11 +219,15 @@
 
 fn sent(now: Instant, report: &Report) -> SentSuspect {
     let age_ms = |at: Instant| now.since(at).as_millis() as u64;
-    let crash = |it: &Crash| SentCrash { engine: it.engine.0, age_ms: age_ms(it.at) };
+    let crash = |it: &Crash| SentCrash {
+        engine: it.engine.0,
+        age_ms: age_ms(it.at),
+        took_ms: it.at.since(it.began_at).as_millis() as u64,
+    };
     let remaining = report.quarantined_until.filter(|it| *it > now);
     SentSuspect {
-        part: report.part.0,
-        depth: report.depth,
+        part: report.subject.hash.0,
+        depth: report.subject.depth,
         crashes: report.crashes.iter().map(crash).collect(),
         cleared_age_ms: report.cleared_at.map(age_ms),
         quarantined_ms: remaining.map(|it| it.since(now).as_millis() as u64),
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -122,7 +122,12 @@
                 self.prefill_done(now, id, open, handle, tokens);
             }
             (Kind::Prefill, Outcome::Refused { .. }) => self.prefill_refused(now, id),
-            (Kind::Prefill, _) => self.prefill_failed(now, id),
+            (Kind::Prefill, outcome) => {
+                if matches!(outcome, Outcome::Failed { ended: true, .. }) {
+                    self.record_prefill_break(now, id, open);
+                }
+                self.prefill_failed(now, id);
+            }
             (Kind::Run, Outcome::Head { .. }) => self.start_relay(now, id, call),
             (Kind::Run, Outcome::FirstEvent) => self.first_event(now, id, call),
             (Kind::Run, Outcome::Completed { events, pause, framed }) => {
@@ -130,9 +135,9 @@
             }
             (Kind::Run, Outcome::Buffered { status }) => self.handle_answer(now, id, call, status),
             (Kind::Run, Outcome::Refused { .. }) => self.handle_refusal(now, id),
-            (Kind::Run, Outcome::Failed { sent, unresponsive, last_event, .. }) => {
+            (Kind::Run, Outcome::Failed { sent, unresponsive, ended, last_event, .. }) => {
                 if sent && !unresponsive {
-                    self.record_run_break(now, id, &open.endpoint);
+                    self.record_run_break(now, id, open, ended);
                 }
                 self.handle_failure(now, id, &open.endpoint.id, sent, last_event);
             }
@@ -142,9 +147,9 @@
 
     /// Logs a refused or failed call.
     fn log_failure(&mut self, now: Instant, id: request::Id, open: &OpenCall, outcome: &Outcome) {
-        let (cause, sent) = match outcome {
-            Outcome::Refused { .. } => ("refused", true),
-            Outcome::Failed { cause, sent, .. } => (*cause, *sent),
+        let (cause, sent, ended) = match outcome {
+            Outcome::Refused { .. } => ("refused", true, false),
+            Outcome::Failed { cause, sent, ended, .. } => (*cause, *sent, *ended),
             _ => return,
         };
         let Some(job) = self.jobs.get(&id) else { return };
@@ -160,6 +165,10 @@
             Kind::Run if !parts.is_empty() => line.with("parts", parts),
             _ => line,
         };
+        let line = match ended {
+            true => line.with("request_hash", job.request_subject().hash.to_string()),
+            false => line,
+        };
         self.log(line);
     }
 
@@ -299,6 +308,7 @@
             let outcome = Outcome::Failed {
                 sent: true,
                 unresponsive: true,
+                ended: false,
                 last_event: None,
                 cause: "silent",
             };
@@ -317,6 +327,7 @@
             Outcome::Failed {
                 sent: true,
                 unresponsive: false,
+                ended: false,
                 last_event: None,
                 cause: "false promise",
             }
--- a/crates/gateway/tests/testsuite/generation.rs
+++ b/crates/gateway/tests/testsuite/generation.rs
@@ -82,6 +82,7 @@
         Outcome::Failed {
             sent: true,
             unresponsive: false,
+            ended: false,
             last_event: Some("7".into()),
             cause: "test",
         },
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod drain;
+mod fatal_requests;
 mod fleet;
 mod follow;
 mod generation;
--- a/crates/gateway/tests/testsuite/quarantine.rs
+++ b/crates/gateway/tests/testsuite/quarantine.rs
@@ -6,7 +6,7 @@
 use siskinstile_gateway::{
     Instant,
     name_hash::NameHash,
-    quarantine::{Quarantine, Report},
+    quarantine::{Crash, Quarantine, Report, Subject},
 };
 
 /// A quarantine on virtual time, with engines that each crash once.
@@ -30,16 +30,18 @@
     fn crash(&mut self, prompts: &[&[&str]]) {
         self.engines += 1;
         for parts in prompts {
-            self.quarantine.record_crash(self.now, &hashes(parts), NameHash(self.engines));
+            let (engine, at) = (NameHash(self.engines), self.now);
+            let crash = Crash { engine, began_at: at, at };
+            self.quarantine.record_crash(self.now, &subjects(parts), crash);
         }
     }
 
     fn succeed(&mut self, parts: &[&str]) {
-        self.quarantine.record_success(self.now, &hashes(parts));
+        self.quarantine.record_success(self.now, &subjects(parts));
     }
 
     fn is_quarantined(&self, part: &str) -> bool {
-        self.quarantine.remaining(self.now, &[NameHash::of(part)]).is_some()
+        self.quarantine.find(self.now, &subjects(&[part])).is_some()
     }
 
     /// Takes over what another instance tells.
@@ -48,8 +50,8 @@
     }
 }
 
-fn hashes(parts: &[&str]) -> Vec<NameHash> {
-    parts.iter().map(|it| NameHash::of(it)).collect()
+fn subjects(parts: &[&str]) -> Vec<Subject> {
+    Subject::parts(parts).collect()
 }
 
 /// Guards against the refusal of sound requests: parts that share a prompt with the one that crashes
@@ -267,7 +269,7 @@
     let reports = bench.quarantine.reports(bench.now);
     assert!(reports.len() <= 32 && reports.iter().all(|it| it.crashes.len() <= 16));
     assert!(bench.is_quarantined("bad"));
-    assert!(reports.iter().any(|it| it.part == NameHash::of("bad")));
+    assert!(reports.iter().any(|it| it.subject.hash == NameHash::of("bad")));
 }
 
 /// Guards against news that never leave an instance: with more suspects than a message holds, those
@@ -283,5 +285,5 @@
         bench.crash(&[&["bad"]]);
     }
     let reports = bench.quarantine.reports(bench.now);
-    assert!(reports.iter().any(|it| it.part == NameHash::of("bad")), "{reports:?}");
+    assert!(reports.iter().any(|it| it.subject.hash == NameHash::of("bad")), "{reports:?}");
 }
--- a/crates/gateway/tests/testsuite/simulation.rs
+++ b/crates/gateway/tests/testsuite/simulation.rs
@@ -27,7 +27,7 @@
 /// Delay of a message.
 const LATENCY: Duration = Duration::from_millis(2);
 /// Size of a prompt, in tokens.
-const PROMPT: u64 = 300;
+pub(crate) const PROMPT: u64 = 300;
 /// Size of the response to it, in tokens.
 pub(crate) const OUTPUT: u64 = 20;
 /// Instances in a data centre.
@@ -224,7 +224,7 @@
 
     /// Lets an instance reserve a slot at the engine of its data centre.
     pub(crate) fn reserve(&mut self, name: &Name, request: u64) {
-        self.arrive(name, request, &[], PROMPT);
+        self.arrive(name, request, &[], PROMPT, NameHash(request));
         let call = self.instances[name].calls.pop().expect("a reservation");
         assert!(matches!(call.step, Step::Hold { .. }), "{call:?}");
         self.report(name, &call, Outcome::Held { hold: "h".into() });
@@ -244,7 +244,19 @@
         parts: &[&str],
         prompt: u64,
     ) -> Option<Call> {
-        self.arrive(name, request, parts, prompt);
+        self.run_content(name, request, parts, prompt, NameHash(request))
+    }
+
+    /// Does the same with a request of the given content.
+    pub(crate) fn run_content(
+        &mut self,
+        name: &Name,
+        request: u64,
+        parts: &[&str],
+        prompt: u64,
+        content: NameHash,
+    ) -> Option<Call> {
+        self.arrive(name, request, parts, prompt, content);
         if self.failures.contains_key(&Id(request)) {
             return None;
         }
@@ -259,7 +271,14 @@
         self.report(name, run, end);
     }
 
-    fn arrive(&mut self, name: &Name, request: u64, parts: &[&str], prompt: u64) {
+    fn arrive(
+        &mut self,
+        name: &Name,
+        request: u64,
+        parts: &[&str],
+        prompt: u64,
+        content: NameHash,
+    ) {
         let own_part = format!("own-{request}");
         let prompt_parts = parts.iter().copied().chain([&*own_part]).map(Name::from).collect();
         self.post(
@@ -269,6 +288,7 @@
                 request_id: format!("request-{request}").into(),
                 host: "board.example".into(),
                 path: "/review/1".into(),
+                content,
                 key: Some("key-a".into()),
                 tokens: Some(Tokens { prompt, output: OUTPUT, expected: None }),
                 prompt_parts,
@@ -278,7 +298,7 @@
         );
     }
 
-    fn report(&mut self, name: &Name, call: &Call, outcome: Outcome) {
+    pub(crate) fn report(&mut self, name: &Name, call: &Call, outcome: Outcome) {
         self.report_with(name, call, outcome, Notice::default());
     }
 
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -9,6 +9,7 @@
     catalog::{Draft, Engine, Limits, Quota, Retry, Route, Service, Split, Team},
     directory::{Endpoint, Readiness, Stage},
     effect::Call,
+    name_hash::NameHash,
     quota::Tolerance,
     request::{Arrival, Id, Tokens},
     state::Settings,
@@ -121,6 +122,11 @@
 
     /// Sends a request whose prompt has the given parts and one of its own.
     pub(crate) fn send_prompt(&mut self, prefix: &str, parts: &[&str]) -> Id {
+        self.send_content(prefix, parts, NameHash(self.last_request + 1))
+    }
+
+    /// Sends a request with the given content.
+    pub(crate) fn send_content(&mut self, prefix: &str, parts: &[&str], content: NameHash) -> Id {
         self.last_request += 1;
         let id = Id(self.last_request);
         self.post(Event::Arrival(Arrival {
@@ -128,6 +134,7 @@
             request_id: format!("request-{}", self.last_request).into(),
             host: HOST.into(),
             path: format!("{prefix}1").into(),
+            content,
             key: Some("key-a".into()),
             tokens: (prefix.contains("review")).then_some(Tokens {
                 prompt: 5_000,
@@ -195,7 +202,13 @@
 
 /// Returns the outcome of a failed call.
 pub(crate) fn failed(sent: bool) -> Outcome {
-    Outcome::Failed { sent, unresponsive: false, last_event: None, cause: "test" }
+    Outcome::Failed { sent, unresponsive: false, ended: false, last_event: None, cause: "test" }
+}
+
+/// Returns the outcome of a run whose endpoint has ended before any answer.
+pub(crate) fn ended() -> Outcome {
+    let cause = "test";
+    Outcome::Failed { sent: true, unresponsive: false, ended: true, last_event: None, cause }
 }
 
 /// Returns a configuration.
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -99,7 +99,9 @@
 impl From<Fault> for Failed {
     fn from(fault: Fault) -> Failed {
         match fault {
-            Fault::Unreachable => Failed { sent: false, unresponsive: true, cause: "unreachable" },
+            Fault::Unreachable | Fault::NotListening => {
+                Failed { sent: false, unresponsive: true, cause: "unreachable" }
+            }
             Fault::ConnectionLimit => {
                 Failed { sent: false, unresponsive: false, cause: "too many connections" }
             }
@@ -128,12 +130,12 @@
     let address = call.endpoint.address;
     let reply = match control.client.send(address, request, call.max_connections as usize).await {
         Ok(reply) => reply,
-        Err(fault) => return report_failed(control, call, None, fault.into(), None),
+        Err(fault) => return report_failed(control, call, None, fault.into(), None).await,
     };
     let response = control.protocol.read_response(&reply.head);
     let request_id = exchange.as_ref().map(|(_, request_id)| &**request_id);
     if let Err(failed) = check(call, &response, &reply.head, request_id) {
-        return report_failed(control, call, Some(&response), failed, None);
+        return report_failed(control, call, Some(&response), failed, None).await;
     }
     match call.step {
         Step::Run { .. } => process_run(control, call, reply, response).await,
@@ -179,7 +181,9 @@
             // The head alone states the refusal. The connection is closed.
             return report(control, call, &response, Outcome::Refused { status });
         }
-        Err(fault) => return report_failed(control, call, Some(&response), fault.into(), None),
+        Err(fault) => {
+            return report_failed(control, call, Some(&response), fault.into(), None).await;
+        }
     };
     return_connection(control, connection, &response);
     let protocol = &control.protocol;
@@ -216,7 +220,9 @@
     let Reply { head, body, connection } = reply;
     let bytes = match control.calls.memory.read(body, MAX_PLAIN_BYTES).await {
         Ok(bytes) => bytes,
-        Err(fault) => return report_failed(control, call, Some(&response), fault.into(), None),
+        Err(fault) => {
+            return report_failed(control, call, Some(&response), fault.into(), None).await;
+        }
     };
     return_connection(control, connection, &response);
     let relay_allowed = control.calls.await_relay(call.id);
@@ -277,7 +283,7 @@
         Some(cause) => {
             drop(output);
             let last_event = splitter.last_id().cloned();
-            report_failed(control, call, None, Failed::broken(cause), last_event);
+            report_failed(control, call, None, Failed::broken(cause), last_event).await;
         }
         None => {
             output.finish();
@@ -310,7 +316,8 @@
     control.post(Event::Report(Report { call: call.id, outcome, notice: response.notice }));
 }
 
-fn report_failed(
+/// Reports a failed call, and whether its endpoint has ended if it broke off work on a request.
+async fn report_failed(
     control: &Rc<Control>,
     call: &Call,
     response: Option<&ResponseHead>,
@@ -318,7 +325,11 @@
     last_event: Option<Name>,
 ) {
     let Failed { sent, unresponsive, cause } = failed;
-    let outcome = Outcome::Failed { sent, unresponsive, last_event, cause };
+    let may_have_ended =
+        sent && !unresponsive && matches!(call.step, Step::Run { .. } | Step::Prefill);
+    let (address, max_connections) = (call.endpoint.address, call.max_connections as usize);
+    let ended = may_have_ended && control.client.has_ended(address, max_connections).await;
+    let outcome = Outcome::Failed { sent, unresponsive, ended, last_event, cause };
     let notice = response.map(|it| it.notice).unwrap_or_default();
     if unresponsive {
         control.client.close_idle(call.endpoint.address);
@@ -336,6 +347,7 @@
         let unreadable = Outcome::Failed {
             sent: true,
             unresponsive: false,
+            ended: false,
             last_event: None,
             cause: "unreadable answer",
         };
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
+    io,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -23,6 +24,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may be unacknowledged before the kernel closes a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after a connection broke in which an ending process closes its other sockets.
+const ENDING_TIME: Duration = Duration::from_millis(10);
+/// Time limit for the connection that shows whether an endpoint has ended.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which that connection may be used for a request.
+const PROBE_KEEP_ALIVE: Duration = Duration::from_secs(2);
 /// Safety margin by which an idle connection is retired before the server closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Size limit of the head of a response, and of the buffer that a connection reads into.
@@ -35,6 +42,8 @@
 pub enum Fault {
     /// No connection could be opened; no byte of the request was sent.
     Unreachable,
+    /// The same, since nothing listens at the address.
+    NotListening,
     /// This process already has the maximum number of connections to the address.
     ConnectionLimit,
     /// The connection broke or the response was malformed; bytes of the request may have been sent.
@@ -112,6 +121,20 @@
         }
     }
 
+    /// Returns whether nothing listens at an address after a connection to it broke; false if that
+    /// cannot be told at once.
+    ///
+    /// A connection that can be opened is kept for the next request.
+    pub async fn has_ended(&self, address: SocketAddr, max_connections: usize) -> bool {
+        time::sleep(ENDING_TIME).await;
+        match time::timeout(PROBE_TIMEOUT, self.connect(address, max_connections)).await {
+            Ok(Ok(connection)) => self.put_idle(connection, Some(PROBE_KEEP_ALIVE)),
+            Ok(Err(fault)) => return fault == Fault::NotListening,
+            Err(_) => {}
+        }
+        false
+    }
+
     /// Returns a connection to the pool once its response has been read to the end.
     ///
     /// The connection is closed if the server does not keep it alive for longer than
@@ -168,7 +191,10 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
                 log::debug!("connection to {address} failed: {error}");
-                return Err(Fault::Unreachable);
+                return Err(match error.kind() {
+                    io::ErrorKind::ConnectionRefused => Fault::NotListening,
+                    _ => Fault::Unreachable,
+                });
             }
             Err(_) => return Err(Fault::Unreachable),
         };
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -23,7 +23,9 @@
 };
 use hyper_util::rt::TokioTimer;
 use siskinstile_core::error::{Failure, Kind};
-use siskinstile_gateway::{Catalog, Event, catalog::Limits, request as gateway};
+use siskinstile_gateway::{
+    Catalog, Event, catalog::Limits, name_hash::NameHash, request as gateway,
+};
 use siskinstile_net::Slots;
 use socket2::SockRef;
 use tokio::{
@@ -195,6 +197,7 @@
         request_id: request_head.request_id.clone(),
         host: host(&head).into(),
         path: head.uri.path().into(),
+        content: content_hash(&head, &body),
         key: request_head.key,
         tokens: request_head.tokens,
         prompt_parts: request_head.prompt_parts,
@@ -232,6 +235,14 @@
     }
 }
 
+/// Returns the hash of what the caller asks for: host, method, path with query, and body.
+fn content_hash(head: &request::Parts, body: &[u8]) -> NameHash {
+    let host = host(head);
+    let path = head.uri.path_and_query().map_or("", |it| it.as_str());
+    let method = head.method.as_str();
+    NameHash::of_all([host.as_bytes(), method.as_bytes(), path.as_bytes(), body])
+}
+
 /// Returns the host of a request in lower case, without the port.
 fn host(head: &request::Parts) -> String {
     let header = head.headers.get(HOST).and_then(|it| it.to_str().ok());
--- a/crates/gatewayd/src/sync/quarantine.rs
+++ b/crates/gatewayd/src/sync/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantined prompt parts on the platform's store, for instances that start when no other is left
+//! Quarantined requests and prompt parts on the platform's store, for instances that start when no other is left
 //! to tell them.
 
 use std::{
@@ -11,7 +11,7 @@
 use siskinstile_gateway::{
     Event, Instant, Name,
     name_hash::NameHash,
-    quarantine::{Change, Crash, Report},
+    quarantine::{Change, Crash, Report, Subject},
     record::{self, Record},
 };
 use tokio::{sync::mpsc, time};
@@ -22,12 +22,12 @@
 /// Longest remaining time that an entry is believed to have.
 const MAX_REMAINING: Duration = Duration::from_secs(600);
 
-/// The entry of a quarantined part; its name is the hash of the part.
+/// The entry of a quarantined request or prompt part; its name is the hash of the subject.
 #[derive(Debug, Serialize, Deserialize)]
 struct Entry {
-    /// Largest position of the part in prompts, from 1.
+    /// Largest position of the part in prompts, from 1; 0 for a request.
     depth: u32,
-    /// Hashes of the engines that have crashed, each with its start.
+    /// Hashes of the endpoints that have crashed, each with its start.
     engines: Vec<String>,
     /// End of the quarantine, in milliseconds of Unix time.
     ends_at_ms: u64,
@@ -53,9 +53,9 @@
             tokio::select! {
                 change = changes.recv() => match change {
                     Some(Change::Begun(report)) => self.write(&mut written, report).await,
-                    Some(Change::Ended(part)) => {
-                        written.swap_remove(&part);
-                        self.remove(&entry_name(part)).await;
+                    Some(Change::Ended(subject)) => {
+                        written.swap_remove(&subject);
+                        self.remove(&entry_name(subject)).await;
                     }
                     None => return,
                 },
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Posts the quarantined parts that the store lists, and removes entries that have ended.
+    /// Posts the quarantined subjects that the store lists, and removes entries that have ended.
     async fn take_over_quarantine(&self) {
         let entries = loop {
             match self.list_all(Kind::Quarantine, true).await {
@@ -87,15 +87,15 @@
             self.control.post(Event::Quarantined(valid));
         }
         for report in ended {
-            self.remove(&entry_name(report.part)).await;
+            self.remove(&entry_name(report.subject.hash)).await;
         }
     }
 
     /// Parses an entry; `None` if it cannot be read.
     fn read_entry(&self, object: &Object) -> Option<Report> {
         let entry = serde_json::from_value::<Entry>(object.value.clone()).ok();
-        let part = u64::from_str_radix(&object.name, 16).ok();
-        let (Some(entry), Some(part)) = (entry, part) else {
+        let hash = u64::from_str_radix(&object.name, 16).ok();
+        let (Some(entry), Some(hash)) = (entry, hash) else {
             let line = Record::new(record::ENTRY_UNREADABLE).with("entry", &*object.name);
             self.control.logger.write(&line);
             return None;
@@ -103,23 +103,23 @@
         let remaining = Duration::from_millis(entry.ends_at_ms).saturating_sub(unix_time());
         let now = self.control.now();
         let engines = entry.engines.iter().filter_map(|it| u64::from_str_radix(it, 16).ok());
+        let crash = |engine| Crash { engine: NameHash(engine), began_at: now, at: now };
         Some(Report {
-            part: NameHash(part),
-            depth: entry.depth,
-            crashes: engines.map(|it| Crash { engine: NameHash(it), at: now }).collect(),
+            subject: Subject { hash: NameHash(hash), depth: entry.depth },
+            crashes: engines.map(crash).collect(),
             cleared_at: None,
             quarantined_until: (!remaining.is_zero()).then(|| now + remaining.min(MAX_REMAINING)),
         })
     }
 
-    /// Writes the entry of a quarantined part until it is on the store or the quarantine has ended.
+    /// Writes the entry of a quarantined subject until it is on the store or the quarantine has ended.
     async fn write(&self, written: &mut IndexMap<NameHash, Written>, report: Report) {
         let Some(until) = report.quarantined_until else { return };
-        let (kind, name) = (Kind::Quarantine, entry_name(report.part));
+        let (kind, name) = (Kind::Quarantine, entry_name(report.subject.hash));
         let ends_at = unix_time() + until.since(self.control.now());
         let engines = report.crashes.iter().map(|it| entry_name(it.engine).to_string());
         let entry = Entry {
-            depth: report.depth,
+            depth: report.subject.depth,
             engines: engines.collect(),
             ends_at_ms: ends_at.as_millis() as u64,
         };
@@ -129,27 +129,27 @@
         while self.call(&call).await.is_err() && until > self.control.now() {
             time::sleep(MAX_BACKOFF).await;
         }
-        written.insert(report.part, Written { report, until });
+        written.insert(report.subject.hash, Written { report, until });
     }
 
     async fn remove_ended(&self, written: &mut IndexMap<NameHash, Written>) {
         let now = self.control.now();
-        let ended = written.extract_if(.., |_, it| it.until <= now).map(|(part, _)| part);
-        for part in ended.collect::<Vec<_>>() {
-            self.remove(&entry_name(part)).await;
+        let ended = written.extract_if(.., |_, it| it.until <= now).map(|(subject, _)| subject);
+        for subject in ended.collect::<Vec<_>>() {
+            self.remove(&entry_name(subject)).await;
         }
     }
 
     async fn remove(&self, name: &Name) {
         let call = Call::Delete { kind: Kind::Quarantine, name: name.clone() };
         if self.call(&call).await.is_err() {
-            log::debug!("the entry of quarantined part {name} stays until the next start");
+            log::debug!("the entry of quarantined subject {name} stays until the next start");
         }
     }
 }
 
 fn entry_name(hash: NameHash) -> Name {
-    format!("{:016x}", hash.0).into()
+    hash.to_string().into()
 }
 
 /// Returns the time of day, as Unix time.
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -68,7 +68,7 @@
     /// Address of the sender for messages of other instances.
     #[prost(string, tag = "21")]
     pub address: String,
-    /// Parts of prompts that the sender suspects of crashing engines, or has quarantined.
+    /// Requests and parts of prompts that the sender suspects of crashing endpoints, or has quarantined.
     #[prost(message, repeated, tag = "22")]
     pub suspects: Vec<Suspect>,
     /// Limits that endpoints have stated to the sender or to others.
@@ -96,35 +96,38 @@
     pub number: u64,
 }
 
-/// A part of prompts that is suspected of crashing engines.
+/// A request, or a part of prompts, that is suspected of crashing endpoints.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Suspect {
-    /// Hash of the part's identifier.
+    /// Hash of the request's content and team, or of the part's identifier.
     #[prost(fixed64, tag = "1")]
     pub part: u64,
-    /// Largest position in prompts, from 1.
+    /// Largest position of the part in prompts, from 1; 0 for a request.
     #[prost(uint32, tag = "2")]
     pub depth: u32,
-    /// Crashes since a run with the part last went well.
+    /// Crashes since a run with it last went well.
     #[prost(message, repeated, tag = "3")]
     pub crashes: Vec<Crash>,
-    /// Milliseconds since a run with the part last went well; none if none has.
+    /// Milliseconds since a run with it last went well; none if none has.
     #[prost(uint64, optional, tag = "4")]
     pub cleared_age_ms: Option<u64>,
-    /// Milliseconds for which the part is still quarantined; none if it is not.
+    /// Milliseconds for which it is still quarantined; none if it is not.
     #[prost(uint64, optional, tag = "5")]
     pub quarantined_ms: Option<u64>,
 }
 
-/// The crash of an engine.
+/// The crash of an endpoint.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Crash {
-    /// Hash of the engine's name and start.
+    /// Hash of the endpoint's name and start.
     #[prost(fixed64, tag = "1")]
     pub engine: u64,
     /// Milliseconds since it was noticed.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
+    /// Milliseconds that the run had lasted.
+    #[prost(uint64, tag = "3")]
+    pub took_ms: u64,
 }
 
 /// Relayed state of the members in one data centre.
