Quarantine: a steady series of crashes does not put the conclusion off

Callers saw endpoints end for as long as a request came more often than every 300 ms: each crash began the time anew in which peers may still report a success. Cause: the age of the last crash was asked for, not that of the third one. Change: crashes count once they are 300 ms old.

--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -14,7 +14,7 @@
 /// Number of crashes for which a part is quarantined although they were at the same time, or nothing
 /// else has run.
 const MIN_ENGINES: usize = 5;
-/// Time after the last of [`MIN_CRASHES`] in which other instances may still report that a run with
+/// Time after each of these crashes in which other instances may still report that a run with
 /// the part went well.
 const CONFIRMATION_TIME: Duration = Duration::from_millis(300);
 /// Time after its last crash in which a request may still turn out to have been run beside the one that
@@ -173,7 +173,7 @@
         }
         let age = now.since(self.last_crash);
         let first_crash = self.crashes.values().map(|it| it.at).min().unwrap_or(now);
-        let in_turn = if age >= CONFIRMATION_TIME { self.crash_count() } else { 0 };
+        let in_turn = self.crash_count_at(now - CONFIRMATION_TIME);
         let has_other_success =
             self.other_success_since.is_some_and(|it| now.since(it) >= OTHER_SUCCESS_TIME);
         let time = match in_turn {
@@ -189,13 +189,19 @@
 
     /// Returns the number of crashes; those at the same time count once, unless the run of the later
     /// one began after the earlier one.
+    pub(super) fn crash_count(&self) -> usize {
+        self.crash_count_at(self.last_crash)
+    }
+
+    /// Returns what the number of crashes was at a time.
     ///
     /// A request has to have crashed endpoints over some time as a whole: what a lost rack breaks at
     /// once may seem to be apart by the delays of messages.
-    pub(super) fn crash_count(&self) -> usize {
-        let mut crashes: Vec<Crash> = self.crashes.values().copied().collect();
+    fn crash_count_at(&self, time: Instant) -> usize {
+        let mut crashes: Vec<Crash> =
+            self.crashes.values().filter(|it| it.at <= time).copied().collect();
         crashes.sort_unstable_by_key(|it| it.at);
-        let time = match (crashes.first(), crashes.last()) {
+        let spread = match (crashes.first(), crashes.last()) {
             (Some(first), Some(last)) => last.at.since(first.at),
             _ => return 0,
         };
@@ -210,7 +216,7 @@
             }
             counts
         });
-        match time < MIN_CRASH_INTERVAL {
+        match spread < MIN_CRASH_INTERVAL {
             true => crashes.len().min(MIN_CRASHES - 1),
             false => crashes.len(),
         }
--- a/crates/gateway/tests/testsuite/fatal_requests.rs
+++ b/crates/gateway/tests/testsuite/fatal_requests.rs
@@ -182,6 +182,19 @@
     assert!(!bench.is_quarantined(7) && !bench.is_quarantined(8));
 }
 
+/// Guards against a conclusion that each further crash puts off: endpoints end so fast that the last
+/// crash is always young.
+#[test]
+fn crashes_go_on() {
+    let mut bench = Bench::new();
+    let ended = (1..=20).take_while(|endpoint| {
+        bench.end(*endpoint, &[(7, 60)]);
+        bench.advance(200);
+        !bench.is_quarantined(7)
+    });
+    assert!(ended.count() <= 4);
+}
+
 /// Guards against a popular request that was in progress whenever an endpoint ended: it went well in
 /// between.
 #[test]
