siskinstiled: quarantine requests that end the endpoints that run them

Callers saw endpoint after endpoint end under a request that comes again: an idempotent one was sent to up to six for each time. Change: the core's quarantine, by the digest that claims use (method, path and body) and the team; an adapter tells whether the endpoint refuses connections after a break; heartbeats tell peers, at once when there is news. Endpoints start again under the same name, so that a start is named by its end as the instance saw it: crashes seen by two instances are told apart by their times only.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -39,6 +39,8 @@
 pub const ATTEMPT_RETRIED: Code = code(400, Level::Info, "attempt failed, retrying");
 /// An accepted request ended with an error.
 pub const REQUEST_FAILED: Code = code(401, Level::Warn, "request failed");
+/// A request is quarantined, since endpoints ended that ran it.
+pub const REQUEST_QUARANTINED: Code = code(402, Level::Warn, "request quarantined");
 /// A connection to another instance failed.
 pub const PEER_LOST: Code = code(500, Level::Warn, "connection to an instance failed");
 /// The certificates have been reloaded.
@@ -50,7 +52,7 @@
 pub const ACCEPT_FAILED: Code = code(600, Level::Warn, "accepting a connection failed");
 
 /// All codes, for comparison with the catalogue.
-pub const CODES: [Code; 14] = [
+pub const CODES: [Code; 15] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -61,6 +63,7 @@
     PLATFORM_UNANSWERED,
     ATTEMPT_RETRIED,
     REQUEST_FAILED,
+    REQUEST_QUARANTINED,
     PEER_LOST,
     CERTIFICATES_RELOADED,
     CERTIFICATES_UNREADABLE,
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -22,6 +22,7 @@
 
 use crate::{Instant, name_hash::NameHash};
 
+mod message;
 mod suspect;
 
 pub use suspect::{Crash, Report};
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -69,6 +69,15 @@
     pub quarantined_until: Option<Instant>,
 }
 
+impl Report {
+    /// Returns whether it tells as much of the same subject as another one.
+    pub fn tells_as_much(&self, other: &Report) -> bool {
+        self.subject.hash == other.subject.hash
+            && self.crashes.len() >= other.crashes.len()
+            && self.quarantined_until.is_some() >= other.quarantined_until.is_some()
+    }
+}
+
 /// What is known of a suspect.
 #[value(default)]
 pub(super) struct Suspect {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -7,7 +7,9 @@
 use crate::{
     Instant, burn,
     key::Secret,
+    name_hash::NameHash,
     object::{Endpoint, Name, Route},
+    quarantine::Subject,
 };
 
 /// Random identifier of a request, unique within the fleet.
@@ -66,6 +68,14 @@
     pub prefixes: Arc<[u64]>,
 }
 
+impl Arrival {
+    /// Returns the request, sent by a team, as it may be quarantined.
+    pub fn subject(&self, team: Option<&str>) -> Subject {
+        let digest = self.digest.to_le_bytes();
+        Subject::request(NameHash::of_all([&digest[..], team.unwrap_or_default().as_bytes()]))
+    }
+}
+
 /// A step of an attempt, executed by an endpoint.
 #[value(eq)]
 pub enum Step {
@@ -119,6 +129,8 @@
         sent: bool,
         /// Index of the next token to be sent to the caller.
         next_index: u64,
+        /// Whether the endpoint has ended: it refused a connection right afterwards.
+        ended: bool,
     },
 }
 
@@ -237,6 +249,11 @@
 }
 
 impl Request {
+    /// Returns the request as it may be quarantined.
+    pub fn subject(&self) -> Subject {
+        self.arrival.subject(self.team.as_deref())
+    }
+
     /// Moves to a phase and attributes the time spent in the previous one to its burn cause.
     pub fn enter(&mut self, now: Instant, phase: Phase) {
         if self.first_byte.is_none() {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod members;
 mod messages;
+mod quarantine;
 mod retries;
 mod sweeping;
 
@@ -35,7 +36,9 @@
     log::{self, Record},
     member,
     object::Name,
-    place, publish, request, retry, sweep, sync, trace,
+    place, publish,
+    quarantine::Quarantine,
+    request, retry, sweep, sync, trace,
 };
 
 /// Interval between two [`Event::Tick`]s.
@@ -76,6 +79,8 @@
     stopped: bool,
     holds: hold::Registry,
     budgets: IndexMap<Name, retry::Budget>,
+    quarantine: Quarantine,
+    ends: quarantine::Ends,
     pending_outcomes: IndexMap<request::Id, claims::PendingOutcome>,
     sweeper: sweep::Sweeper,
     injected: Option<Fault>,
@@ -112,6 +117,8 @@
             stopped: false,
             holds: hold::Registry::default(),
             budgets: IndexMap::new(),
+            quarantine: Quarantine::default(),
+            ends: quarantine::Ends::default(),
             pending_outcomes: IndexMap::new(),
             sweeper: sweep::Sweeper::default(),
             injected: None,
@@ -155,6 +162,7 @@
         self.dispatch_tick(now);
         self.hold_tick(now);
         self.attempt_tick(now);
+        self.quarantine_tick(now);
         self.claim_tick(now);
         self.sweep_tick(now);
         self.drain_tick(now);
--- a/crates/core/src/state/admission.rs
+++ b/crates/core/src/state/admission.rs
@@ -42,6 +42,7 @@
             return Err(Failure::not_run(Kind::OfflineGrace));
         }
         let team = key.map(|key| key.team.clone());
+        self.check_quarantine(now, arrival.subject(team.as_deref()))?;
         Ok(Request {
             key_name: key.map(|key| key.name.clone()),
             team,
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -68,6 +68,7 @@
             return;
         }
         self.observe(now, id, &outcome);
+        self.record_run_end(now, id, &outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.sent |= !matches!(outcome, Outcome::Failed { sent: false, .. });
         match (request.phase.clone(), outcome) {
@@ -88,7 +89,7 @@
             (_, Outcome::Refused { status }) if request.is_running() => {
                 self.step_refused(now, id, status);
             }
-            (_, Outcome::Failed { sent, next_index }) if request.is_running() => {
+            (_, Outcome::Failed { sent, next_index, .. }) if request.is_running() => {
                 if next_index > request.next_index {
                     request.next_index = next_index;
                     request.step_retries = 0;
--- a/crates/core/src/state/dispatch/server.rs
+++ b/crates/core/src/state/dispatch/server.rs
@@ -152,7 +152,7 @@
             return;
         }
         let outcome = match progress.step() {
-            Step::Failed => Outcome::Failed { sent: true, next_index: 0 },
+            Step::Failed => Outcome::Failed { sent: true, next_index: 0, ended: false },
             Step::Computed => Outcome::Computed { kv: "".into(), cached: progress.tokens },
             Step::Imported => Outcome::Imported,
             Step::FirstByte => Outcome::FirstByte,
--- a/crates/core/src/state/members.rs
+++ b/crates/core/src/state/members.rs
@@ -94,6 +94,7 @@
             datacentre: self.settings.datacentre.to_string(),
             platform_age_ms: self.sync.last_contact().map(|at| now.since(at).as_millis() as u64),
             peer_ages: self.members.heartbeat_ages().into_iter().map(peer_age).collect(),
+            suspects: self.sent_suspects(now),
         }
     }
 
@@ -156,6 +157,7 @@
                 self.members.record_relayed(peer.name_hash, now - age);
             }
         }
+        self.record_suspects(now, &heartbeat.suspects);
         if let Some(age) = heartbeat.platform_age_ms {
             self.sync.record_relayed_contact(now - Duration::from_millis(age));
         }
--- a/crates/core/src/state/retries.rs
+++ b/crates/core/src/state/retries.rs
@@ -134,7 +134,8 @@
         let exhausted = request.attempt >= MAX_ATTEMPTS;
         let pool = request.route.pool.clone();
         let budget = self.budgets.entry(pool).or_insert_with(|| Budget::new(now));
-        if exhausted || !budget.try_withdraw(now) {
+        let may_repeat = self.quarantine.may_repeat(request.subject());
+        if exhausted || !may_repeat || !budget.try_withdraw(now) {
             let failure = Failure::not_run(Kind::EndpointFailed).with_retry_after(RETRY_AFTER);
             return self.fail_with_refund(now, id, failure);
         }
@@ -200,7 +201,7 @@
 }
 
 /// Returns the name of the endpoint of the current step, which has failed.
-fn failed_endpoint(request: &Request) -> Option<crate::object::Name> {
+pub(super) fn failed_endpoint(request: &Request) -> Option<crate::object::Name> {
     let Placement { prefill, run } = request.placement.as_ref()?;
     match (&request.phase, prefill) {
         (Phase::Prefill, Some(prefill)) => Some(prefill.name.clone()),
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod claim;
 mod fair;
+mod fatal_requests;
 mod limit;
 mod log;
 mod member;
--- a/crates/gateway/src/state/quarantine.rs
+++ b/crates/gateway/src/state/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use siskinstile_core::error::{Failure, Kind};
-use siskinstile_wire::message::heartbeat::{Crash as SentCrash, Heartbeat, Suspect as SentSuspect};
+use siskinstile_wire::message::heartbeat::{Heartbeat, Suspect as SentSuspect};
 
 use crate::{
     Effect, Instant,
@@ -120,7 +120,7 @@
 
     /// Handles what a peer suspects.
     pub(super) fn handle_suspects(&mut self, now: Instant, heartbeat: &Heartbeat) {
-        let reports = heartbeat.suspects.iter().map(|it| received(now, it));
+        let reports = heartbeat.suspects.iter().map(|it| Report::received(now, it));
         self.record_suspects(now, reports, &heartbeat.name);
     }
 
@@ -138,7 +138,7 @@
 
     /// Returns the suspects as they are sent to peers.
     pub(super) fn sent_suspects(&self, now: Instant) -> Vec<SentSuspect> {
-        self.fleet.quarantine.reports(now).iter().map(|it| sent(now, it)).collect()
+        self.fleet.quarantine.reports(now).iter().map(|it| it.to_send(now)).collect()
     }
 
     /// Quarantines the subjects whose suspicion has been confirmed, and refuses the requests with a
@@ -201,35 +201,3 @@
     let started_at_ms = endpoint.started_at_ms.unwrap_or_default();
     NameHash::of(&format!("{}/{started_at_ms}", endpoint.id))
 }
-
-fn received(now: Instant, sent: &SentSuspect) -> Report {
-    let at = |age_ms| now - Duration::from_millis(age_ms);
-    let crash = |it: &SentCrash| Crash {
-        engine: NameHash(it.engine),
-        began_at: at(it.age_ms + it.took_ms),
-        at: at(it.age_ms),
-    };
-    Report {
-        subject: Subject { hash: NameHash(sent.part), depth: sent.depth },
-        crashes: sent.crashes.iter().map(crash).collect(),
-        cleared_at: sent.cleared_age_ms.map(at),
-        quarantined_until: sent.quarantined_ms.map(|it| now + Duration::from_millis(it)),
-    }
-}
-
-fn sent(now: Instant, report: &Report) -> SentSuspect {
-    let age_ms = |at: Instant| now.since(at).as_millis() as u64;
-    let crash = |it: &Crash| SentCrash {
-        engine: it.engine.0,
-        age_ms: age_ms(it.at),
-        took_ms: it.at.since(it.began_at).as_millis() as u64,
-    };
-    let remaining = report.quarantined_until.filter(|it| *it > now);
-    SentSuspect {
-        part: report.subject.hash.0,
-        depth: report.subject.depth,
-        crashes: report.crashes.iter().map(crash).collect(),
-        cleared_age_ms: report.cleared_at.map(age_ms),
-        quarantined_ms: remaining.map(|it| it.since(now).as_millis() as u64),
-    }
-}
--- a/crates/harness/src/capacity/measure.rs
+++ b/crates/harness/src/capacity/measure.rs
@@ -178,6 +178,7 @@
         datacentre: "dc-3".into(),
         platform_age_ms: Some(3_000),
         peer_ages: (0..TARGET.instances_per_datacentre as u32 - 1).map(peer_age).collect(),
+        suspects: Vec::new(),
     };
     Body::Member(message::member::Message {
         kind: Some(message::member::Kind::Heartbeat(heartbeat)),
--- a/crates/harness/src/fuzz/model/fault.rs
+++ b/crates/harness/src/fuzz/model/fault.rs
@@ -46,7 +46,7 @@
 
     pub(super) fn report_failure(&mut self, at: Instant, call: &EndpointCall, sent: bool) {
         let next_index = self.relays.get(&call.request).map_or(0, |it| it.splice.next_index());
-        self.report(at, call, Outcome::Failed { sent, next_index });
+        self.report(at, call, Outcome::Failed { sent, next_index, ended: false });
     }
 
     /// Reports the outcome of a call with the effects of its fault.
--- a/crates/harness/src/policy/engine.rs
+++ b/crates/harness/src/policy/engine.rs
@@ -171,7 +171,12 @@
     }
 
     fn report_failure(&mut self, at: Instant, instance: Name, attempt: Attempt, next_index: u64) {
-        self.report(at, instance, attempt, Outcome::Failed { sent: true, next_index });
+        self.report(
+            at,
+            instance,
+            attempt,
+            Outcome::Failed { sent: true, next_index, ended: false },
+        );
     }
 
     fn schedule_prefill(&mut self, now: Instant, name: &Name) {
--- a/crates/siskinstiled/src/endpoint.rs
+++ b/crates/siskinstiled/src/endpoint.rs
@@ -3,7 +3,12 @@
 mod engine;
 mod plain;
 
-use std::time::Duration;
+use std::{
+    io,
+    net::{TcpStream, ToSocketAddrs as _},
+    thread,
+    time::Duration,
+};
 
 use siskinstile_core::{
     object::{self, Role},
@@ -22,6 +27,11 @@
 /// It also applies to the first attempt of an idempotent request at a plain service.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Time after a connection broke in which an ending process closes its other sockets.
+const ENDING_TIME: Duration = Duration::from_millis(10);
+/// Time limit for the connection that shows whether an endpoint has ended.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// An attempt of a request at an endpoint, with what a step of it needs to run.
 #[derive(Clone, Copy)]
 pub struct Job<'a> {
@@ -73,6 +83,19 @@
         .connect_timeout(CONNECT_TIMEOUT)
 }
 
+/// Returns whether nothing listens at an endpoint's address after it has broken off a call; false if
+/// that cannot be told at once.
+fn has_ended(endpoint: &object::Endpoint) -> bool {
+    thread::sleep(ENDING_TIME);
+    let Some(address) = endpoint.address.to_socket_addrs().ok().and_then(|mut it| it.next()) else {
+        return false;
+    };
+    match TcpStream::connect_timeout(&address, PROBE_TIMEOUT) {
+        Ok(_) => false,
+        Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+    }
+}
+
 /// Returns whether any byte of a failed call may have been sent.
 fn may_have_been_sent(error: &attohttpc::Error) -> bool {
     match error.kind() {
--- a/crates/siskinstiled/src/endpoint/engine.rs
+++ b/crates/siskinstiled/src/endpoint/engine.rs
@@ -11,7 +11,7 @@
     request::{Id, Outcome, Step},
 };
 
-use super::{Endpoint, Job, READ_TIMEOUT, may_have_been_sent, without_proxy};
+use super::{Endpoint, Job, READ_TIMEOUT, has_ended, may_have_been_sent, without_proxy};
 use crate::relay::Payload;
 
 /// Time limit on a prefill or on a transfer of KV-cache memory.
@@ -26,7 +26,11 @@
 impl Endpoint for Engine {
     fn run(&self, job: Job<'_>, step: &Step, on_first: &dyn Fn()) -> Outcome {
         if job.relay.is_closed() {
-            return Outcome::Failed { sent: false, next_index: job.relay.next_index() };
+            return Outcome::Failed {
+                sent: false,
+                next_index: job.relay.next_index(),
+                ended: false,
+            };
         }
         let result = match step {
             Step::Prefill => prefill(&job),
@@ -40,7 +44,11 @@
         }
         result.unwrap_or_else(|error| {
             log::debug!("request {} at {}: {error}", job.request, job.endpoint.name);
-            Outcome::Failed { sent: may_have_been_sent(&error), next_index: job.relay.next_index() }
+            {
+                let sent = may_have_been_sent(&error);
+                let ended = sent && has_ended(job.endpoint);
+                Outcome::Failed { sent, next_index: job.relay.next_index(), ended }
+            }
         })
     }
 
@@ -163,5 +171,6 @@
             on_first();
         }
     }
-    Ok(Outcome::Failed { sent: true, next_index: job.relay.next_index() })
+    let ended = !job.relay.is_closed() && has_ended(job.endpoint);
+    Ok(Outcome::Failed { sent: true, next_index: job.relay.next_index(), ended })
 }
--- a/crates/siskinstiled/src/endpoint/plain.rs
+++ b/crates/siskinstiled/src/endpoint/plain.rs
@@ -8,7 +8,7 @@
     request::{Id, Outcome, Response, Step},
 };
 
-use super::{Endpoint, Job, READ_TIMEOUT, may_have_been_sent, without_proxy};
+use super::{Endpoint, Job, READ_TIMEOUT, has_ended, may_have_been_sent, without_proxy};
 use crate::relay::{Part, Payload};
 
 /// Time limit on a read for a request that cannot be retried or is a retry.
@@ -30,7 +30,10 @@
 
 impl Endpoint for Plain {
     fn run(&self, job: Job<'_>, step: &Step, on_first: &dyn Fn()) -> Outcome {
-        let failed = |sent| Outcome::Failed { sent, next_index: 0 };
+        let failed = |sent| {
+            let ended = sent && has_ended(job.endpoint);
+            Outcome::Failed { sent, next_index: 0, ended }
+        };
         match step {
             Step::Forward => {}
             _ => return Outcome::Refused { status: 400 },
@@ -79,7 +82,7 @@
 
 /// Relays the response; after its head, an error aborts the response to the caller.
 fn relay(job: &Job<'_>, response: attohttpc::Response, on_first: &dyn Fn()) -> io::Result<Outcome> {
-    let disconnected = Ok(Outcome::Failed { sent: true, next_index: 0 });
+    let disconnected = Ok(Outcome::Failed { sent: true, next_index: 0, ended: false });
     let (status, headers, mut reader) = response.split();
     let mut recorded = Response {
         status: status.as_u16(),
--- a/crates/siskinstiled/tests/testsuite/plain.rs
+++ b/crates/siskinstiled/tests/testsuite/plain.rs
@@ -142,3 +142,46 @@
     let received: Vec<usize> = callers.iter().map(|it| read_all(it).matches('Z').count()).collect();
     assert_eq!(received, sizes);
 }
+
+/// Guards against a request that ends the service each time it starts again: it is refused, and
+/// another one on the same path is sent.
+#[test]
+fn service_ends_on_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let ends = Arc::new(AtomicUsize::new(0));
+    let count = ends.clone();
+    thread::spawn(move || {
+        let mut listener = Some(listener);
+        loop {
+            let listening = listener.take().unwrap_or_else(|| TcpListener::bind(address).unwrap());
+            let (mut stream, _) = listening.accept().unwrap();
+            // The connection that shows whether it has ended brings nothing.
+            if stream.read(&mut [0; 4]).unwrap_or(0) == 0 {
+                listener = Some(listening);
+                continue;
+            }
+            drop(listening);
+            count.fetch_add(1, Ordering::Relaxed);
+            drop(stream);
+            thread::sleep(Duration::from_millis(150));
+        }
+    });
+    let fixture = Builder { raw: Some(address), ..Builder::default() }.spawn();
+    let ask = |body| {
+        let text = request("POST", "/raw", &bearer(KEY), body);
+        send(fixture.daemon.frontend(), text)
+    };
+    let answers: Vec<Response> = (0..12)
+        .map(|_| {
+            thread::sleep(Duration::from_millis(300));
+            ask("fatal")
+        })
+        .collect();
+    let refused = answers.iter().filter(|it| it.status == 503 && it.body.contains("quarantined"));
+    assert!(refused.count() >= 6, "{answers:?}");
+    let ended = ends.load(Ordering::Relaxed);
+    assert!(ended <= 4, "{ended}");
+    ask("other");
+    assert_eq!(ends.load(Ordering::Relaxed), ended + 1, "the other request is sent");
+}
--- a/crates/wire/src/message/member.rs
+++ b/crates/wire/src/message/member.rs
@@ -1,5 +1,7 @@
 //! Heartbeats between instances.
 
+use super::heartbeat::Suspect;
+
 /// A message about membership.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Message {
@@ -39,6 +41,9 @@
     /// centres where every instance sends to every other one.
     #[prost(message, repeated, tag = "6")]
     pub peer_ages: Vec<PeerAge>,
+    /// Requests that the sender suspects of crashing endpoints, or has quarantined.
+    #[prost(message, repeated, tag = "7")]
+    pub suspects: Vec<Suspect>,
 }
 
 /// The age of another instance's last heartbeat.
