--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use siskinstile_macros::value;
 
-use crate::Name;
+use crate::{Name, name_hash::NameHash};
 
 /// Processing stage that a model engine serves.
 #[value(id)]
@@ -25,6 +25,12 @@
     Draining,
 }
 
+/// A version of endpoints' software, as opposed to one of their weights: the hash of its name.
+///
+/// What two versions write does not fit together.
+#[value(id)]
+pub struct Software(pub NameHash);
+
 /// An endpoint as listed by the platform.
 #[value]
 pub struct Endpoint {
@@ -44,11 +50,18 @@
     pub slots: u32,
     /// Wall-clock time of its start, in milliseconds; distinguishes incarnations of the same name.
     pub started_at_ms: Option<u64>,
+    /// Name of its software version.
+    pub version: Name,
     /// Number of the entry, which rises with each one that the endpoint writes after a start.
     pub sequence: Option<u64>,
 }
 
 impl Endpoint {
+    /// Returns its software version.
+    pub fn software(&self) -> Software {
+        Software(NameHash::of(&self.version))
+    }
+
     /// Returns whether it accepts new requests.
     pub fn is_ready(&self) -> bool {
         self.readiness == Readiness::Ready
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -66,6 +66,8 @@
     pub max_wait: Option<Duration>,
     /// Identifier of the last event that the caller received of an earlier, incomplete response.
     pub last_event: Option<Name>,
+    /// The caller's identifier of the attempt that brought the first event of that response.
+    pub resumes: Option<Name>,
 }
 
 impl Arrival {
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -124,6 +124,7 @@
             excluded: Vec::new(),
             may_have_run: false,
             last_event: arrival.last_event.clone(),
+            resumes: arrival.resumes.clone(),
             slot: None,
             prefill: None,
             prompt: None,
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -131,6 +131,8 @@
         let line = job
             .log_record(record::PLACED, now)
             .with("decode", &*decode.id)
+            .with("software", &*decode.version)
+            .with("resumes", job.resumes.as_ref().map(|it| it.to_string()))
             .with("decode_tokens", self.fleet.loads.total(&decode.id).memory_tokens)
             .with("prefill", prefill.as_ref().map(|it| it.id.to_string()))
             .with(
--- a/crates/gateway/src/state/job.rs
+++ b/crates/gateway/src/state/job.rs
@@ -86,6 +86,8 @@
     pub(super) may_have_run: bool,
     /// Identifier of the last event that the caller has received.
     pub(super) last_event: Option<Name>,
+    /// The caller's identifier of the attempt that began the stream, if the caller takes one up.
+    pub(super) resumes: Option<Name>,
     pub(super) slot: Option<Slot>,
     pub(super) prefill: Option<Arc<Endpoint>>,
     pub(super) prompt: Option<Prompt>,
--- a/crates/gateway/tests/testsuite/simulation.rs
+++ b/crates/gateway/tests/testsuite/simulation.rs
@@ -294,6 +294,7 @@
                 prompt_parts,
                 max_wait: None,
                 last_event: None,
+                resumes: None,
             }),
         );
     }
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -144,6 +144,7 @@
             prompt_parts: parts.iter().copied().chain(["own"]).map(Name::from).collect(),
             max_wait: None,
             last_event: None,
+            resumes: None,
         }));
         id
     }
@@ -296,6 +297,7 @@
         stage,
         slots: 6,
         started_at_ms: Some(1),
+        version: "v1".into(),
         sequence: Some(4),
     }
 }
--- a/crates/gateway/tests/testsuite/spread.rs
+++ b/crates/gateway/tests/testsuite/spread.rs
@@ -23,6 +23,7 @@
         stage: Some(Stage::Prefill),
         slots: 64,
         started_at_ms: None,
+        version: "v1".into(),
         sequence: None,
     })
 }
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -203,6 +203,7 @@
         prompt_parts: request_head.prompt_parts,
         max_wait: request_head.max_wait,
         last_event: request_head.last_event,
+        resumes: request_head.resumes,
     };
     let receiver = control.exchanges.open(id, request_head.request_id.clone(), (head, body));
     let guard = Guard { control: control.clone(), id };
--- a/crates/gatewayd/src/protocol.rs
+++ b/crates/gatewayd/src/protocol.rs
@@ -33,6 +33,8 @@
     pub max_wait: Option<Duration>,
     /// Identifier of the last event that the caller received of an earlier, broken stream.
     pub last_event: Option<Name>,
+    /// Identifier of the attempt that brought the first event of that stream.
+    pub resumes: Option<Name>,
 }
 
 /// The fields of an endpoint's response head that the gateway uses.
