Gateway: a stream goes on only at the software version that began it, at any instance

Cause: the version of an endpoint was not read, so that a broken stream went to any engine with room; and what the caller says of the stream that it takes up was not read, so that another instance could not have known. Ruled out: entries that lag behind a start (each run that goes on names the endpoint that it expects, and the ones of the record had new names). Change: a stream is bound with its first event; the instance that runs it tells a few others before that, chosen by a hash of the attempt's identifier; one that does not know asks them and refuses what none of them knows, as not run.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -19,7 +19,7 @@
 use crate::{
     Instant, Name,
     catalog::Engine,
-    directory::{Endpoint, Stage},
+    directory::{Endpoint, Software, Stage},
     health::Tracker,
     limit::Limits,
     load::Loads,
@@ -71,6 +71,8 @@
     pub forecast: &'a Forecast,
     /// Randomisation that accounts for the age of the loads.
     pub spread: Spread,
+    /// The version that decode engines must have, if a stream goes on.
+    pub software: Option<Software>,
 }
 
 /// Returns the memory that a request is expected to need, in tokens, rounded up to whole blocks.
@@ -91,7 +93,10 @@
 
     /// Returns the decode engines that are ready for requests.
     pub fn decode_engines(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
-        self.endpoints.iter().filter(|it| it.is_ready() && it.stage == Some(Stage::Decode))
+        let may_go_on =
+            |it: &Endpoint| self.software.is_none_or(|version| version == it.software());
+        let is_ready = |it: &Endpoint| it.is_ready() && it.stage == Some(Stage::Decode);
+        self.endpoints.iter().filter(move |it| is_ready(it) && may_go_on(it))
     }
 
     fn decode(&self, tokens: Tokens, excluded: &[Name]) -> Option<Arc<Endpoint>> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod limit;
 pub mod load;
 pub mod member;
+pub mod origin;
 pub mod plain;
 pub mod quota;
 pub mod record;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -205,6 +205,12 @@
             .map(|(name, _)| name)
     }
 
+    /// Returns the reachable peers, each with its data centre.
+    pub fn reachable_places(&self, now: Instant) -> impl Iterator<Item = (&Name, &Name)> {
+        let reachable = self.peers.iter().filter(move |(_, it)| self.is_peer_reachable(now, it));
+        reachable.map(|(name, it)| (name, &it.datacentre))
+    }
+
     /// Returns the fraction of the members that is reachable, this instance included.
     pub fn reachable_share(&self, now: Instant) -> f64 {
         let reachable = self.peers.values().filter(|it| self.is_peer_reachable(now, it)).count();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -5,7 +5,11 @@
 use indexmap::IndexMap;
 
 use crate::{
-    Instant, Name, call::ReportedLoad, directory::Endpoint, health::Tracker, limit::Limits,
+    Instant, Name,
+    call::ReportedLoad,
+    directory::{Endpoint, Software},
+    health::Tracker,
+    limit::Limits,
     load::Loads,
 };
 
@@ -34,6 +38,8 @@
     pub health: &'a Tracker,
     /// Limits of the endpoints.
     pub limits: &'a Limits,
+    /// The version that the endpoint must have, if a stream goes on.
+    pub software: Option<Software>,
     /// Data centre of this instance.
     pub datacentre: &'a str,
     /// Data centres that have gateway instances, none of which is reachable.
@@ -46,6 +52,7 @@
     pub fn choose(&self, excluded: &[Name]) -> Option<Arc<Endpoint>> {
         let may_call = |it: &Endpoint| {
             it.is_ready()
+                && self.software.is_none_or(|version| version == it.software())
                 && !excluded.contains(&it.id)
                 && self.health.backoff(self.now, &it.id).is_none()
                 && self.limits.wait(self.now, it).is_none()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,7 @@
 //! endpoint of a plain service; `queue` lets it wait for a slot at a model engine, and `engine` takes
 //! it through hold, prefill and run. `reports` handles the outcomes of calls, `quarantine` what they
 //! show of prompt parts, `limits` what
-//! endpoints state on the requests that they take, `fleet` the heartbeats of other instances, `heartbeat` and `relays` the
+//! endpoints state on the requests that they take, `origins` where streams began, `fleet` the heartbeats of other instances, `heartbeat` and `relays` the
 //! sending of own and relayed ones, `orders` the reconfiguration of engines and `clock` everything
 //! that depends on time. `job` contains the requests in progress and their open calls.
 
@@ -16,6 +16,7 @@
 mod job;
 mod limits;
 mod orders;
+mod origins;
 mod plain;
 mod quarantine;
 mod queue;
@@ -38,6 +39,7 @@
     limit::Limits,
     load::Loads,
     member,
+    origin::Origins,
     quarantine::Quarantine,
     quota::{Ledger, Tolerance},
     record::{self, Record},
@@ -83,6 +85,7 @@
     departures: Departures,
     limits: Limits,
     quarantine: Quarantine,
+    origins: Origins,
     reported_loads: IndexMap<Name, (Instant, call::ReportedLoad)>,
     forecasts: IndexMap<Name, Forecast>,
     /// Schedules of the retry-after times of refused callers, by service.
@@ -154,6 +157,7 @@
                 departures: Departures::default(),
                 limits,
                 quarantine: Quarantine::default(),
+                origins: Origins::default(),
                 reported_loads: IndexMap::new(),
                 forecasts: IndexMap::new(),
                 retry_afters: IndexMap::new(),
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -9,10 +9,11 @@
     catalog::{Retry, Route, Service, Team},
     directory::Stage,
     name_hash::NameHash,
+    origin,
     quarantine::Subject,
     quota::{Grant, Status},
     record::{self, Record},
-    request::{Arrival, Tokens},
+    request::{self, Arrival, Tokens},
 };
 
 use super::{
@@ -99,6 +100,7 @@
         self.check_drain(now, route)?;
         let subjects = subjects(arrival, team.as_deref());
         self.check_quarantine(now, &subjects)?;
+        let stream = stream_of(route, arrival, team.as_deref());
         let service =
             catalog.service(route.pick_service(arrival.id.0)).expect("routes are checked");
         let charged = self.charge(now, team.as_ref(), service, arrival)?;
@@ -125,6 +127,9 @@
             may_have_run: false,
             last_event: arrival.last_event.clone(),
             resumes: arrival.resumes.clone(),
+            stream,
+            software: None,
+            search: None,
             slot: None,
             prefill: None,
             prompt: None,
@@ -208,19 +213,41 @@
     fn start(&mut self, now: Instant, job: Job) {
         let (id, service) = (job.id, job.service.clone());
         let streams = matches!(job.route.retry, Retry::Stream { .. });
-        let generates = streams && service.engine.is_some() && job.tokens.is_some();
+        let generates = job.generates();
         self.fleet.budgets.entry(service.name.clone()).or_default().record_request(now);
         if let Some(tokens) = job.tokens.filter(|_| generates) {
             self.fleet.forecasts.entry(service.name.clone()).or_default().record_request(tokens);
         }
+        let takes_up = streams && job.last_event.is_some();
         self.jobs.insert(id, job);
-        match generates {
+        match takes_up {
+            true => self.locate(now, id),
+            false => self.proceed(now, id),
+        }
+    }
+
+    /// Takes an admitted request to its first step.
+    pub(super) fn proceed(&mut self, now: Instant, id: request::Id) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        match job.generates() {
             true => self.enqueue(now, id),
             false => self.send_plain(now, id),
         }
     }
 }
 
+/// Returns how a stream is identified that its caller may take up: the one that it takes up now, or the
+/// one that begins with this request.
+fn stream_of(route: &Route, arrival: &Arrival, team: Option<&Team>) -> Option<NameHash> {
+    let is_resumable = route.retry == Retry::Stream { resumable: true };
+    let attempt = match arrival.last_event {
+        Some(_) => arrival.resumes.as_ref(),
+        None => Some(&arrival.request_id),
+    };
+    let attempt = attempt.filter(|_| is_resumable)?;
+    Some(origin::stream(attempt, team.map(|it| &*it.name)))
+}
+
 /// Returns what of a request may be quarantined: the content together with the team, and the parts of
 /// its prompt.
 fn subjects(arrival: &Arrival, team: Option<&Team>) -> Vec<Subject> {
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -27,7 +27,9 @@
             self.times.last_expiry = now;
             self.expire_peers(now);
             self.update_quarantine(now);
+            self.fleet.origins.expire(now);
         }
+        self.end_searches(now);
         self.fail_unresponsive(now);
         self.fail_timed_out(now);
         self.refuse_expired(now);
@@ -39,8 +41,9 @@
     /// Returns the time of the next due task, at which [`crate::Event::Tick`] should be posted.
     pub fn wake(&self) -> Instant {
         let call_deadlines = self.calls.values().filter_map(|it| it.deadline);
+        let job_times = self.jobs.values();
         let job_times =
-            self.jobs.values().flat_map(|it| [Some(it.deadline), it.hedge_at]).flatten();
+            job_times.flat_map(|it| [Some(it.deadline), it.hedge_at, it.search_end()]).flatten();
         let times = call_deadlines.chain(job_times).chain(self.queue.next_deadline());
         let placement =
             (!self.queue.is_empty()).then(|| self.times.last_placement + PLACEMENT_INTERVAL);
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -62,6 +62,7 @@
             reconfiguring: &reconfiguring,
             forecast: &forecast,
             spread: self.spread(job),
+            software: job.software,
         })
     }
 
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -47,9 +47,13 @@
     /// Handles a heartbeat of another instance, or a relay's message.
     pub(super) fn handle_heartbeat(&mut self, now: Instant, heartbeat: Heartbeat) {
         let name: Name = heartbeat.name.as_str().into();
-        if *name == *self.settings.name
-            || self.fleet.members.is_stale(&name, heartbeat.incarnation, heartbeat.number)
-        {
+        if *name == *self.settings.name {
+            return;
+        }
+        if let Some(streams) = &heartbeat.streams {
+            return self.handle_streams(now, &name, streams);
+        }
+        if self.fleet.members.is_stale(&name, heartbeat.incarnation, heartbeat.number) {
             return;
         }
         self.fleet.relays.choice.record_message(now, &name);
--- a/crates/gateway/src/state/job.rs
+++ b/crates/gateway/src/state/job.rs
@@ -8,10 +8,12 @@
 use crate::{
     Effect, Instant, Name, call,
     catalog::{Retry, Route, Service, Team},
-    directory::Endpoint,
+    directory::{Endpoint, Software},
     effect,
     engine::Rank,
     load::Load,
+    name_hash::NameHash,
+    origin::Origin,
     quarantine::Subject,
     record::Record,
     request,
@@ -25,6 +27,8 @@
 /// Processing phase of a request.
 #[value(eq)]
 pub(super) enum Phase {
+    /// Peers are asked where the stream began that the caller takes up.
+    Locating,
     /// Waiting for a decode slot.
     Queued,
     /// A decode slot is being reserved.
@@ -55,6 +59,17 @@
     pub(super) handle: call::Handle,
 }
 
+/// A search for the origin of a stream.
+#[value]
+pub(super) struct Search {
+    /// Number of peers that have not answered.
+    pub(super) missing_answers: usize,
+    /// The origin with the latest run that a peer has told.
+    pub(super) found: Option<Origin>,
+    /// When it ends without the missing answers.
+    pub(super) until: Instant,
+}
+
 /// A request that has been admitted and not answered yet.
 #[value]
 pub(super) struct Job {
@@ -88,6 +103,12 @@
     pub(super) last_event: Option<Name>,
     /// The caller's identifier of the attempt that began the stream, if the caller takes one up.
     pub(super) resumes: Option<Name>,
+    /// The stream, by which peers know where it began; `None` if it cannot be taken up.
+    pub(super) stream: Option<NameHash>,
+    /// The version that began the stream, once an event of it has been relayed.
+    pub(super) software: Option<Software>,
+    /// The search for that version, while it goes on.
+    pub(super) search: Option<Search>,
     pub(super) slot: Option<Slot>,
     pub(super) prefill: Option<Arc<Endpoint>>,
     pub(super) prompt: Option<Prompt>,
@@ -138,6 +159,17 @@
         }
     }
 
+    /// Returns whether the request is a generation at model engines.
+    pub(super) fn generates(&self) -> bool {
+        let streams = matches!(self.route.retry, Retry::Stream { .. });
+        streams && self.service.engine.is_some() && self.tokens.is_some()
+    }
+
+    /// Returns whether an endpoint may go on with the stream.
+    pub(super) fn may_go_on_at(&self, endpoint: &Endpoint) -> bool {
+        self.software.is_none_or(|it| it == endpoint.software())
+    }
+
     /// Returns whether the route allows another send, given the sends so far and whether the
     /// request may have run.
     pub(super) fn may_send(&self) -> bool {
@@ -195,6 +227,7 @@
             team: job.team.as_ref().map(|it| it.name.clone()),
             time_left: job.deadline.since(now),
         };
+        self.tell_origin(now, id, &plan);
         self.open_call(now, effect, plan);
     }
 
--- a/crates/gateway/src/state/quarantine.rs
+++ b/crates/gateway/src/state/quarantine.rs
@@ -179,7 +179,7 @@
 
     /// Returns whether the request waits, or is being prepared, for an endpoint to run it.
     fn is_unsent(&self) -> bool {
-        matches!(self.phase, Phase::Queued | Phase::Holding | Phase::Prefilling)
+        matches!(self.phase, Phase::Locating | Phase::Queued | Phase::Holding | Phase::Prefilling)
     }
 
     fn has_answered_for(&self, now: Instant, time: Duration) -> bool {
--- a/crates/gateway/src/state/queue.rs
+++ b/crates/gateway/src/state/queue.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Instant, Name,
+    directory::Software,
     engine::{Rank, Waiting},
     request,
 };
@@ -22,6 +23,9 @@
     pub(super) fn enqueue(&mut self, now: Instant, id: request::Id) {
         let Some(job) = self.jobs.get(&id) else { return };
         let (service, rank) = (job.service.name.clone(), job.rank(now));
+        if !self.has_version(job) {
+            return self.refuse_version(now, id, "no endpoint of the stream's version");
+        }
         let expected = self.expected_wait(now, &service, rank);
         let pause = self.shortest_pause(now, &service).unwrap_or_default();
         let deadline = self.wait_deadline(now, id);
@@ -78,21 +82,25 @@
     }
 
     /// Places queued requests in order of rank; one that does not fit blocks those behind it for
-    /// the same service.
+    /// the same service, or only those for the same version if it is a stream that goes on.
     pub(super) fn place_waiting(&mut self, now: Instant) {
         self.times.last_placement = now;
-        let mut blocked: Vec<Name> = Vec::new();
+        let mut blocked: Vec<(Name, Option<Software>)> = Vec::new();
         let waiting: Vec<(request::Id, Name)> =
             self.queue.iter().map(|it| (it.request, it.service.clone())).collect();
         for (id, service) in waiting {
-            if blocked.contains(&service) {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            // What fits nowhere fits at no single version either.
+            let is_blocked = |(name, software): &(Name, Option<Software>)| {
+                *name == service && (software.is_none() || *software == job.software)
+            };
+            if blocked.iter().any(is_blocked) {
                 continue;
             }
-            let Some(job) = self.jobs.get(&id) else { continue };
             let Some(tokens) = job.tokens else { continue };
             match self.with_view(now, job, |view| view.place(tokens, &job.excluded)) {
                 Some(placement) => self.reserve_slot(now, id, placement),
-                None => blocked.push(service),
+                None => blocked.push((service, job.software)),
             }
         }
     }
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -139,7 +139,7 @@
                 if sent && !unresponsive {
                     self.record_run_break(now, id, open, ended);
                 }
-                self.handle_failure(now, id, &open.endpoint.id, sent, last_event);
+                self.handle_failure(now, id, &open.endpoint, sent, last_event);
             }
             _ => {}
         }
@@ -207,6 +207,7 @@
         job.times.first_event.get_or_insert(now);
         if let Some(open) = self.calls.get_mut(&call) {
             open.deadline = None;
+            job.software.get_or_insert(open.endpoint.software());
         }
     }
 
@@ -273,17 +274,18 @@
         &mut self,
         now: Instant,
         id: request::Id,
-        endpoint: &Name,
+        endpoint: &Endpoint,
         sent: bool,
         last_event: Option<Name>,
     ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.may_have_run |= sent;
         if last_event.is_some() {
+            job.software.get_or_insert(endpoint.software());
             job.last_event = last_event;
         }
         match job.slot.is_some() {
-            true => self.run_failed(now, id, endpoint),
+            true => self.run_failed(now, id, &endpoint.id),
             false if !sent => self.plain_unsent(now, id),
             false => self.plain_failed(now, id, "the answer broke"),
         }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod notice;
 mod orders;
+mod origins;
 mod outcome;
 mod quarantine;
 mod quota;
--- /dev/null
+++ b/crates/gateway/tests/testsuite/origins.rs
@@ -0,0 +1,175 @@
+//! Streams that callers take up, at any instance: they go on at the version that began them, and what
+//! is not known is refused.
+
+use std::sync::Arc;
+
+use rstest::rstest;
+use siskinstile_gateway::{
+    Directory, Event, Name,
+    call::{Outcome, Start, Step},
+    directory::Endpoint,
+    request::{Arrival, Id, Tokens},
+};
+
+use crate::{
+    simulation::Fleet,
+    site::{Site, decode_engine, failed},
+};
+
+/// Streams of a test.
+const STREAMS: u64 = 24;
+
+fn engine(number: u32, version: &str) -> Endpoint {
+    Endpoint { version: version.into(), ..decode_engine(&format!("{version}-{number}"), "dc-0") }
+}
+
+/// Two engines of each of two versions.
+fn two_versions() -> Event {
+    let engines = [1, 2].into_iter().flat_map(|it| [engine(it, "v1"), engine(it, "v2")]);
+    Event::EndpointsListed(Arc::new(Directory::new(engines)))
+}
+
+/// Returns a request that begins a stream, or takes one up.
+fn arrival(id: u64, resumes: Option<u64>) -> Event {
+    let name = |id: u64| Name::from(format!("request-{id}"));
+    Event::Arrival(Arrival {
+        id: Id(id),
+        request_id: name(id),
+        host: "board.example".into(),
+        path: "/review-again/1".into(),
+        content: siskinstile_gateway::name_hash::NameHash(id),
+        key: Some("key-a".into()),
+        tokens: Some(Tokens { prompt: 100, output: 20, expected: None }),
+        prompt_parts: Vec::new(),
+        max_wait: None,
+        last_event: resumes.map(|_| "3".into()),
+        resumes: resumes.map(name),
+    })
+}
+
+/// Takes a request at an instance to its run; returns the version there, or `None` if it was refused.
+fn run(fleet: &mut Fleet, name: &Name, id: u64, resumes: Option<u64>) -> Option<Name> {
+    fleet.instances[name].calls.clear();
+    fleet.post(name, arrival(id, resumes));
+    fleet.advance(200);
+    if fleet.failures.contains_key(&Id(id)) {
+        return None;
+    }
+    let hold = fleet.instances[name].calls.pop().expect("a reservation");
+    fleet.report(name, &hold, Outcome::Held { hold: "h".into() });
+    let run = fleet.instances[name].calls.pop().expect("a run");
+    fleet.report(name, &run, Outcome::Head { status: 200 });
+    fleet.report(name, &run, Outcome::FirstEvent);
+    Some(run.endpoint.version.clone())
+}
+
+/// Guards against streams that another instance goes on with at any version, or refuses: the first one
+/// has been killed, and the caller comes to an instance anywhere; the cost is the same in any fleet.
+#[rstest]
+#[case::small(6)]
+#[case::relayed(74)]
+#[case::large(295)]
+fn taken_up_anywhere(#[case] size: usize) {
+    let mut fleet = Fleet::start(size);
+    fleet.advance(3_000);
+    let names: Vec<Name> = fleet.datacentres.keys().cloned().collect();
+    names.iter().for_each(|it| fleet.post(it, two_versions()));
+    fleet.take_traffic();
+    let first = names[0].clone();
+    let began: Vec<Option<Name>> =
+        (0..STREAMS).map(|id| run(&mut fleet, &first, id, None)).collect();
+    assert!(began.contains(&Some("v1".into())) && began.contains(&Some("v2".into())));
+    fleet.kill(&first);
+    fleet.advance(50);
+    for (number, version) in (0..STREAMS).zip(&began) {
+        let name = &names[1 + (number as usize * 37) % (size - 1)];
+        let went_on = run(&mut fleet, name, 1_000 + number, Some(number));
+        assert_eq!(went_on, *version, "stream {number} at {name}");
+    }
+}
+
+/// Guards against guesses: a stream of which no instance knows is refused at once as not run.
+#[test]
+fn unknown_refused() {
+    let mut fleet = Fleet::start(6);
+    fleet.advance(3_000);
+    let name: Name = "i-1".into();
+    fleet.post(&name, two_versions());
+    assert_eq!(run(&mut fleet, &name, 1, Some(77)), None);
+    assert_eq!(fleet.failures.get(&Id(1)), Some(&503));
+    assert!(fleet.instances[&name].calls.is_empty());
+}
+
+/// Guards against records that cost more the larger the fleet is: each stream is told to few.
+#[rstest]
+#[case(6)]
+#[case(120)]
+fn told_to_few(#[case] size: usize) {
+    let mut fleet = Fleet::start(size);
+    fleet.advance(3_000);
+    let name: Name = "i-0".into();
+    fleet.instances[&name].calls.clear();
+    fleet.post(&name, arrival(1, None));
+    let hold = fleet.instances[&name].calls.pop().expect("a reservation");
+    let before = fleet.instances[&name].traffic;
+    fleet.report(&name, &hold, Outcome::Held { hold: "h".into() });
+    let after = fleet.instances[&name].traffic;
+    let (sent, bytes) = (after.sent - before.sent, after.sent_bytes - before.sent_bytes);
+    assert!(sent <= 4 && bytes <= 60 * sent, "{sent} messages, {bytes} bytes");
+}
+
+/// Lets the run of the request that was sent last break after some events.
+fn begin_and_break(site: &mut Site) -> Name {
+    let hold = site.call();
+    site.report(hold.id, Outcome::Held { hold: "h".into() });
+    let run = site.call();
+    site.report(run.id, Outcome::Head { status: 200 });
+    site.report(run.id, Outcome::FirstEvent);
+    let broken = match failed(true) {
+        Outcome::Failed { sent, unresponsive, ended, cause, .. } => {
+            Outcome::Failed { sent, unresponsive, ended, cause, last_event: Some("3".into()) }
+        }
+        other => other,
+    };
+    site.report(run.id, broken);
+    run.endpoint.version.clone()
+}
+
+/// A stream that breaks goes on at its version, and ends if no endpoint of it is left.
+#[rstest]
+#[case::left(2, true)]
+#[case::last(1, false)]
+fn broken_goes_on(#[case] of_each: u32, #[case] goes_on: bool) {
+    let mut site = Site::configured();
+    let engines = (0..of_each).flat_map(|it| [engine(it, "v1"), engine(it, "v2")]);
+    site.post(Event::EndpointsListed(Arc::new(Directory::new(engines))));
+    site.post(arrival(1, None));
+    let version = begin_and_break(&mut site);
+    if !goes_on {
+        // The only one of its version leaves the list.
+        let other = if &*version == "v1" { "v2" } else { "v1" };
+        site.post(Event::EndpointsListed(Arc::new(Directory::new([engine(0, other)]))));
+        site.advance(1_000);
+        assert!(site.failure(Id(1)).is_some());
+        return;
+    }
+    let hold = site.call();
+    site.report(hold.id, Outcome::Held { hold: "h".into() });
+    let run = site.call();
+    assert_eq!(run.endpoint.version, version);
+    assert!(matches!(run.step, Step::Run { start: Start::After(_), .. }));
+}
+
+/// Guards against a stream that waits for its version and holds up those that could run at another.
+#[test]
+fn waiting_blocks_no_other() {
+    let mut site = Site::configured();
+    let engines = [engine(1, "v1"), engine(1, "v2")];
+    site.post(Event::EndpointsListed(Arc::new(Directory::new(engines))));
+    site.post(arrival(1, None));
+    begin_and_break(&mut site);
+    site.calls();
+    site.post(arrival(2, None));
+    site.advance(20);
+    assert!(site.calls().iter().any(|it| it.request == Some(Id(2))));
+}
--- a/crates/gateway/tests/testsuite/spread.rs
+++ b/crates/gateway/tests/testsuite/spread.rs
@@ -56,6 +56,7 @@
             unreachable: &[],
             reconfiguring: &[],
             forecast: &forecast,
+            software: None,
             spread: Spread {
                 seed,
                 local: Duration::from_millis(15),
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -122,14 +122,17 @@
     mut heartbeats: mpsc::UnboundedReceiver<(Heartbeat, Recipients)>,
 ) {
     while let Some((mut heartbeat, recipients)) = heartbeats.recv().await {
-        let configuration = follower.changed_position(Kind::Configuration);
-        let endpoints = follower.changed_position(Kind::Endpoints);
-        heartbeat.configuration_era = configuration.era;
-        heartbeat.configuration_revision = configuration.revision;
-        heartbeat.endpoints_era = endpoints.era;
-        heartbeat.endpoints_revision = endpoints.revision;
-        heartbeat.store_age_ms = follower.store_age_ms();
-        heartbeat.address = own.to_string();
+        // What concerns single streams says nothing of the sender.
+        if heartbeat.streams.is_none() {
+            let configuration = follower.changed_position(Kind::Configuration);
+            let endpoints = follower.changed_position(Kind::Endpoints);
+            heartbeat.configuration_era = configuration.era;
+            heartbeat.configuration_revision = configuration.revision;
+            heartbeat.endpoints_era = endpoints.era;
+            heartbeat.endpoints_revision = endpoints.revision;
+            heartbeat.store_age_ms = follower.store_age_ms();
+            heartbeat.address = own.to_string();
+        }
         let bytes = heartbeat.encode_to_vec();
         let mut targets: Vec<(SocketAddr, Vec<u8>)> = match recipients {
             Recipients::Datacentre => plain(addresses.all(Some(&datacentre))),
@@ -208,6 +211,10 @@
                 continue;
             }
         };
+        if heartbeat.streams.is_some() {
+            control.post(Event::Heartbeat(heartbeat.into()));
+            continue;
+        }
         match heartbeat.leaving {
             true => addresses.remove(&heartbeat.name),
             false => addresses.insert(&heartbeat.name, sender, &heartbeat.datacentre),
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -74,6 +74,37 @@
     /// Limits that endpoints have stated to the sender or to others.
     #[prost(message, repeated, tag = "23")]
     pub limits: Vec<Limit>,
+    /// What concerns single streams; a message with it says nothing else, and has the number 0.
+    #[prost(message, optional, tag = "24")]
+    pub streams: Option<Streams>,
+}
+
+/// What an instance tells, or asks, of streams that callers may take up at any instance.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Streams {
+    /// Origins that the sender knows.
+    #[prost(message, repeated, tag = "1")]
+    pub origins: Vec<Origin>,
+    /// Hashes of the streams whose origins the sender asks for.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub asked: Vec<u64>,
+    /// Hashes of the streams that the receiver has asked for and the sender does not know.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub unknown: Vec<u64>,
+}
+
+/// The software version at which a stream began.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Origin {
+    /// Hash of the stream: the caller's identifier of the attempt that began it, and its team.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Hash of the version's name.
+    #[prost(fixed64, tag = "2")]
+    pub software: u64,
+    /// Number of the attempt's run.
+    #[prost(uint32, tag = "3")]
+    pub run: u32,
 }
 
 /// What an endpoint has stated on the requests that it takes from all instances together.
