Gateway: a prompt that an engine breaks off takes a retry from the budget

Cause: a prefill whose connection breaks has reached its engine, and the run after it was sent without a retry; the same as with refused prompts before. Ruled out: repeats of plain requests (another service than the one reported).

--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -264,12 +264,17 @@
         }
     }
 
-    /// Starts the run without a computed prompt, so that the decode engine computes it, unless the
-    /// request has ended several engines.
-    pub(super) fn prefill_failed(&mut self, now: Instant, id: request::Id) {
-        if self.is_too_suspect(id) {
-            return self.fail_exhausted(now, id, "the engine ended");
+    /// Handles a prefill whose response is incomplete: one that may have reached its engine makes the
+    /// run a retry.
+    pub(super) fn prefill_broken(&mut self, now: Instant, id: request::Id, sent: bool) {
+        match sent && !self.take_retry(now, id) {
+            true => self.fail_exhausted(now, id, "the prefill broke off"),
+            false => self.prefill_failed(now, id),
         }
+    }
+
+    /// Starts the run without a computed prompt, so that the decode engine computes it.
+    pub(super) fn prefill_failed(&mut self, now: Instant, id: request::Id) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.prefill = None;
         }
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -122,12 +122,13 @@
                 self.prefill_done(now, id, open, handle, tokens);
             }
             (Kind::Prefill, Outcome::Refused { .. }) => self.prefill_refused(now, id),
-            (Kind::Prefill, outcome) => {
-                if matches!(outcome, Outcome::Failed { ended: true, .. }) {
+            (Kind::Prefill, Outcome::Failed { sent, ended, .. }) => {
+                if ended {
                     self.record_prefill_break(now, id, open);
                 }
-                self.prefill_failed(now, id);
+                self.prefill_broken(now, id, sent);
             }
+            (Kind::Prefill, _) => self.prefill_failed(now, id),
             (Kind::Run, Outcome::Head { .. }) => self.start_relay(now, id, call),
             (Kind::Run, Outcome::FirstEvent) => self.first_event(now, id, call),
             (Kind::Run, Outcome::Completed { events, pause, framed }) => {
--- a/crates/gateway/tests/testsuite/repeats.rs
+++ b/crates/gateway/tests/testsuite/repeats.rs
@@ -9,7 +9,7 @@
     request::Id,
 };
 
-use crate::site::Site;
+use crate::site::{Site, failed};
 
 /// Requests of a run, all within one window.
 const REQUESTS: u32 = 100;
@@ -18,9 +18,9 @@
 /// Retries that the bound allows for them: a fifth of the requests, and 52.
 const MAX_REPEATS: usize = 100 / 5 + 52;
 
-/// Refuses all prompts and, if `refuses_runs`, all runs; returns the number of times that requests
+/// Ends all prompts in the given way and, if `refuses_runs`, refuses all runs; returns the number of times that requests
 /// reached engines beyond the first time of each.
-fn repeats(refuses_runs: bool) -> usize {
+fn repeats(prompt: &Outcome, refuses_runs: bool) -> usize {
     let mut site = Site::with_engines(40);
     let mut arrivals: HashMap<Id, usize> = HashMap::new();
     for _ in 0..REQUESTS {
@@ -31,7 +31,7 @@
                 let refused = Outcome::Refused { status: 503 };
                 let outcome = match call.step {
                     Step::Hold { .. } => Outcome::Held { hold: "h".into() },
-                    Step::Prefill => refused,
+                    Step::Prefill => prompt.clone(),
                     Step::Run { .. } if refuses_runs => refused,
                     _ => Outcome::Completed { events: 2, pause: Default::default(), framed: true },
                 };
@@ -48,13 +48,15 @@
     arrivals.values().map(|it| it - 1).sum()
 }
 
-/// Guards against repeats that the budget does not count: a prompt that an engine refuses has reached
-/// it, so that the run is one time more, with or without another try to have the prompt computed.
+/// Guards against repeats that the budget does not count: a prompt that an engine refuses, or breaks off,
+/// has reached it, so that the run is one time more, with or without another try to have the prompt
+/// computed.
 #[rstest]
-#[case::prompts(false)]
-#[case::prompts_and_runs(true)]
-fn repeats_after_refusals(#[case] refuses_runs: bool) {
-    let repeats = repeats(refuses_runs);
+#[case::prompts(Outcome::Refused { status: 503 }, false)]
+#[case::prompts_and_runs(Outcome::Refused { status: 503 }, true)]
+#[case::prompts_broken(failed(true), false)]
+fn repeats_after_refusals(#[case] prompt: Outcome, #[case] refuses_runs: bool) {
+    let repeats = repeats(&prompt, refuses_runs);
     assert!(repeats <= MAX_REPEATS, "{repeats} repeats of {REQUESTS} requests");
 }
 
