--- a/crates/gateway/tests/testsuite/repeats.rs
+++ b/crates/gateway/tests/testsuite/repeats.rs
@@ -15,15 +15,21 @@
 const REQUESTS: u32 = 100;
 /// Time between two of them.
 const INTERVAL_MS: u64 = 95;
+/// Starts of an instance within one window.
+const STARTS: u32 = 4;
 /// Retries that the bound allows for them: a fifth of the requests, and 52.
 const MAX_REPEATS: usize = 100 / 5 + 52;
 
 /// Ends all prompts in the given way and, if `refuses_runs`, refuses all runs; returns the number of times that requests
 /// reached engines beyond the first time of each.
 fn repeats(prompt: &Outcome, refuses_runs: bool) -> usize {
-    let mut site = Site::with_engines(40);
+    repeats_at(&mut Site::with_engines(40), REQUESTS, prompt, refuses_runs)
+}
+
+/// The same for a number of requests at one instance.
+fn repeats_at(site: &mut Site, requests: u32, prompt: &Outcome, refuses_runs: bool) -> usize {
     let mut arrivals: HashMap<Id, usize> = HashMap::new();
-    for _ in 0..REQUESTS {
+    for _ in 0..requests {
         site.send("/review/");
         site.advance(INTERVAL_MS);
         for _ in 0..20 {
@@ -44,7 +50,8 @@
             }
         }
     }
-    assert!(arrivals.len() > 80, "{} requests reached an engine", arrivals.len());
+    let reached = arrivals.len();
+    assert!(reached * 5 > requests as usize * 4, "{reached} requests reached an engine");
     arrivals.values().map(|it| it - 1).sum()
 }
 
@@ -60,6 +67,21 @@
     assert!(repeats <= MAX_REPEATS, "{repeats} repeats of {REQUESTS} requests");
 }
 
+/// Guards against repeats beyond the bound while instances are killed and start again: each start began
+/// with a whole part of the retries, which the one before had spent within the same window.
+#[test]
+#[ignore = "KNOWN-RED.txt: each start begins with a whole part of the retries"]
+fn repeats_after_restarts() {
+    let refused = Outcome::Refused { status: 503 };
+    let per_start = REQUESTS / STARTS;
+    let starts = (0..STARTS).map(|number| {
+        let mut site = Site::restarted(40, number.into());
+        repeats_at(&mut site, per_start, &refused, true)
+    });
+    let repeats: usize = starts.sum();
+    assert!(repeats <= MAX_REPEATS, "{repeats} repeats of {REQUESTS} requests");
+}
+
 /// Lets engines refuse prompts until a refused one is not tried again, as no retry is left.
 fn spend_retries(site: &mut Site) {
     for _ in 0..20 {
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -52,6 +52,17 @@
         site
     }
 
+    /// Starts an instance with a number of engines; only its first start is the fleet's first.
+    pub(crate) fn restarted(engines: u32, number: u64) -> Site {
+        let mut site = Site::with_settings(Settings {
+            first_start: number == 0,
+            ..settings("one", number + 1, Tolerance::default())
+        });
+        site.configure();
+        site.list_engines(engines);
+        site
+    }
+
     /// Posts a list of engines, half of them prefill engines.
     pub(crate) fn list_engines(&mut self, engines: u32) {
         let all = (0..engines).map(|number| {
