--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -16,7 +16,16 @@
 pub enum Effect {
     /// Calls an endpoint.
     Call(Call),
-    /// Aborts a call whose outcome is no longer needed.
+    /// Opens a connection to an endpoint to see whether it is reached.
+    Probe {
+        /// The endpoint.
+        endpoint: Arc<Endpoint>,
+        /// The round that the probe belongs to.
+        round: u64,
+    },
+    /// Hands a request over to a peer and relays its response.
+    HandOver(HandOver),
+    /// Aborts a call or a handover whose outcome is no longer needed.
     Cancel(call::Id),
     /// Relays the response of a call to the caller.
     Relay {
@@ -80,6 +89,19 @@
     }
 }
 
+/// The handover of a request to a peer.
+#[value]
+pub struct HandOver {
+    /// Identifier of the handover, among those of calls.
+    pub id: call::Id,
+    /// The request.
+    pub request: request::Id,
+    /// The peer.
+    pub peer: Name,
+    /// Time remaining until the request's deadline.
+    pub time_left: Duration,
+}
+
 /// A call to an endpoint.
 #[value]
 pub struct Call {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -6,7 +6,8 @@
 use siskinstile_wire::message::heartbeat::Heartbeat;
 
 use crate::{
-    Catalog, Directory, Instant, Name, call, origin::journal::Answer, quarantine::Report, request,
+    Catalog, Directory, Instant, Name, call, handover, origin::journal::Answer, quarantine::Report,
+    request,
 };
 
 /// An input of [`crate::State::step`].
@@ -28,6 +29,17 @@
     Disconnected(request::Id),
     /// A call has made progress or ended.
     Report(call::Report),
+    /// An endpoint has sent a part of a stream.
+    Progress,
+    /// A probe has ended.
+    Probed {
+        /// The round that it belongs to.
+        round: u64,
+        /// Whether the endpoint has accepted a connection.
+        accepted: bool,
+    },
+    /// A handover has made progress or ended.
+    HandedOver(handover::Report),
     /// A heartbeat of another instance has arrived.
     Heartbeat(Box<Heartbeat>),
     /// The quarantined requests and prompt parts that the platform's store listed at the start.
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -127,6 +127,14 @@
         self.records.get(endpoint).map_or(0.0, |it| it.failure_rate(now))
     }
 
+    /// Ends the ejections of all endpoints, which had another cause than the endpoints.
+    pub fn clear_ejections(&mut self) {
+        for record in self.records.values_mut() {
+            record.consecutive_timeouts = 0;
+            record.ejected_until = Instant::default();
+        }
+    }
+
     /// Removes the records of endpoints that are no longer listed and may be called.
     pub fn retain(&mut self, now: Instant, is_listed: impl Fn(&str) -> bool) {
         self.records.retain(|name, it| is_listed(name) || it.backoff_until > now);
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -39,6 +39,8 @@
     pub last_heartbeat: Instant,
     /// Time since it last got an answer from the platform's store, as of that heartbeat.
     pub store_age: Duration,
+    /// Whether it reaches no endpoint.
+    pub cut_off: bool,
     /// Requests in its queue, by service.
     pub waiting: IndexMap<Name, u32>,
     /// Engines that it has ordered to change their stage and that have not done so yet.
@@ -221,6 +223,14 @@
         reachable.map(|(name, it)| (name, &it.datacentre))
     }
 
+    /// Returns the reachable peers that reach endpoints, as far as is known, each with its data centre.
+    pub fn connected(&self, now: Instant) -> impl Iterator<Item = (&Name, &Name)> {
+        self.peers
+            .iter()
+            .filter(move |(_, it)| !it.cut_off && self.is_peer_reachable(now, it))
+            .map(|(name, it)| (name, &it.datacentre))
+    }
+
     /// Returns the fraction of the members that is reachable, this instance included.
     pub fn reachable_share(&self, now: Instant) -> f64 {
         let reachable = self.peers.values().filter(|it| self.is_peer_reachable(now, it)).count();
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -83,6 +83,14 @@
 /// The budget for buffered bytes is exceeded, so that a request was refused or a slow caller's stream
 /// aborted.
 pub const MEMORY_SHORT: Code = code(767, Level::Warn, "memory for buffers exceeded");
+/// This instance reaches no endpoint, and hands requests over to peers.
+pub const CUT_OFF: Code = code(768, Level::Warn, "no endpoint reached");
+/// This instance reaches endpoints again.
+pub const CONNECTED: Code = code(769, Level::Info, "endpoints reached again");
+/// A request was handed over to a peer.
+pub const HANDED_OVER: Code = code(770, Level::Info, "request handed over");
+/// A peer has not taken a request that was handed over to it, or the connection to it broke.
+pub const NOT_TAKEN: Code = code(771, Level::Info, "handover failed");
 /// An endpoint is cold, or not any more.
 pub const ENDPOINT_COLD: Code = code(755, Level::Info, "endpoint cold");
 /// The entry of an endpoint shows that it has ended with an earlier call.
@@ -149,6 +157,10 @@
     JOURNAL_NOT_WRITTEN,
     ENDPOINT_COLD,
     CRASH_SHOWN,
+    CUT_OFF,
+    CONNECTED,
+    HANDED_OVER,
+    NOT_TAKEN,
 ];
 
 /// A log line: the event, its request and the inputs of the decision.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -51,6 +51,10 @@
     pub all_accounts: bool,
     /// Its address, told with all accounts only.
     pub address: String,
+    /// Whether it reaches no endpoint.
+    pub cut_off: bool,
+    /// Whether that has changed.
+    pub has_changed_reach: bool,
 }
 
 impl Pending {
@@ -62,17 +66,19 @@
         let all_accounts =
             newer.all_accounts || self.all_accounts && self.incarnation == newer.incarnation;
         let has_changed = newer.has_changed || self.has_changed;
+        let has_changed_reach = newer.has_changed_reach || self.has_changed_reach;
         accounts.extend(newer.accounts.clone());
         let address = match newer.address.is_empty() {
             true => std::mem::take(&mut self.address),
             false => newer.address.clone(),
         };
-        *self = Pending { accounts, has_changed, all_accounts, address, ..newer };
+        *self =
+            Pending { accounts, has_changed, has_changed_reach, all_accounts, address, ..newer };
     }
 
     /// Returns whether it says more than that the member is alive.
     fn is_news(&self) -> bool {
-        self.leaving || self.has_changed
+        self.leaving || self.has_changed || self.has_changed_reach
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -68,6 +68,8 @@
     pub last_event: Option<Name>,
     /// The caller's identifier of the attempt that brought the first event of that response.
     pub resumes: Option<Name>,
+    /// Whether a peer has handed it over.
+    pub handed_over: bool,
 }
 
 impl Arrival {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,8 @@
 //! the outcomes of calls, `quarantine` what they show of requests and prompt parts, `limits` what
 //! endpoints state on the requests that they take, `warm_up` that they are cold, `paces` how fast they
 //! are, `evacuations` the list of evacuated data centres, `origins` where streams began, `journal` what
-//! the store keeps of it, `fleet` the heartbeats of other instances, `heartbeat` and `relays` the sending
+//! the store keeps of it, `reach` whether endpoints are reached at all, `handovers` the requests that
+//! peers serve while none is, `fleet` the heartbeats of other instances, `heartbeat` and `relays` the sending
 //! of own and relayed ones, `orders` the reconfiguration of engines and `clock` everything that depends
 //! on time. `job` contains the requests in progress and their open calls.
 
@@ -15,6 +16,7 @@
 mod engine;
 mod evacuations;
 mod fleet;
+mod handovers;
 mod heartbeat;
 mod job;
 mod journal;
@@ -27,6 +29,7 @@
 mod prompts;
 mod quarantine;
 mod queue;
+mod reach;
 mod relays;
 mod reports;
 mod warm_up;
@@ -53,6 +56,7 @@
     plain::{Arrivals, Usual},
     quarantine::Quarantine,
     quota::{Ledger, Tolerance},
+    reach::Reach,
     record::{self, Record},
     request,
     warm_up::Tracker as ColdTracker,
@@ -179,6 +183,9 @@
     jobs: IndexMap<request::Id, Job>,
     calls: IndexMap<call::Id, OpenCall>,
     next_call: u64,
+    reach: Reach,
+    doubt: reach::Doubt,
+    handovers: handovers::Handovers,
     planner: orders::Planner,
     stopped: bool,
     effects: Vec<Effect>,
@@ -240,6 +247,9 @@
             jobs: IndexMap::new(),
             calls: IndexMap::new(),
             next_call: 0,
+            reach: Reach::default(),
+            doubt: reach::Doubt::default(),
+            handovers: handovers::Handovers::default(),
             planner: orders::Planner::default(),
             stopped: false,
             effects: Vec::new(),
@@ -258,6 +268,9 @@
             Event::Arrival(arrival) => self.handle_arrival(now, arrival),
             Event::Disconnected(request) => self.caller_disconnected(now, request),
             Event::Report(report) => self.handle_report(now, report),
+            Event::Progress => self.reach.record_sign(now),
+            Event::Probed { round, accepted } => self.handle_probe(now, round, accepted),
+            Event::HandedOver(report) => self.handle_handover(now, report),
             Event::Heartbeat(heartbeat) => self.handle_heartbeat(now, *heartbeat),
             Event::Quarantined(reports) => self.record_suspects(now, reports.into_iter(), "store"),
             Event::Journal(answer) => self.handle_journal(now, answer),
@@ -289,7 +302,7 @@
 
     /// Returns the number of requests that have not been answered yet.
     pub fn open_requests(&self) -> usize {
-        self.jobs.len()
+        self.jobs.len() + self.handovers.len()
     }
 
     /// Sends a heartbeat soon, as the configuration or an endpoint has changed.
@@ -301,7 +314,7 @@
     fn start_drain(&mut self, now: Instant) {
         if self.times.drain_start.is_none() {
             self.times.drain_start = Some(now);
-            self.log(Record::new(record::DRAINING).with("open", self.jobs.len()));
+            self.log(Record::new(record::DRAINING).with("open", self.open_requests()));
         }
     }
 
@@ -350,6 +363,7 @@
 
     /// Cancels the calls of a request whose caller has closed the connection.
     fn caller_disconnected(&mut self, now: Instant, id: request::Id) {
+        self.end_handover(now, id);
         let Some(mut job) = self.jobs.swap_remove(&id) else { return };
         job.may_have_run |= self.has_open_run(&job);
         self.clean_up(now, &mut job);
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -109,7 +109,11 @@
         let stream = stream_of(route, arrival, team.as_deref());
         let service =
             catalog.service(route.pick_service(arrival.id.0)).expect("routes are checked");
-        let charged = self.charge(now, team.as_ref(), service, arrival)?;
+        // The peer that takes the request charges it.
+        let charged = match self.hands_over(arrival.handed_over) {
+            true => 0,
+            false => self.charge(now, team.as_ref(), service, arrival)?,
+        };
         let first_attempt = now - self.time_already_waited(route, arrival.max_wait);
         let wait = arrival.max_wait.map_or(route.timeout, |it| it.min(route.timeout));
         Ok(Job {
@@ -145,6 +149,7 @@
             relaying: None,
             fallback: None,
             hedge_at: None,
+            handed_over: arrival.handed_over,
             times: Times::default(),
         })
     }
@@ -218,7 +223,13 @@
         !waits && sum <= MAX_SPARE_USE * f64::from(count)
     }
 
-    fn start(&mut self, now: Instant, job: Job) {
+    pub(super) fn start(&mut self, now: Instant, job: Job) {
+        if self.hands_over(job.handed_over) {
+            return self.hand_over(now, job, Vec::new());
+        }
+        if self.reach.cut_off_since().is_some() {
+            return self.refuse_handover(now, job);
+        }
         let (id, service) = (job.id, job.service.clone());
         let streams = matches!(job.route.retry, Retry::Stream { .. });
         let generates = job.generates();
@@ -236,6 +247,12 @@
 
     /// Takes an admitted request to its first step.
     pub(super) fn proceed(&mut self, now: Instant, id: request::Id) {
+        if !self.jobs.contains_key(&id) {
+            return;
+        }
+        if self.must_wait_for_probes(now) {
+            return self.wait_for_probes(id);
+        }
         let Some(job) = self.jobs.get(&id) else { return };
         match job.generates() {
             true => self.enqueue(now, id),
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -32,6 +32,8 @@
         }
         self.end_evacuations_wait(now);
         self.end_searches(now);
+        self.probe_due(now);
+        self.fail_late_handovers(now);
         self.fail_unresponsive(now);
         self.fail_timed_out(now);
         self.refuse_expired(now);
@@ -52,6 +54,8 @@
             (!self.queue.is_empty()).then(|| self.times.last_placement + PLACEMENT_INTERVAL);
         let heartbeat = (!self.stopped).then(|| self.heartbeat_due());
         let times = times.chain(self.evacuations.wait_end());
+        let times = times.chain(self.reach.probes_due(self.oldest_call()));
+        let times = times.chain(self.handovers.next_deadline());
         let journal = (!self.stopped).then(|| self.journal_due()).flatten();
         let times = times.chain(placement).chain(self.drain_end()).chain(heartbeat).chain(journal);
         times.min().unwrap_or(Instant(u64::MAX))
@@ -71,7 +75,8 @@
         if is_over {
             self.fail_open(now);
         }
-        let is_idle = now.since(drain_start) >= self.settings.drain && self.jobs.is_empty();
+        let has_open = !self.jobs.is_empty() || !self.handovers.is_empty();
+        let is_idle = now.since(drain_start) >= self.settings.drain && !has_open;
         if (is_idle || is_over) && !self.stopped {
             self.stopped = true;
             self.times.heartbeat_number += 1;
@@ -90,5 +95,8 @@
             let failure = Failure::not_run(Kind::Draining).with_retry_after(DRAINING_RETRY);
             self.fail(now, id, failure, "the instance stops");
         }
+        for id in self.handovers.ids().collect::<Vec<_>>() {
+            self.abort_handover(now, id, "the instance stops");
+        }
     }
 }
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -34,6 +34,7 @@
     accounts: &'a [SentAccount],
     all_accounts: bool,
     address: &'a str,
+    cut_off: bool,
 }
 
 /// Accounts that an instance has told: all of them, or those that have changed.
@@ -41,6 +42,7 @@
 struct Told {
     accounts: Vec<(NameHash, Account)>,
     has_changed: bool,
+    has_changed_reach: bool,
 }
 
 impl State {
@@ -67,6 +69,7 @@
             accounts: &heartbeat.accounts,
             all_accounts: heartbeat.all_accounts,
             address: &heartbeat.address,
+            cut_off: heartbeat.cut_off,
         };
         if heartbeat.leaving {
             let pending = Pending { leaving: true, ..pending(&heard, Told::default()) };
@@ -131,6 +134,7 @@
             accounts: &member.accounts,
             all_accounts: member.all_accounts,
             address: &member.address,
+            cut_off: member.cut_off,
         };
         if member.leaving {
             self.peer_left(&name);
@@ -159,10 +163,12 @@
             datacentre: heard.datacentre.clone(),
             last_heartbeat: heard.heard_at,
             store_age: heard.store_age,
+            cut_off: heard.cut_off,
             waiting: known.map(|it| it.waiting.clone()).unwrap_or_default(),
             reconfiguring: known.map(|it| it.reconfiguring.clone()).unwrap_or_default(),
         };
         let old = self.fleet.members.record_heartbeat(name.clone(), peer);
+        let was_cut_off = old.as_ref().is_some_and(|it| it.cut_off);
         if let Some(old) = old.filter(|it| it.incarnation != heard.incarnation) {
             self.fleet.ledger.remove_peer(&(name.clone(), old.incarnation));
         }
@@ -171,7 +177,7 @@
         }
         let has_changed = !changed.is_empty();
         let accounts = if heard.all_accounts { accounts } else { changed };
-        Told { accounts, has_changed }
+        Told { accounts, has_changed, has_changed_reach: heard.cut_off != was_cut_off }
     }
 
     fn peer_left(&mut self, name: &Name) {
@@ -249,8 +255,10 @@
         store_age: heard.store_age,
         accounts: told.accounts.into_iter().collect(),
         has_changed: told.has_changed,
+        has_changed_reach: told.has_changed_reach,
         all_accounts: heard.all_accounts,
         address: if heard.all_accounts { heard.address.to_owned() } else { String::new() },
+        cut_off: heard.cut_off,
     }
 }
 
--- a/crates/gateway/src/state/heartbeat.rs
+++ b/crates/gateway/src/state/heartbeat.rs
@@ -214,6 +214,7 @@
             cold: self.sent_cold(now),
             paces: self.sent_paces(now, &Source::OWN),
             configuration_version: self.catalog.as_ref().map_or(0, |it| it.version),
+            cut_off: self.reach.cut_off_since().is_some(),
             // The adapter that follows the store sets its positions and its age.
             ..Heartbeat::default()
         }
--- a/crates/gateway/src/state/job.rs
+++ b/crates/gateway/src/state/job.rs
@@ -129,6 +129,8 @@
     pub(super) fallback: Option<call::Id>,
     /// When an idempotent request is hedged to a second endpoint.
     pub(super) hedge_at: Option<Instant>,
+    /// Whether a peer has handed it over.
+    pub(super) handed_over: bool,
     /// Times of its processing steps, for the log.
     pub(super) times: Times,
 }
--- a/crates/gateway/src/state/plain.rs
+++ b/crates/gateway/src/state/plain.rs
@@ -101,7 +101,9 @@
         job.sends -= 1;
         job.unsent_attempts += 1;
         let may_send = job.unsent_attempts < MAX_UNSENT_ATTEMPTS;
+        self.probe_due(now);
         match may_send && !self.is_quarantined(now, id) {
+            _ if self.must_wait_for_probes(now) => self.wait_for_probes(id),
             true => self.send_plain(now, id),
             false => self.no_endpoint(now, id),
         }
--- a/crates/gateway/src/state/relays.rs
+++ b/crates/gateway/src/state/relays.rs
@@ -390,5 +390,6 @@
         accounts: pending.accounts.iter().map(|(team, it)| sent_account(*team, *it)).collect(),
         all_accounts: pending.all_accounts,
         address: pending.address,
+        cut_off: pending.cut_off,
     }
 }
--- a/crates/gateway/tests/testsuite/follow.rs
+++ b/crates/gateway/tests/testsuite/follow.rs
@@ -28,6 +28,7 @@
 /// Returns a peer in the data centre `north` without contact with the store.
 fn peer() -> Peer {
     Peer {
+        cut_off: false,
         incarnation: 1,
         datacentre: "north".into(),
         number: 1,
--- a/crates/gateway/tests/testsuite/simulation.rs
+++ b/crates/gateway/tests/testsuite/simulation.rs
@@ -241,6 +241,9 @@
                     self.schedule(now + STORE_LATENCY, name, Some(Event::Journal(answer)));
                 }
                 Effect::Call(call) => self.instances[name].calls.push(call),
+                Effect::Probe { round, .. } => {
+                    self.post(name, Event::Probed { round, accepted: true });
+                }
                 Effect::Fail { request, failure } => {
                     self.failures.insert(request, failure.kind.row().status);
                 }
@@ -391,6 +394,7 @@
                 max_wait: None,
                 last_event: None,
                 resumes: None,
+                handed_over: false,
             }),
         );
     }
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -27,6 +27,8 @@
     pub(crate) state: State,
     pub(crate) now: Instant,
     pub(crate) effects: Vec<Effect>,
+    /// Whether endpoints accept the connections of probes; `None` if they do not answer.
+    pub(crate) accepts: Option<bool>,
     last_request: u64,
 }
 
@@ -116,12 +118,20 @@
     /// Starts the gateway with the given settings.
     pub(crate) fn with_settings(settings: Settings) -> Site {
         let state = State::new(settings);
-        Site { state, now: Instant::from_millis(1_000), effects: Vec::new(), last_request: 0 }
+        let now = Instant::from_millis(1_000);
+        Site { state, now, effects: Vec::new(), accepts: Some(true), last_request: 0 }
     }
 
     /// Posts an event and collects its effects.
     pub(crate) fn post(&mut self, event: Event) {
-        self.effects.extend(self.state.step(self.now, event));
+        let effects = self.state.step(self.now, event);
+        let rounds: Vec<u64> = effects.iter().filter_map(probed_round).collect();
+        self.effects.extend(effects);
+        if let Some(accepted) = self.accepts {
+            for round in rounds {
+                self.post(Event::Probed { round, accepted });
+            }
+        }
     }
 
     /// Advances time in the steps that the gateway requests.
@@ -165,6 +175,7 @@
             max_wait: None,
             last_event: None,
             resumes: None,
+            handed_over: false,
         }));
         id
     }
@@ -221,6 +232,14 @@
     }
 }
 
+/// Returns the round of a probe.
+fn probed_round(effect: &Effect) -> Option<u64> {
+    match effect {
+        Effect::Probe { round, .. } => Some(*round),
+        _ => None,
+    }
+}
+
 /// Returns the settings of a gateway.
 pub(crate) fn settings(name: &str, incarnation: u64, quota_tolerance: Tolerance) -> Settings {
     Settings {
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -1,6 +1,11 @@
 //! Calls to endpoints, each in a task that reports its outcome to the reducer.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
 
 use http_body_util::BodyExt as _;
 use hyper::{
@@ -33,6 +38,8 @@
 const MAX_PLAIN_BYTES: usize = 16 << 20;
 /// Size limit of the response to a step other than a run, which is a small object.
 const MAX_STEP_BYTES: usize = 64 << 10;
+/// Time between two reports that endpoints send parts of streams.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
 /// Time limit for the body of a refusal, which is only read so that the connection can be reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -46,6 +53,8 @@
     tasks: RefCell<HashMap<call::Id, AbortHandle>>,
     /// Calls that may not relay their response yet, each with the sender that permits it.
     awaiting_relay: RefCell<HashMap<call::Id, oneshot::Sender<()>>>,
+    /// When the last part of a stream was reported.
+    progress_at: Cell<Option<time::Instant>>,
 }
 
 impl Table {
@@ -57,7 +66,12 @@
             run(&control, &call).await;
             control.calls.remove(call.id);
         });
-        self.tasks.borrow_mut().insert(id, task.abort_handle());
+        self.insert(id, task.abort_handle());
+    }
+
+    /// Adds a task, which removes itself at its end.
+    pub fn insert(&self, id: call::Id, task: AbortHandle) {
+        self.tasks.borrow_mut().insert(id, task);
     }
 
     /// Aborts a call and closes its connection.
@@ -76,13 +90,23 @@
         }
     }
 
+    /// Returns whether the arrival of a part of a stream should be reported.
+    fn is_progress_due(&self, now: time::Instant) -> bool {
+        let is_due = self.progress_at.get().is_none_or(|it| now - it >= PROGRESS_INTERVAL);
+        if is_due {
+            self.progress_at.set(Some(now));
+        }
+        is_due
+    }
+
     fn await_relay(&self, id: call::Id) -> oneshot::Receiver<()> {
         let (permit, relay_allowed) = oneshot::channel();
         self.awaiting_relay.borrow_mut().insert(id, permit);
         relay_allowed
     }
 
-    fn remove(&self, id: call::Id) {
+    /// Removes a task that has ended.
+    pub fn remove(&self, id: call::Id) {
         self.tasks.borrow_mut().remove(&id);
         self.awaiting_relay.borrow_mut().remove(&id);
     }
@@ -293,6 +317,9 @@
             Err(Unwritten::TooSlow) => return abort_slow(control, request),
         }
         let now = time::Instant::now();
+        if control.calls.is_progress_due(now) {
+            control.post(Event::Progress);
+        }
         match last_event_at.replace(now) {
             None => report(control, call, &response, Outcome::FirstEvent),
             Some(previous) => pause = pause.max(now - previous),
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -152,6 +152,18 @@
         }
     }
 
+    /// Opens a connection to an address within a time limit, and keeps it for the next request; returns
+    /// whether it was accepted.
+    pub async fn reaches(&self, address: SocketAddr, limit: Duration) -> bool {
+        match time::timeout(limit, self.connect(address, usize::MAX)).await {
+            Ok(Ok(connection)) => {
+                self.put_idle(connection, Some(PROBE_KEEP_ALIVE));
+                true
+            }
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
     /// Returns a connection to the pool once its response has been read to the end.
     ///
     /// The connection is closed if the server does not keep it alive for longer than
--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -17,7 +17,8 @@
 };
 
 use crate::{
-    Protocol, calls, client::Client, clock::Clock, exchange, logger::Logger, memory::Memory, status,
+    Protocol, calls, client::Client, clock::Clock, exchange, handover, logger::Logger,
+    memory::Memory, peers, status,
 };
 
 /// How far a graceful shutdown has got.
@@ -53,8 +54,12 @@
     pub memory: Memory,
     /// Callers' open requests.
     pub exchanges: Rc<exchange::Table>,
-    /// Calls to endpoints.
+    /// Calls to endpoints, and handovers to peers.
     pub calls: calls::Table,
+    /// Addresses of peers.
+    pub addresses: Rc<peers::Addresses>,
+    /// Port at which each instance takes requests that are handed over.
+    pub handover_port: u16,
     /// The instance's clock.
     pub clock: Clock,
     /// The log.
@@ -71,6 +76,8 @@
 
 impl Control {
     /// Creates the control state; effects that tasks of their own carry out go to `outputs`.
+    ///
+    /// Handovers go to the given port of peers at the given addresses.
     pub fn new(
         protocol: Box<dyn Protocol>,
         state: State,
@@ -78,6 +85,7 @@
         clock: Clock,
         logger: Logger,
         outputs: Outputs,
+        (addresses, handover_port): (Rc<peers::Addresses>, u16),
     ) -> Rc<Control> {
         Rc::new(Control {
             protocol,
@@ -85,6 +93,8 @@
             exchanges: exchange::Table::new(memory.clone()),
             memory,
             calls: calls::Table::default(),
+            addresses,
+            handover_port,
             clock,
             logger,
             state: RefCell::new(state),
@@ -175,11 +185,15 @@
         match effect {
             Effect::Call(call) => self.calls.spawn(self, call),
             Effect::Cancel(call) => self.calls.cancel(call),
+            Effect::Probe { endpoint, round } => handover::probe(self, endpoint, round),
+            Effect::HandOver(effect) => handover::spawn(self, effect),
             Effect::Relay { call, .. } => self.calls.relay(call),
             Effect::Fail { request, failure } => {
                 status::count_failure(&failure);
-                self.exchanges
-                    .fail(request, |request_id| self.protocol.error_response(request_id, &failure));
+                let not_taken = handover::is_not_taken(&failure);
+                let response =
+                    |request_id: &str| self.protocol.error_response(request_id, &failure);
+                self.exchanges.fail(request, response, not_taken);
             }
             // The call's task ends the response itself.
             Effect::Finish(_) => status::count_answer(),
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -82,9 +82,11 @@
         let (journal, journal_commands) = mpsc::unbounded_channel();
         let outputs = Outputs { heartbeats: sender, quarantine, journal };
         let memory = Memory::new(settings.memory_bytes);
-        let control = Control::new(protocol, state, memory, clock, logger, outputs);
+        let addresses: Rc<peers::Addresses> = Rc::default();
+        let handovers = (addresses.clone(), settings.listen.handovers.port());
+        let control = Control::new(protocol, state, memory, clock, logger, outputs, handovers);
         let follower = Follower::new(control.clone(), &settings);
-        let daemon = Daemon { control, follower, addresses: Rc::default(), settings };
+        let daemon = Daemon { control, follower, addresses, settings };
         daemon.set_seeds(&daemon.settings);
         daemon.spawn_listeners(heartbeats).await?;
         daemon.spawn_followers(incarnation);
@@ -102,6 +104,7 @@
         let ready = bind(listen.ready).await?;
         let metrics_listener = bind(listen.metrics).await?;
         let snapshots = bind(listen.peers).await?;
+        let handovers = bind(listen.handovers).await?;
         let datagrams = UdpSocket::bind(listen.peers).await;
         let datagrams =
             Rc::new(datagrams.with_context(|| format!("datagrams at {}", listen.peers))?);
@@ -109,7 +112,9 @@
         let control = &self.control;
         spawn_local(control.clone().run_timer());
         let descriptors = self.settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-        spawn_local(frontend::serve(control.clone(), front, descriptors));
+        let (callers, peers) = (frontend::Source::Callers, frontend::Source::Peers);
+        spawn_local(frontend::serve(control.clone(), front, callers, descriptors));
+        spawn_local(frontend::serve(control.clone(), handovers, peers, descriptors));
         spawn_local(status::serve_ready(control.clone(), ready));
         spawn_local(status::serve_metrics(control.clone(), metrics, metrics_listener));
         spawn_local(peers::transfer::serve(control.clone(), snapshots, self.follower.clone()));
--- a/crates/gatewayd/src/exchange.rs
+++ b/crates/gatewayd/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Callers' open requests, and the channels through which their responses are sent.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     fmt, io,
     pin::Pin,
@@ -23,6 +23,7 @@
 
 use crate::{
     body::{Buffer, Held},
+    handover,
     memory::{Charge, Memory},
 };
 
@@ -37,7 +38,7 @@
 
 impl Body {
     /// Creates a body from one that produces bytes.
-    fn new(body: impl hyper::body::Body<Data = Bytes, Error = io::Error> + 'static) -> Body {
+    pub fn new(body: impl hyper::body::Body<Data = Bytes, Error = io::Error> + 'static) -> Body {
         Body(Box::pin(body))
     }
 
@@ -155,6 +156,8 @@
     /// Counts the body of the request as used.
     _charge: Charge,
     request_id: Name,
+    /// Whether a peer has handed it over.
+    handed_over: bool,
     respond: Option<oneshot::Sender<Response<Body>>>,
     writer: Option<Writer>,
     last_event: Option<Name>,
@@ -163,6 +166,7 @@
 /// The open requests of this process.
 #[derive(Debug, Default)]
 pub struct Table {
+    last_id: Cell<u64>,
     open: RefCell<HashMap<gateway::Id, Exchange>>,
     memory: Memory,
 }
@@ -170,14 +174,20 @@
 impl Table {
     /// Creates a table whose buffered bytes count towards a budget.
     pub fn new(memory: Memory) -> Rc<Table> {
-        Rc::new(Table { open: RefCell::default(), memory })
+        Rc::new(Table { last_id: Cell::default(), open: RefCell::default(), memory })
+    }
+
+    /// Returns an identifier for a new request.
+    pub fn next_id(&self) -> gateway::Id {
+        self.last_id.set(self.last_id.get() + 1);
+        gateway::Id(self.last_id.get())
     }
 
     /// Adds a request; the receiver gets its response once the head is known.
     pub fn open(
         &self,
         id: gateway::Id,
-        request_id: Name,
+        (request_id, handed_over): (Name, bool),
         head: request::Parts,
         body: Buffer,
     ) -> oneshot::Receiver<Response<Body>> {
@@ -187,6 +197,7 @@
             original: Rc::new((head, body)),
             _charge: charge,
             request_id,
+            handed_over,
             respond: Some(respond),
             writer: None,
             last_event: None,
@@ -242,11 +253,31 @@
         }
     }
 
+    /// Sends the response of a peer to the caller, whose body arrives over the hop, and removes the
+    /// request.
+    pub fn relay(&self, id: gateway::Id, response: Response<Body>) {
+        let Some(exchange) = self.open.borrow_mut().remove(&id) else { return };
+        if let Some(respond) = exchange.respond {
+            // The receiver has been dropped if the caller has disconnected.
+            let _ = respond.send(response);
+        }
+    }
+
     /// Ends a request with an error response; a stream that has started is aborted instead.
-    pub fn fail(&self, id: gateway::Id, error_response: impl FnOnce(&str) -> Response<Bytes>) {
+    ///
+    /// With `not_taken`, a peer that has handed the request over learns that another one may take it.
+    pub fn fail(
+        &self,
+        id: gateway::Id,
+        error_response: impl FnOnce(&str) -> Response<Bytes>,
+        not_taken: bool,
+    ) {
         let Some(exchange) = self.open.borrow_mut().remove(&id) else { return };
         if let Some(respond) = exchange.respond {
-            let response = error_response(&exchange.request_id);
+            let mut response = error_response(&exchange.request_id);
+            if not_taken && exchange.handed_over {
+                handover::mark_not_taken(&mut response);
+            }
             let _ = respond.send(response.map(Body::full));
         }
     }
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -3,7 +3,6 @@
 mod activity;
 
 use std::{
-    cell::Cell,
     convert::Infallible,
     pin::{Pin, pin},
     rc::Rc,
@@ -29,6 +28,7 @@
     record::{self, Record},
     request as gateway,
 };
+use siskinstile_macros::value;
 use siskinstile_net::Slots;
 use socket2::SockRef;
 use tokio::{
@@ -41,7 +41,7 @@
     body::{self, Buffer, Fault},
     control::{Control, Phase},
     exchange::Body,
-    status,
+    handover, status,
 };
 
 use activity::{Activity, Answering, Socket};
@@ -68,21 +68,46 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Share of the process's file descriptors that callers' connections may use, in percent.
 const CALLER_PERCENT: usize = 60;
+/// The same for connections over which peers hand requests over.
+const PEER_PERCENT: usize = 15;
 
-/// Accepts and serves callers' connections; closes the listener at the end of a graceful shutdown.
+/// From whom connections come.
+#[value(id)]
+pub enum Source {
+    /// Callers.
+    Callers,
+    /// Instances that reach no endpoint and hand their callers' requests over.
+    Peers,
+}
+
+impl Source {
+    /// Returns the share of the file descriptors that its connections may use, in percent.
+    fn percent(self) -> usize {
+        match self {
+            Source::Callers => CALLER_PERCENT,
+            Source::Peers => PEER_PERCENT,
+        }
+    }
+}
+
+/// Accepts and serves connections; closes the listener at the end of a graceful shutdown.
 ///
 /// `descriptors` is the number of file descriptors available to the gateway.
-pub async fn serve(control: Rc<Control>, listener: TcpListener, descriptors: usize) {
+pub async fn serve(
+    control: Rc<Control>,
+    listener: TcpListener,
+    source: Source,
+    descriptors: usize,
+) {
     tokio::select! {
-        () = accept(control.clone(), listener, descriptors) => {}
+        () = accept(control.clone(), listener, source, descriptors) => {}
         () = control.reached(Phase::Stopped) => {}
     }
 }
 
-async fn accept(control: Rc<Control>, listener: TcpListener, descriptors: usize) {
-    let max_connections = descriptors * CALLER_PERCENT / 100;
+async fn accept(control: Rc<Control>, listener: TcpListener, source: Source, descriptors: usize) {
+    let max_connections = descriptors * source.percent() / 100;
     let slots = Slots::new(max_connections);
-    let last_id = Rc::new(Cell::new(0_u64));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -97,12 +122,12 @@
             continue;
         };
         let open = control.open_connection();
-        let (control, last_id) = (control.clone(), last_id.clone());
+        let control = control.clone();
         spawn_local(async move {
             let _open = open;
             tokio::select! {
                 biased;
-                () = serve_connection(control, stream, last_id, activity.clone()) => {}
+                () = serve_connection(control, stream, source, activity.clone()) => {}
                 () = activity.evicted() => {}
             }
         });
@@ -112,7 +137,7 @@
 async fn serve_connection(
     control: Rc<Control>,
     stream: TcpStream,
-    last_id: Rc<Cell<u64>>,
+    source: Source,
     activity: Rc<Activity>,
 ) {
     let options = SockRef::from(&stream);
@@ -126,11 +151,10 @@
     let socket = Socket::new(stream, activity.clone());
     let (shared_control, shared_activity) = (control.clone(), activity.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        last_id.set(last_id.get() + 1);
-        let id = gateway::Id(last_id.get());
+        let id = shared_control.exchanges.next_id();
         let (control, answering) = (shared_control.clone(), shared_activity.begin());
         async move {
-            let response = handle(control, id, request).await;
+            let response = handle(control, id, source, request).await;
             Ok::<_, Infallible>(
                 response.map(|body| Guarded { _answering: Some(answering), ..body }),
             )
@@ -189,11 +213,17 @@
 async fn handle(
     control: Rc<Control>,
     id: gateway::Id,
+    source: Source,
     request: Request<Incoming>,
 ) -> Response<Guarded> {
     let started = Instant::now();
-    let (head, body) = request.into_parts();
-    let request_head = control.protocol.read_request(&head);
+    let (mut head, body) = request.into_parts();
+    let mut request_head = control.protocol.read_request(&head);
+    let time_left = handover::take_time_left(&mut head);
+    let handed_over = source == Source::Peers;
+    if handed_over {
+        request_head.max_wait = time_left.or(request_head.max_wait);
+    }
     let body = match read_body(&control, body).await {
         Ok(body) => body,
         Err(kind) => return refusal(&control, &request_head.request_id, kind).map(Guarded::from),
@@ -210,8 +240,10 @@
         max_wait: request_head.max_wait,
         last_event: request_head.last_event,
         resumes: request_head.resumes,
+        handed_over,
     };
-    let receiver = control.exchanges.open(id, request_head.request_id.clone(), head, body);
+    let opened = (request_head.request_id.clone(), handed_over);
+    let receiver = control.exchanges.open(id, opened, head, body);
     let guard = Guard { control: control.clone(), id };
     control.post(Event::Arrival(arrival));
     let mut response = match receiver.await {
--- a/crates/gatewayd/src/lib.rs
+++ b/crates/gatewayd/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod daemon;
 pub mod exchange;
 pub mod frontend;
+pub mod handover;
 pub mod lease;
 pub mod logger;
 pub mod memory;
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -92,7 +92,8 @@
         peers.entry(name.into()).or_insert_with(peer);
     }
 
-    fn get(&self, name: &str) -> Option<SocketAddr> {
+    /// Returns the address of a peer.
+    pub fn get(&self, name: &str) -> Option<SocketAddr> {
         self.peers.borrow().get(name).map(|it| it.address)
     }
 
--- a/crates/gatewayd/src/settings.rs
+++ b/crates/gatewayd/src/settings.rs
@@ -19,6 +19,8 @@
     pub ready: SocketAddr,
     /// Messages from other instances: datagrams and connections.
     pub peers: SocketAddr,
+    /// Requests that peers hand over; the same port at all instances.
+    pub handovers: SocketAddr,
     /// Metrics scrapes.
     pub metrics: SocketAddr,
 }
--- a/crates/gatewayd/tests/testsuite/memory.rs
+++ b/crates/gatewayd/tests/testsuite/memory.rs
@@ -29,7 +29,7 @@
 }
 
 fn open(table: &Table, memory: &Memory, id: u64) -> oneshot::Receiver<Response<Body>> {
-    table.open(Id(id), "id".into(), head(), Buffer::new(memory))
+    table.open(Id(id), ("id".into(), false), head(), Buffer::new(memory))
 }
 
 /// Starts a stream; its caller reads only what the test polls from the response.
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -90,6 +90,9 @@
     /// others too.
     #[prost(message, repeated, tag = "32")]
     pub paces: Vec<Pace>,
+    /// Whether the sender reaches no endpoint, so that no request can be handed over to it.
+    #[prost(bool, tag = "33")]
+    pub cut_off: bool,
 }
 
 /// What an endpoint has stated on its present speed and its queue.
@@ -270,6 +273,9 @@
     /// Address of the member for messages of other instances.
     #[prost(string, tag = "9")]
     pub address: String,
+    /// See [`Heartbeat::cut_off`].
+    #[prost(bool, tag = "10")]
+    pub cut_off: bool,
 }
 
 /// An endpoint that is leaving.
