Gateway: cuts of own links are no crashes; open idempotent requests move whatever endpoints they were sent to

A run that breaks as the own links are cut was taken for a crash of its endpoint, which peers are told and for which requests are quarantined. While a round of probes is under way, or none was accepted, an endpoint that refuses connections has not ended by that. An idempotent request that was sent twice before the cut was noticed stayed at endpoints that are not reached; such sends are no attempts. Rounds of probes may follow each other after 500 ms, since a round just before a cut put its notice off to 1.4 s. Tests handover::*: what must not set it off, one hop only, quotas, spread, unfit peers, tries, broken hop, deadline, stop, callers who leave; open_requests_move failed before the second and third change.

--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -28,7 +28,7 @@
 /// Time between two probes of an instance that is cut off.
 const RETURN_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two rounds for calls that take long.
-const ROUND_INTERVAL: Duration = Duration::from_secs(1);
+const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Why the reach is in doubt.
 #[value(id)]
--- a/crates/gateway/src/state/handovers.rs
+++ b/crates/gateway/src/state/handovers.rs
@@ -154,7 +154,9 @@
         let may_move = match job.phase {
             Phase::Relaying => false,
             _ if job.fallback.is_some() => false,
-            _ if is_sent => is_rerunnable && job.sends < job.route.attempts,
+            // The endpoints that it was sent to are not reached any more, so that they do not count
+            // as attempts.
+            _ if is_sent => is_rerunnable,
             _ => true,
         };
         may_move && (!is_sent || self.take_retry(now, id))
--- a/crates/gateway/src/state/reach.rs
+++ b/crates/gateway/src/state/reach.rs
@@ -35,6 +35,25 @@
         }
     }
 
+    /// Removes from an outcome that the endpoint has ended, while this may be the fault of own links.
+    pub(super) fn without_own_faults(
+        &mut self,
+        now: Instant,
+        endpoint: &Name,
+        outcome: Outcome,
+    ) -> Outcome {
+        let Outcome::Failed { sent, unresponsive, ended, closed, last_event, cause } = outcome
+        else {
+            return outcome;
+        };
+        if ended {
+            self.reach.record_unopened(now, endpoint);
+        }
+        let is_own_fault = self.reach.is_in_doubt() || self.reach.cut_off_since().is_some();
+        let (ended, closed) = (ended && !is_own_fault, closed && !is_own_fault);
+        Outcome::Failed { sent, unresponsive, ended, closed, last_event, cause }
+    }
+
     /// Returns whether a request should wait for a round of probes, and starts one if none is under way.
     pub(super) fn must_wait_for_probes(&mut self, now: Instant) -> bool {
         let has_peers = self.fleet.members.connected(now).next().is_some();
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -39,13 +39,14 @@
         if !repeats_head(&report.outcome) {
             self.record_cold_statement(now, &open.endpoint, report.notice.cold_remaining);
         }
+        let outcome = self.without_own_faults(now, &open.endpoint.id, report.outcome);
         // A proxy closes new connections to an endpoint that has ended.
-        if matches!(report.outcome, Outcome::Failed { ended, closed, .. } if ended || closed)
+        if matches!(outcome, Outcome::Failed { ended, closed, .. } if ended || closed)
             && self.fleet.warm_up.record_end(now, &open.endpoint)
         {
             self.announce();
         }
-        let outcome = check_not_run_status(report.outcome);
+        let outcome = check_not_run_status(outcome);
         self.record_health(now, &open, &outcome);
         self.record_reach(now, &open.endpoint.id, &outcome);
         self.record_connection(&open.endpoint, &outcome);
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod follow;
 mod generation;
+mod handover;
 mod journal_store;
 mod limits;
 mod load;
