Gatewayd: a connection over which requests are handed over ends soon after the other end has fallen silent

Found by reading: a peer that loses power while it answers a request that was handed over leaves a connection on which nothing is unacknowledged, so that TCP_USER_TIMEOUT alone never fires and a stream would hang until its deadline. Keep-alive probes after 1 s give up by the same 3 s, at both ends. Connections to endpoints are not probed: a sound endpoint may fall silent and go on.

--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -24,6 +24,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may be unacknowledged before the kernel closes a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time without traffic after which the kernel probes a connection to a peer, and between two probes;
+/// it gives up after [`TCP_USER_TIMEOUT`], whatever the number of probes.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after a connection broke in which an ending process closes its other sockets.
 const ENDING_TIME: Duration = Duration::from_millis(10);
 /// Time within which a proxy closes a connection to an endpoint that has ended.
@@ -101,9 +104,18 @@
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     open_counts: Rc<RefCell<HashMap<SocketAddr, usize>>>,
+    /// Whether the kernel probes connections without traffic.
+    is_probing: bool,
 }
 
 impl Client {
+    /// Creates a client for peers, whose connections end soon after the peer has fallen silent.
+    ///
+    /// Endpoints may fall silent and go on, so that their connections are not probed.
+    pub fn for_peers() -> Client {
+        Client { is_probing: true, ..Client::default() }
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// If a pooled connection is found closed before any byte was sent, another one is used.
@@ -227,7 +239,7 @@
             }
             Err(_) => return Err(Fault::Unreachable),
         };
-        set_socket_options(&stream);
+        set_socket_options(&stream, self.is_probing);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, driver) =
@@ -282,10 +294,17 @@
     }
 }
 
-fn set_socket_options(stream: &TcpStream) {
+/// Lets the kernel close a connection soon after the other end has fallen silent, if `is_probing` also
+/// while there is no traffic.
+pub fn set_socket_options(stream: &TcpStream, is_probing: bool) {
     let socket = socket2::SockRef::from(stream);
-    let result =
-        stream.set_nodelay(true).and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
+    let keep_alive = socket2::TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_INTERVAL)
+        .with_interval(KEEP_ALIVE_INTERVAL);
+    let result = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)))
+        .and_then(|()| if is_probing { socket.set_tcp_keepalive(&keep_alive) } else { Ok(()) });
     if let Err(error) = result {
         log::debug!("socket options not set: {error}");
     }
--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -50,6 +50,8 @@
     pub protocol: Box<dyn Protocol>,
     /// HTTP connections to endpoints and the store.
     pub client: Client,
+    /// HTTP connections to peers, over which requests are handed over.
+    pub peer_client: Client,
     /// The budget for buffered bytes.
     pub memory: Memory,
     /// Callers' open requests.
@@ -90,6 +92,7 @@
         Rc::new(Control {
             protocol,
             client: Client::default(),
+            peer_client: Client::for_peers(),
             exchanges: exchange::Table::new(memory.clone()),
             memory,
             calls: calls::Table::default(),
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -39,6 +39,7 @@
 
 use crate::{
     body::{self, Buffer, Fault},
+    client,
     control::{Control, Phase},
     exchange::Body,
     handover, status,
@@ -140,13 +141,7 @@
     source: Source,
     activity: Rc<Activity>,
 ) {
-    let options = SockRef::from(&stream);
-    let result = stream
-        .set_nodelay(true)
-        .and_then(|()| options.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
-    if let Err(error) = result {
-        log::debug!("socket options not set: {error}");
-    }
+    set_socket_options(&stream, source);
     let limits = limits(&control);
     let socket = Socket::new(stream, activity.clone());
     let (shared_control, shared_activity) = (control.clone(), activity.clone());
@@ -185,6 +180,19 @@
     }
 }
 
+fn set_socket_options(stream: &TcpStream, source: Source) {
+    if source == Source::Peers {
+        return client::set_socket_options(stream, true);
+    }
+    let options = SockRef::from(stream);
+    let result = stream
+        .set_nodelay(true)
+        .and_then(|()| options.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
+    if let Err(error) = result {
+        log::debug!("socket options not set: {error}");
+    }
+}
+
 /// Waits until a connection may close as soon as it is idle: during a drain, or at its end if it has
 /// had no request, since load balancers still choose the instance and callers have just connected.
 async fn may_close(control: &Control, activity: &Activity) {
--- a/crates/gatewayd/src/handover.rs
+++ b/crates/gatewayd/src/handover.rs
@@ -100,7 +100,7 @@
     let address = SocketAddr::new(address.ip(), control.handover_port);
     let request = request(&original.0, &original.1, effect.time_left);
     drop(original);
-    let reply = match control.client.send(address, request, MAX_CONNECTIONS).await {
+    let reply = match control.peer_client.send(address, request, MAX_CONNECTIONS).await {
         Ok(reply) => reply,
         Err(Fault::Broken) => return Some(Outcome::Broken),
         Err(Fault::Unreachable | Fault::NotListening) => {
@@ -170,7 +170,7 @@
     fn drop(&mut self) {
         let Some(connection) = self.connection.take() else { return };
         if self.body.is_end_stream() && self.keeps_alive {
-            self.control.client.put_idle(connection, Some(KEEP_ALIVE));
+            self.control.peer_client.put_idle(connection, Some(KEEP_ALIVE));
         }
     }
 }
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -164,6 +164,7 @@
                 self.apply_endpoints();
             }
             self.control.client.sweep();
+            self.control.peer_client.sweep();
         }
     }
 }
