--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -35,7 +35,8 @@
     type Output = Instant;
 
     fn add(self, rhs: Duration) -> Instant {
-        Instant(self.0 + rhs.as_micros() as u64)
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Instant(self.0.saturating_add(micros))
     }
 }
 
@@ -43,6 +44,7 @@
     type Output = Instant;
 
     fn sub(self, rhs: Duration) -> Instant {
-        Instant(self.0.saturating_sub(rhs.as_micros() as u64))
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Instant(self.0.saturating_sub(micros))
     }
 }
