Gatewayd: a refusal that an endpoint repeats is not the response to a run

Callers of an engine that wrote a refused reservation once more before its next response had their request run twice: the repeated refusal, which states no identifier, was taken as that of the run, and the request was sent again. Connections on which a refusal has arrived carry no runs any more, only reservations, prompts and the like; a refusal that states another identifier is the answer to another request. Refusals without one stay valid elsewhere, as endpoints do not always state it.

--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     body::{self, Held},
-    client::{Connection, Fault, Probe, Reply},
+    client::{Connection, Fault, Probe, Reply, Reuse},
     control::Control,
     exchange::Unwritten,
     protocol::{Original, ResponseHead},
@@ -164,7 +164,12 @@
     let request = control.protocol.endpoint_request(call, original);
     let address = call.endpoint.address;
     let started = time::Instant::now();
-    let reply = match control.client.send(address, request, call.max_connections as usize).await {
+    let reuse = match call.step {
+        Step::Run { .. } => Reuse::Unrefused,
+        _ => Reuse::Any,
+    };
+    let max_connections = call.max_connections as usize;
+    let reply = match control.client.send(address, request, max_connections, reuse).await {
         Ok(reply) => reply,
         Err(fault) => {
             let at_once = started.elapsed() < MIN_RUN_TIME;
@@ -193,10 +198,11 @@
     let is_run = matches!(call.step, Step::Run { .. });
     let requires_id = matches!(call.step, Step::Run { .. } | Step::Prefill);
     match &response.request_id {
-        _ if response.not_run => Ok(()),
+        None if response.not_run => Ok(()),
         Some(answered_id) if Some(&**answered_id) != request_id => {
             Err(Failed::broken("answer to another request"))
         }
+        _ if response.not_run => Ok(()),
         None if requires_id => Err(Failed::broken("answer to no request")),
         _ if response.encoded => Err(Failed::broken("encoded answer")),
         _ if is_run && head.status.is_success() && !response.signed => {
@@ -208,7 +214,10 @@
 
 /// Processes the response to a step other than a run; the caller does not get it.
 async fn process_step(control: &Rc<Control>, call: &Call, reply: Reply, response: ResponseHead) {
-    let Reply { head, body, connection } = reply;
+    let Reply { head, body, mut connection } = reply;
+    if response.not_run {
+        connection.record_refusal();
+    }
     let status = head.status.as_u16();
     let read = body::read(&control.memory, body, MAX_STEP_BYTES);
     let result = match response.not_run {
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -77,6 +77,26 @@
     open_counts: Rc<RefCell<HashMap<SocketAddr, usize>>>,
     /// Time until which it may be reused while it is idle.
     reusable_until: Instant,
+    /// Whether a refusal has arrived on it, which the server may repeat as the response to a later
+    /// request.
+    has_refused: bool,
+}
+
+impl Connection {
+    /// Records that a refusal has arrived, so that no response to a later request that states that it
+    /// was not run can be trusted.
+    pub fn record_refusal(&mut self) {
+        self.has_refused = true;
+    }
+}
+
+/// Which idle connections a request may be sent on.
+#[value(id)]
+pub enum Reuse {
+    /// Any.
+    Any,
+    /// Those on which no refusal has arrived.
+    Unrefused,
 }
 
 impl Drop for Connection {
@@ -124,10 +144,11 @@
         address: SocketAddr,
         request: Request<Bytes>,
         max_connections: usize,
+        reuse: Reuse,
     ) -> Result<Reply, Fault> {
         let mut request = request.map(Full::new);
         loop {
-            let (mut connection, reused) = match self.take_idle(address) {
+            let (mut connection, reused) = match self.take_idle(address, reuse) {
                 Some(connection) => (connection, true),
                 None => (self.connect(address, max_connections).await?, false),
             };
@@ -205,15 +226,16 @@
         idle.retain(|_, pool| !pool.is_empty());
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let pool = idle.get_mut(&address)?;
-        while let Some(connection) = pool.pop() {
-            if connection.reusable_until > Instant::now() && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        let now = Instant::now();
+        pool.retain(|it| it.reusable_until > now && it.sender.is_ready());
+        let is_usable = |it: &Connection| reuse == Reuse::Any || !it.has_refused;
+        // Those that only few requests may use go first.
+        let refused = pool.iter().rposition(|it| is_usable(it) && it.has_refused);
+        let chosen = refused.or_else(|| pool.iter().rposition(is_usable))?;
+        Some(pool.remove(chosen))
     }
 
     async fn connect(
@@ -256,6 +278,7 @@
             task: task.abort_handle(),
             open_counts,
             reusable_until: Instant::now(),
+            has_refused: false,
         })
     }
 }
--- a/crates/gatewayd/src/handover.rs
+++ b/crates/gatewayd/src/handover.rs
@@ -33,7 +33,7 @@
 use tokio::task::spawn_local;
 
 use crate::{
-    client::{Connection, Fault, Reply},
+    client::{Connection, Fault, Reply, Reuse},
     control::Control,
     exchange::Body,
 };
@@ -100,7 +100,8 @@
     let address = SocketAddr::new(address.ip(), control.handover_port);
     let request = request(&original.0, &original.1, effect.time_left);
     drop(original);
-    let reply = match control.peer_client.send(address, request, MAX_CONNECTIONS).await {
+    let reply = match control.peer_client.send(address, request, MAX_CONNECTIONS, Reuse::Any).await
+    {
         Ok(reply) => reply,
         Err(Fault::Broken) => return Some(Outcome::Broken),
         Err(Fault::Unreachable | Fault::NotListening) => {
--- a/crates/gatewayd/src/sync/transport.rs
+++ b/crates/gatewayd/src/sync/transport.rs
@@ -8,6 +8,7 @@
 use super::Follower;
 use crate::{
     body,
+    client::Reuse,
     memory::Memory,
     store::{Answer, Call, Fault},
 };
@@ -45,7 +46,7 @@
             Call::Watch { wait, .. } => *wait,
             _ => Duration::ZERO,
         };
-        let reply = client.send(self.store, request, MAX_CONNECTIONS);
+        let reply = client.send(self.store, request, MAX_CONNECTIONS, Reuse::Any);
         let reply = time::timeout(wait + RESPONSE_TIMEOUT, reply).await;
         let reply = reply.map_err(|_| self.time_out())?.map_err(|_| Fault::Lost)?;
         let memory = Memory::default();
