Gateway: a request that a peer has not taken goes to another data centre next

Where a data centre is cut off as a whole and its idle instances have not noticed it, all three tries of a request could go to them, each of which takes 0.4 s to notice. The next try prefers a data centre none of whose instances has refused the request.

--- a/crates/gateway/src/state/handovers.rs
+++ b/crates/gateway/src/state/handovers.rs
@@ -105,11 +105,17 @@
         self.handovers.open.insert(handover.job.id, handover);
     }
 
-    /// Returns the peer that a request is handed over to.
+    /// Returns the peer that a request is handed over to: one in another data centre than those that have
+    /// not taken it, if there is any, as their data centre may be cut off.
     fn taker(&self, now: Instant, job: &Job, tried: &[Name]) -> Option<Name> {
         let regions = &self.settings.regions;
         let own = &self.settings.datacentre;
+        let has_refused = |datacentre: &Name| {
+            let tried = tried.iter().filter_map(|it| self.fleet.members.get(it));
+            tried.into_iter().any(|it| it.datacentre == *datacentre)
+        };
         let distance = |datacentre: &Name| match datacentre {
+            it if has_refused(it) => 3,
             it if it == own => 0,
             it if regions.get(it) == regions.get(own) => 1,
             _ => 2,
--- a/crates/gateway/tests/testsuite/handover.rs
+++ b/crates/gateway/tests/testsuite/handover.rs
@@ -121,13 +121,16 @@
     assert_eq!(fleet.logged(record::CUT_OFF.number), 0);
 }
 
-/// Guards against requests that are lost while the reach is in doubt: the first one after a silence
-/// waits for the probes and is handed over, not sent on an idle connection that shows nothing.
-#[test]
-fn first_request_after_silence() {
+/// Guards against requests that are lost while the reach is in doubt: the first one after a silence, or
+/// after a start without links, waits for the probes and is handed over, not sent on an idle connection
+/// that shows nothing.
+#[rstest]
+#[case::silence(2_000)]
+#[case::start(0)]
+fn first_request_after_silence(#[case] silence_ms: u64) {
     let mut fleet = Fleet::open(&["north"]);
     fleet.site.accepts = None;
-    fleet.advance(2_000);
+    fleet.advance(silence_ms);
     fleet.site.effects.clear();
     let id = fleet.site.send("/issue/");
     assert!(fleet.site.calls().is_empty(), "nothing is sent before a probe has ended");
@@ -243,6 +246,17 @@
     assert!(status == 503 && retry_after.is_some());
 }
 
+/// Guards against tries that are all spent in a data centre that is cut off as a whole and has not told so.
+#[test]
+fn not_taken_elsewhere() {
+    let mut fleet = Fleet::cut_off(&["north", "north", "north", "south"]);
+    fleet.site.send("/issue/");
+    let first = fleet.handovers().pop().expect("a handover");
+    assert!(*first.peer != *"peer-3");
+    fleet.report(&first, handover::Outcome::NotTaken { cause: "refused" });
+    assert_eq!(&*fleet.handovers().pop().expect("another one").peer, "peer-3");
+}
+
 /// Guards against a second run: where the hop breaks the request may have run, and is not sent again.
 #[test]
 fn hop_broken() {
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod generation;
 mod handover;
+mod handover_fleet;
 mod journal_store;
 mod limits;
 mod load;
--- a/crates/gateway/tests/testsuite/simulation.rs
+++ b/crates/gateway/tests/testsuite/simulation.rs
@@ -14,7 +14,7 @@
     budget::Bound,
     call::{Notice, Outcome, Report, Step},
     directory::Endpoint,
-    effect::{Call, Recipients},
+    effect::{Call, HandOver, Recipients},
     name_hash::NameHash,
     origin::journal::Answer,
     quota::Tolerance,
@@ -78,6 +78,10 @@
     pub(crate) store: JournalStore,
     /// Status of each failed request.
     pub(crate) failures: IndexMap<Id, u16>,
+    /// Instances that reach no endpoint.
+    pub(crate) unlinked: BTreeSet<Name>,
+    /// Handovers, each with its time and the instance that makes it.
+    pub(crate) handovers: Vec<(Instant, Name, HandOver)>,
     quota_tolerance: Tolerance,
     /// A data centre that may be evacuated, besides those of the instances.
     evacuable: Option<Name>,
@@ -126,6 +130,8 @@
             listed: None,
             store: JournalStore::default(),
             failures: IndexMap::new(),
+            unlinked: BTreeSet::new(),
+            handovers: Vec::new(),
             quota_tolerance,
             evacuable,
         };
@@ -242,7 +248,11 @@
                 }
                 Effect::Call(call) => self.instances[name].calls.push(call),
                 Effect::Probe { round, .. } => {
-                    self.post(name, Event::Probed { round, accepted: true });
+                    let accepted = !self.unlinked.contains(name);
+                    self.post(name, Event::Probed { round, accepted });
+                }
+                Effect::HandOver(handover) => {
+                    self.handovers.push((now, name.clone(), handover));
                 }
                 Effect::Fail { request, failure } => {
                     self.failures.insert(request, failure.kind.row().status);
@@ -370,7 +380,8 @@
         self.report(name, run, end);
     }
 
-    fn arrive(
+    /// Lets a generation arrive.
+    pub(crate) fn arrive(
         &mut self,
         name: &Name,
         request: u64,
