Gateway: a peer with an older configuration does not take a request that is handed over

Found by reading: while a change spreads, a request that is handed over may reach a peer that has the older configuration, so that callers of the first instance see it again after the newer one. The version crosses with the request; a peer that lacks it answers that it has not taken it, and another one is tried.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -100,6 +100,8 @@
     pub peer: Name,
     /// Time remaining until the request's deadline.
     pub time_left: Duration,
+    /// Version of the configuration in force here, which the peer must have as well.
+    pub version: u64,
 }
 
 /// A call to an endpoint.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -68,8 +68,9 @@
     pub last_event: Option<Name>,
     /// The caller's identifier of the attempt that brought the first event of that response.
     pub resumes: Option<Name>,
-    /// Whether a peer has handed it over.
-    pub handed_over: bool,
+    /// Version of the configuration in force at the peer that has handed it over; `None` if it comes from
+    /// a caller.
+    pub handed_over: Option<u64>,
 }
 
 impl Arrival {
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -95,6 +95,10 @@
             let failure = Failure::not_run(Kind::NotReady).with_retry_after(NOT_READY_RETRY);
             return Err((failure, "no configuration"));
         };
+        if arrival.handed_over.is_some_and(|it| it > catalog.version) {
+            let failure = Failure::not_run(Kind::NotReady).with_retry_after(NOT_READY_RETRY);
+            return Err((failure, "older configuration than at the peer"));
+        }
         if let Some(retry_after) = self.evacuations.retry_after(now) {
             let failure = Failure::not_run(Kind::NotReady).with_retry_after(retry_after);
             return Err((failure, "evacuations not known"));
@@ -110,7 +114,7 @@
         let service =
             catalog.service(route.pick_service(arrival.id.0)).expect("routes are checked");
         // The peer that takes the request charges it.
-        let charged = match self.hands_over(arrival.handed_over) {
+        let charged = match self.hands_over(arrival.handed_over.is_some()) {
             true => 0,
             false => self.charge(now, team.as_ref(), service, arrival)?,
         };
@@ -149,7 +153,7 @@
             relaying: None,
             fallback: None,
             hedge_at: None,
-            handed_over: arrival.handed_over,
+            handed_over: arrival.handed_over.is_some(),
             times: Times::default(),
         })
     }
--- a/crates/gateway/src/state/handovers.rs
+++ b/crates/gateway/src/state/handovers.rs
@@ -100,6 +100,7 @@
             request: job.id,
             peer: peer.clone(),
             time_left: job.deadline.since(now),
+            version: self.catalog.as_ref().map_or(0, |it| it.version),
         }));
         let handover = Handover { id, peer, tried, status: None, job };
         self.handovers.open.insert(handover.job.id, handover);
--- a/crates/gateway/tests/testsuite/evacuation_fleet.rs
+++ b/crates/gateway/tests/testsuite/evacuation_fleet.rs
@@ -146,7 +146,7 @@
             max_wait: None,
             last_event: None,
             resumes: None,
-            handed_over: false,
+            handed_over: None,
         };
         self.fleet.post(&name, Event::Arrival(arrival));
     }
--- a/crates/gateway/tests/testsuite/handover.rs
+++ b/crates/gateway/tests/testsuite/handover.rs
@@ -162,10 +162,15 @@
     assert_eq!(fleet.site.calls().len(), 1);
 }
 
-/// Guards against requests that go round in the fleet: what a peer has handed over is refused.
-#[test]
-fn one_hop_only() {
-    let mut fleet = Fleet::cut_off(&["north"]);
+/// Guards against requests that go round in the fleet: what a peer has handed over is refused by an
+/// instance that is cut off itself. So is what comes from a peer with a newer configuration, whose caller
+/// would see an older one again.
+#[rstest]
+#[case::one_hop_only(true, 1)]
+#[case::older_configuration(false, 2)]
+fn handed_over_refused(#[case] is_cut_off: bool, #[case] version: u64) {
+    let open = if is_cut_off { Fleet::cut_off } else { Fleet::open };
+    let mut fleet = open(&["north"]);
     fleet.site.post(Event::Arrival(Arrival {
         id: Id(900),
         request_id: "request-900".into(),
@@ -178,9 +183,9 @@
         max_wait: None,
         last_event: None,
         resumes: None,
-        handed_over: true,
+        handed_over: Some(version),
     }));
-    assert!(fleet.handovers().is_empty());
+    assert!(fleet.handovers().is_empty() && fleet.site.calls().is_empty());
     assert_eq!(fleet.site.failure(Id(900)).map(|it| it.0), Some(503));
 }
 
--- a/crates/gateway/tests/testsuite/origins.rs
+++ b/crates/gateway/tests/testsuite/origins.rs
@@ -48,7 +48,7 @@
         max_wait: None,
         last_event: resumes.map(|_| "3".into()),
         resumes: resumes.map(name),
-        handed_over: false,
+        handed_over: None,
     })
 }
 
--- a/crates/gateway/tests/testsuite/simulation.rs
+++ b/crates/gateway/tests/testsuite/simulation.rs
@@ -405,7 +405,7 @@
                 max_wait: None,
                 last_event: None,
                 resumes: None,
-                handed_over: false,
+                handed_over: None,
             }),
         );
     }
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -175,7 +175,7 @@
             max_wait: None,
             last_event: None,
             resumes: None,
-            handed_over: false,
+            handed_over: None,
         }));
         id
     }
--- a/crates/gateway/tests/testsuite/uneven.rs
+++ b/crates/gateway/tests/testsuite/uneven.rs
@@ -157,7 +157,7 @@
             max_wait: None,
             last_event: None,
             resumes: None,
-            handed_over: false,
+            handed_over: None,
         };
         let name = &members[(draw >> 8) as usize % members.len()];
         self.fleet.post(name, Event::Arrival(arrival));
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -227,11 +227,11 @@
     let started = Instant::now();
     let (mut head, body) = request.into_parts();
     let mut request_head = control.protocol.read_request(&head);
-    let time_left = handover::take_time_left(&mut head);
-    let handed_over = source == Source::Peers;
-    if handed_over {
-        request_head.max_wait = time_left.or(request_head.max_wait);
+    let crossing = handover::take_crossing(&mut head).filter(|_| source == Source::Peers);
+    if let Some(crossing) = crossing {
+        request_head.max_wait = Some(crossing.time_left);
     }
+    let handed_over = (source == Source::Peers).then(|| crossing.map_or(0, |it| it.version));
     let body = match read_body(&control, body).await {
         Ok(body) => body,
         Err(kind) => return refusal(&control, &request_head.request_id, kind).map(Guarded::from),
@@ -250,7 +250,7 @@
         resumes: request_head.resumes,
         handed_over,
     };
-    let opened = (request_head.request_id.clone(), handed_over);
+    let opened = (request_head.request_id.clone(), handed_over.is_some());
     let receiver = control.exchanges.open(id, opened, head, body);
     let guard = Guard { control: control.clone(), id };
     control.post(Event::Arrival(arrival));
--- a/crates/gatewayd/src/handover.rs
+++ b/crates/gatewayd/src/handover.rs
@@ -1,6 +1,7 @@
 //! Handover of callers' requests to peers, and probes that show whether it is needed.
 //!
-//! A request crosses as the caller sent it, over HTTP, with a header field that holds the remaining time.
+//! A request crosses as the caller sent it, over HTTP, with header fields that hold the remaining time and the
+//! version of the configuration.
 
 use std::{
     io,
@@ -30,6 +31,7 @@
     handover::{Outcome, Report},
     reach::PROBE_TIMEOUT,
 };
+use siskinstile_macros::value;
 use tokio::task::spawn_local;
 
 use crate::{
@@ -40,6 +42,8 @@
 
 /// Milliseconds that are left of the time of a request that is handed over.
 const TIME_LEFT: HeaderName = HeaderName::from_static("siskinstile-time-left");
+/// Version of the configuration that is in force at the instance which hands a request over.
+const VERSION: HeaderName = HeaderName::from_static("siskinstile-version");
 /// Marks the refusal of a request that another peer may take.
 const NOT_TAKEN: HeaderName = HeaderName::from_static("siskinstile-not-taken");
 /// Header fields that concern one connection only.
@@ -60,10 +64,23 @@
     response.headers_mut().insert(NOT_TAKEN, HeaderValue::from_static("1"));
 }
 
-/// Removes the remaining time from the head of a request and returns it.
-pub fn take_time_left(head: &mut request::Parts) -> Option<Duration> {
-    let value = head.headers.remove(TIME_LEFT)?;
-    value.to_str().ok()?.parse().ok().map(Duration::from_millis)
+/// What crosses with a request.
+#[value(id)]
+pub struct Crossing {
+    /// Time that is left of the request's time.
+    pub time_left: Duration,
+    /// Version of the configuration that is in force at the peer.
+    pub version: u64,
+}
+
+/// Removes what has crossed with a request from its head and returns it; `None` if it is not complete.
+pub fn take_crossing(head: &mut request::Parts) -> Option<Crossing> {
+    let mut take = |name: HeaderName| {
+        let value = head.headers.remove(name)?;
+        value.to_str().ok()?.parse::<u64>().ok()
+    };
+    let (time_left, version) = (take(TIME_LEFT), take(VERSION));
+    Some(Crossing { time_left: Duration::from_millis(time_left?), version: version? })
 }
 
 /// Opens a connection to an endpoint and reports whether it was accepted.
@@ -98,7 +115,7 @@
         return Some(Outcome::NotTaken { cause: "no address" });
     };
     let address = SocketAddr::new(address.ip(), control.handover_port);
-    let request = request(&original.0, &original.1, effect.time_left);
+    let request = request(&original.0, &original.1, effect);
     drop(original);
     let reply = match control.peer_client.send(address, request, MAX_CONNECTIONS, Reuse::Any).await
     {
@@ -122,12 +139,14 @@
 }
 
 /// Returns the request as it crosses to the peer.
-fn request(head: &request::Parts, body: &Bytes, time_left: Duration) -> Request<Bytes> {
+fn request(head: &request::Parts, body: &Bytes, effect: &HandOver) -> Request<Bytes> {
     let mut request = Request::new(body.clone());
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = head.uri.clone();
     *request.headers_mut() = end_to_end(&head.headers);
-    request.headers_mut().insert(TIME_LEFT, HeaderValue::from(time_left.as_millis() as u64));
+    let time_left = HeaderValue::from(effect.time_left.as_millis() as u64);
+    request.headers_mut().insert(TIME_LEFT, time_left);
+    request.headers_mut().insert(VERSION, HeaderValue::from(effect.version));
     request
 }
 
