--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -1,5 +1,7 @@
 //! Calls to endpoints, each in a task that reports its outcome to the reducer.
 
+mod failed;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -27,13 +29,15 @@
 
 use crate::{
     body::{self, Held},
-    client::{Connection, Fault, Probe, Reply, Reuse},
+    client::{Connection, Probe, Reply, Reuse},
     control::Control,
     exchange::Unwritten,
     protocol::{Original, ResponseHead},
     stream::Splitter,
 };
 
+use failed::Failed;
+
 /// Size limit of a response that is buffered before it is relayed.
 const MAX_PLAIN_BYTES: usize = 16 << 20;
 /// Size limit of the response to a step other than a run, which is a small object.
@@ -112,49 +116,6 @@
     }
 }
 
-/// Why a call failed.
-struct Failed {
-    sent: bool,
-    unresponsive: bool,
-    /// Whether it broke off so soon that the endpoint need not have got the request.
-    at_once: bool,
-    cause: &'static str,
-}
-
-impl Failed {
-    fn broken(cause: &'static str) -> Failed {
-        Failed { sent: true, unresponsive: false, at_once: false, cause }
-    }
-}
-
-impl From<Fault> for Failed {
-    fn from(fault: Fault) -> Failed {
-        match fault {
-            Fault::Unreachable | Fault::NotListening => {
-                Failed { sent: false, unresponsive: true, at_once: false, cause: "unreachable" }
-            }
-            Fault::ConnectionLimit => Failed {
-                sent: false,
-                unresponsive: false,
-                at_once: false,
-                cause: "too many connections",
-            },
-            Fault::Broken => Failed::broken("connection broke"),
-        }
-    }
-}
-
-impl From<body::Fault> for Failed {
-    fn from(fault: body::Fault) -> Failed {
-        match fault {
-            body::Fault::Cut => Failed::broken("answer cut"),
-            body::Fault::TooLarge => Failed::broken("answer too large"),
-            body::Fault::OutOfMemory => Failed::broken("no memory for the answer"),
-            body::Fault::Stalled => Failed::broken("answer stalled"),
-        }
-    }
-}
-
 async fn run(control: &Rc<Control>, call: &Call) {
     let exchange = call.request.and_then(|it| control.exchanges.original(it));
     if call.request.is_some() && exchange.is_none() {
--- a/crates/gatewayd/src/peers/transfer.rs
+++ b/crates/gatewayd/src/peers/transfer.rs
@@ -6,7 +6,7 @@
 use futures_util::{SinkExt as _, StreamExt as _};
 use prost::Message as _;
 use siskinstile_gateway::record::{self, Record};
-use siskinstile_wire::message::heartbeat::{Pull, Snapshot};
+use siskinstile_wire::message::snapshot::{Pull, Snapshot};
 use tokio::{
     io::AsyncReadExt as _,
     net::{TcpListener, TcpStream},
--- a/crates/gatewayd/src/sync/archive.rs
+++ b/crates/gatewayd/src/sync/archive.rs
@@ -8,7 +8,7 @@
 
 use siskinstile_gateway::Name;
 use siskinstile_macros::value;
-use siskinstile_wire::message::heartbeat::Version;
+use siskinstile_wire::message::snapshot::Version;
 use zstd::stream::{read::Decoder, write::Encoder};
 
 use crate::store::{Object, Position};
--- a/crates/gatewayd/src/sync/snapshot.rs
+++ b/crates/gatewayd/src/sync/snapshot.rs
@@ -9,8 +9,9 @@
     record::{self, Record},
 };
 use siskinstile_macros::value;
-use siskinstile_wire::message::heartbeat::{
-    Heartbeat, Kept, Object as SnapshotObject, Pull, Snapshot, Version,
+use siskinstile_wire::message::{
+    heartbeat::Heartbeat,
+    snapshot::{Kept, Object as SnapshotObject, Pull, Snapshot, Version},
 };
 
 use super::{
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -10,6 +10,7 @@
 pub mod hold;
 pub mod limit;
 pub mod member;
+pub mod snapshot;
 
 /// A message with the instance that sent it.
 #[derive(Clone, PartialEq, prost::Message)]
