Gatewayd: what the store no longer has is kept after an outage only until owners would have written it again

The time now ends 2.2 s after the store came back, whenever the watch returns. Test watch_waited: kept for 1,900 ms before, 0 and 1,200 now.

--- a/crates/gatewayd/src/mirror.rs
+++ b/crates/gatewayd/src/mirror.rs
@@ -25,9 +25,10 @@
     changed_position: Position,
     /// Time for which lost objects are kept.
     grace: Duration,
-    /// Whether the next list or watch covers an outage of the store. Objects that it shows as
-    /// deleted may have expired in the outage, later ones were removed by their owners.
-    covers_outage: bool,
+    /// When the store came back, if the next list or watch covers the outage. Objects that it shows as
+    /// deleted may have expired in the outage, unless it comes so late that their owners would have
+    /// written them again; later ones were removed by their owners.
+    recovered_at: Option<Instant>,
     is_listed: bool,
 }
 
@@ -41,7 +42,7 @@
             position: Position::default(),
             changed_position: Position::default(),
             grace: MAX_GRACE.min(removal_limit.saturating_sub(GRACE_MARGIN)),
-            covers_outage: false,
+            recovered_at: None,
             is_listed: false,
         }
     }
@@ -73,9 +74,17 @@
 
     /// Records the end of a store outage.
     ///
-    /// Objects that the next list or watch shows as deleted are kept until the grace period ends.
-    pub fn store_recovered(&mut self) {
-        self.covers_outage = !self.grace.is_zero();
+    /// Objects that the next list or watch shows as deleted are kept until the grace period ends, but not
+    /// longer than their owners need to write them again.
+    pub fn store_recovered(&mut self, now: Instant) {
+        self.recovered_at = Some(now).filter(|_| !self.grace.is_zero());
+    }
+
+    /// Returns until when an object is kept that is found to be deleted now, after an outage; `None` if it
+    /// is not kept.
+    fn grace_end(&self, now: Instant, recovered_at: Instant) -> Option<Instant> {
+        let end = (now + self.grace).min(recovered_at + MAX_GRACE);
+        Some(end).filter(|it| *it > now)
     }
 
     /// Replaces all objects by those of a list.
@@ -85,13 +94,12 @@
     /// first list.
     pub fn replace(&mut self, now: Instant, objects: Vec<Object>, position: Position) -> bool {
         let is_restored = self.is_listed && position.era > self.position.era;
-        let keeps = (self.covers_outage || is_restored) && !self.grace.is_zero();
-        let grace = keeps.then_some(self.grace);
-        self.covers_outage = false;
-        let kept = grace.map_or_else(Vec::new, |grace| {
+        let after_outage = self.recovered_at.take().and_then(|it| self.grace_end(now, it));
+        let after_restore = (is_restored && !self.grace.is_zero()).then(|| now + self.grace);
+        let kept = after_restore.or(after_outage).map_or_else(Vec::new, |end| {
             let is_listed = |name: &Name| objects.iter().any(|it| it.name == *name);
             let missing = self.objects.keys().filter(|name| !is_listed(name));
-            missing.map(|name| (name.clone(), self.keep_until(name, now + grace))).collect()
+            missing.map(|name| (name.clone(), self.keep_until(name, end))).collect()
         });
         self.set(objects, kept, position)
     }
@@ -126,21 +134,21 @@
 
     /// Applies the changes of a watch; returns whether any object changed.
     pub fn apply(&mut self, now: Instant, events: Vec<(Object, bool)>, position: Position) -> bool {
-        let covers_outage = std::mem::take(&mut self.covers_outage);
+        let grace_end = self.recovered_at.take().and_then(|it| self.grace_end(now, it));
         let mut has_changed = false;
         for (object, deleted) in events {
-            has_changed |= match deleted {
-                true if covers_outage && self.objects.contains_key(&object.name) => {
-                    let until = self.keep_until(&object.name, now + self.grace);
+            has_changed |= match (deleted, grace_end) {
+                (true, Some(end)) if self.objects.contains_key(&object.name) => {
+                    let until = self.keep_until(&object.name, end);
                     self.kept_until.insert(object.name, until);
                     // Peers that rely on this copy have to learn until when the object is kept.
                     true
                 }
-                true => {
+                (true, _) => {
                     self.kept_until.swap_remove(&object.name);
                     self.objects.shift_remove(&object.name).is_some()
                 }
-                false => self.put(object),
+                (false, _) => self.put(object),
             };
         }
         self.advance(position, has_changed);
--- a/crates/gatewayd/src/sync/transport.rs
+++ b/crates/gatewayd/src/sync/transport.rs
@@ -128,7 +128,7 @@
                 self.control
                     .logger
                     .write(&Record::new(record::STORE_REGAINED).with("away_ms", outage_ms));
-                self.endpoints.borrow_mut().mirror.store_recovered();
+                self.endpoints.borrow_mut().mirror.store_recovered(now);
             }
             (Err(fault), None) => {
                 *down_since = Some(now);
--- a/crates/gatewayd/tests/testsuite/mirror.rs
+++ b/crates/gatewayd/tests/testsuite/mirror.rs
@@ -56,7 +56,7 @@
 fn expired_in_outage(#[case] by_list: bool) {
     let mut mirror = listed();
     let now = Instant::from_millis(1_000);
-    mirror.store_recovered();
+    mirror.store_recovered(now);
     match by_list {
         true => mirror.replace(now, vec![object("a", at(3))], at(6)),
         false => mirror.apply(now, deleted("b", 6), at(6)),
@@ -71,18 +71,32 @@
 #[test]
 fn removed_after_outage() {
     let mut mirror = listed();
-    mirror.store_recovered();
+    mirror.store_recovered(Instant::from_millis(1_000));
     mirror.apply(Instant::from_millis(1_000), Vec::new(), at(6));
     assert!(mirror.apply(Instant::from_millis(1_200), deleted("b", 7), at(7)));
     assert_eq!(names(&mirror), ["a"]);
 }
 
+/// Guards against requests to an endpoint that has left: its removal is shown by a watch that was begun
+/// after the outage and has waited, so that it comes later than owners write again. Such an endpoint was
+/// kept for as long as one that has expired in the outage.
+#[rstest]
+#[case::late(2_500, 0)]
+#[case::in_between(1_000, 1_200)]
+fn watch_waited(#[case] waited_ms: u64, #[case] kept_ms: u64) {
+    let mut mirror = listed();
+    mirror.store_recovered(Instant::from_millis(1_000));
+    let now = Instant::from_millis(1_000 + waited_ms);
+    mirror.apply(now, deleted("b", 6), at(6));
+    assert_eq!(dropped_after_ms(&mut mirror, now), kept_ms);
+}
+
 /// The same where the removal is learnt from a peer, which may have had the store all the time.
 #[test]
 fn removed_at_peer() {
     let mut mirror = listed();
-    mirror.store_recovered();
     let now = Instant::from_millis(1_000);
+    mirror.store_recovered(now);
     assert_eq!(mirror.merge(now, Vec::new(), &["a".into()], &[], at(7)), Some(true));
     assert_eq!(names(&mirror), ["a"]);
 }
@@ -105,7 +119,7 @@
 fn written_again() {
     let mut mirror = listed();
     let now = Instant::from_millis(1_000);
-    mirror.store_recovered();
+    mirror.store_recovered(now);
     mirror.apply(now, deleted("b", 6), at(6));
     mirror.apply(now, vec![(object("b", at(7)), false)], at(7));
     mirror.expire(now + Duration::from_secs(10));
@@ -134,14 +148,14 @@
 fn dropped_without_grace() {
     let mut mirror = Mirror::new(Duration::ZERO);
     mirror.replace(Instant::default(), vec![object("a", at(3)), object("b", at(4))], at(5));
-    mirror.store_recovered();
+    mirror.store_recovered(Instant::default());
     assert!(mirror.replace(
         Instant::default(),
         vec![object("a", at(3)), object("c", at(6))],
         at(6)
     ));
     assert_eq!(names(&mirror), ["a", "c"]);
-    mirror.store_recovered();
+    mirror.store_recovered(Instant::default());
     assert!(mirror.apply(Instant::default(), deleted("c", 7), at(7)));
     assert_eq!(names(&mirror), ["a"]);
     assert!(mirror.replace(Instant::default(), Vec::new(), Position::new(2, 4)));
