--- a/crates/gateway/src/state/handovers.rs
+++ b/crates/gateway/src/state/handovers.rs
@@ -19,6 +19,8 @@
     job::{Job, Phase},
 };
 
+/// Maximum number of requests that are handed over at a time; each has a connection and its body.
+const MAX_OPEN: usize = 512;
 /// Maximum number of peers that a request is handed over to.
 const MAX_PEERS: usize = 3;
 /// Time that a peer has, beyond the deadline of a request, to tell its own answer.
@@ -81,7 +83,8 @@
 
     /// Hands a request over to a peer, or refuses it if none can take it.
     pub(super) fn hand_over(&mut self, now: Instant, job: Job, tried: Vec<Name>) {
-        let peer = match tried.len() < MAX_PEERS && job.deadline > now {
+        let has_room = self.handovers.len() < MAX_OPEN;
+        let peer = match has_room && tried.len() < MAX_PEERS && job.deadline > now {
             true => self.taker(now, &job, &tried),
             false => None,
         };
--- a/crates/gateway/tests/testsuite/handover.rs
+++ b/crates/gateway/tests/testsuite/handover.rs
@@ -1,11 +1,11 @@
 //! Handover of requests by an instance that reaches no endpoint, and what must not set it off.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use rstest::rstest;
 use siskinstile_core::name_hash::NameHash;
 use siskinstile_gateway::{
-    Effect, Event, Name,
+    Catalog, Effect, Event, Name,
     call::{Outcome, Step},
     effect::HandOver,
     handover::{self, Report},
@@ -14,7 +14,7 @@
 };
 use siskinstile_wire::message::heartbeat::Heartbeat;
 
-use crate::site::{Site, ended};
+use crate::site::{Site, draft, ended};
 
 /// Time within which an instance notices that it reaches no endpoint.
 const NOTICE_MS: u64 = 1_000;
@@ -220,6 +220,34 @@
     assert!(far > 0, "the others are full");
 }
 
+/// Guards against bodies that leave the regions in which a route must be processed, also when no peer there
+/// can take the request.
+#[rstest]
+#[case::peer_there(&["south", "north"], Some("peer-1"))]
+#[case::none_there(&["south", "south"], None)]
+fn homes_hold(#[case] datacentres: &[&str], #[case] peer: Option<&str>) {
+    let mut fleet = Fleet::cut_off(datacentres);
+    let mut draft = draft(2);
+    draft.routes.iter_mut().for_each(|it| it.regions = vec!["upper".into()]);
+    let catalog = Catalog::check(draft).expect("the draft is sound");
+    fleet.site.post(Event::Configured(Arc::new(catalog)));
+    let id = fleet.site.send("/issue/");
+    let handover = fleet.handovers().pop();
+    assert_eq!(handover.as_ref().map(|it| &*it.peer), peer);
+    assert_eq!(fleet.site.failure(id).is_some(), peer.is_none());
+}
+
+/// Guards against memory and connections without a bound: beyond a number of open handovers requests are
+/// refused at once.
+#[test]
+fn handovers_bounded() {
+    let mut fleet = Fleet::cut_off(&["north"; 20]);
+    let ids: Vec<Id> = (0..700).map(|_| fleet.site.send("/lookup/")).collect();
+    let handed_over = fleet.handovers().len();
+    let refused = ids.iter().filter(|it| fleet.site.failure(**it).is_some()).count();
+    assert!(handed_over <= 512 && handed_over + refused == 700, "{handed_over}, {refused}");
+}
+
 /// Guards against peers that cannot serve the request: those that are cut off themselves, or silent.
 #[test]
 fn unfit_peers() {
