--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -11,6 +11,8 @@
 //! While only some of the members are reachable, an instance refills its replicas by the reachable
 //! share of the rate, so that the parts of a partitioned fleet together grant the whole rate.
 
+mod bucket;
+
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
@@ -22,30 +24,23 @@
     name_hash::NameHash,
 };
 
-/// Fraction of the burst by which a replica may be overdrawn, since refunds are reported with a
-/// delay.
-const OVERDRAFT: f64 = 0.25;
+use bucket::Bucket;
 
 /// Fraction of the burst that a replica starts with after a restart, which loses the record of
 /// earlier spending.
 const RESTART_LEVEL: f64 = 0.5;
 
-/// Minimum time between two refills of a bucket that indicates that this instance may have been
-/// paused.
-const STALL_THRESHOLD: Duration = Duration::from_millis(900);
+/// Time after its start in which an instance takes over what peers tell of low buckets; longer than the
+/// time between two heartbeats of a relay.
+const LEARNING_TIME: Duration = Duration::from_secs(6);
+
+/// Maximum number of low buckets that peers are told.
+const MAX_LOW: usize = 32;
 
 /// Time after a peer becomes reachable again in which its reports may cover the outage: delayed
 /// heartbeats arrive in order, and those with all accounts are seconds apart.
 const LATE_REPORT_TIME: Duration = Duration::from_secs(5);
 
-/// Time after a partition at which withheld units are dropped; peers that were unreachable have
-/// reported their spending by then.
-const WITHHELD_EXPIRY: Duration = Duration::from_secs(6);
-
-/// Number of bursts by which spending of peers may take a replica below zero, so that spending that
-/// became known late is compensated.
-const MAX_DEBT: f64 = 4.0;
-
 /// Part of the tolerance by which a replica may be overdrawn, after what a partition and unreported
 /// spending may take of it.
 const TOLERANCE_SHARE: f64 = 0.75;
@@ -136,61 +131,6 @@
     pub reachable_share: f64,
 }
 
-/// The replica of a team's token bucket.
-#[value]
-struct Bucket {
-    quota: Quota,
-    level: f64,
-    /// Units of the tolerance by which it may be overdrawn.
-    tolerated: f64,
-    refilled_at: Instant,
-    /// Share of the rate left to unreachable members, and units above the burst that accrued while
-    /// members were unreachable or this instance was paused; kept until the peers have reported
-    /// what they spent in that time.
-    withheld: f64,
-    /// When units were last withheld.
-    last_withheld: Instant,
-}
-
-impl Bucket {
-    fn refill(&mut self, now: Instant, reachable_share: f64) {
-        let elapsed = now.since(self.refilled_at);
-        let earned = elapsed.as_secs_f64() * self.quota.rate as f64;
-        let filled = self.level + earned * reachable_share;
-        self.level = filled.min(self.quota.burst as f64);
-        self.refilled_at = now;
-        if reachable_share < 1.0 || elapsed >= STALL_THRESHOLD {
-            self.withheld += earned * (1.0 - reachable_share) + (filled - self.level);
-            self.last_withheld = now;
-        } else if now.since(self.last_withheld) > WITHHELD_EXPIRY {
-            self.withheld = 0.0;
-        }
-    }
-
-    /// Deducts units, down to the maximum debt; a negative number is credited, up to the burst.
-    fn charge(&mut self, units: f64) {
-        let burst = self.quota.burst as f64;
-        let max_debt = burst * MAX_DEBT + self.tolerated;
-        self.level = (self.level - units).clamp(-max_debt, burst);
-    }
-
-    /// Deducts units that a peer has spent while it was unreachable, first from the withheld units.
-    fn charge_withheld(&mut self, units: f64) {
-        let covered = units.clamp(0.0, self.withheld);
-        self.withheld -= covered;
-        self.charge(units - covered);
-    }
-
-    fn overdraft(&self, reachable_share: f64, grant: Grant) -> f64 {
-        let unrefunded = if reachable_share < 1.0 { 0.0 } else { OVERDRAFT };
-        let tolerated = match grant {
-            Grant::Quota => 0.0,
-            Grant::Tolerance => self.tolerated * reachable_share,
-        };
-        self.quota.burst as f64 * unrefunded + tolerated
-    }
-}
-
 /// Buckets of the teams at this instance, and the spending that it and its peers have reported.
 #[value(default)]
 pub struct Ledger {
@@ -204,6 +144,8 @@
     tolerance: Tolerance,
     /// Time after which spending of peers has been reported.
     report_age: Duration,
+    /// Until when low buckets are taken over from peers, as the record of earlier spending is lost.
+    learns_until: Instant,
 }
 
 impl Ledger {
@@ -212,6 +154,36 @@
         Ledger { tolerance, ..Ledger::default() }
     }
 
+    /// Returns the teams whose buckets hold less than an instance takes for granted at its start, with
+    /// what they hold; if there are too many, those with least relative to their burst. None while this
+    /// instance takes over what others tell, since it does not know better.
+    pub fn low_buckets(&self, now: Instant) -> Vec<(NameHash, i64)> {
+        if now < self.learns_until {
+            return Vec::new();
+        }
+        let fill = |it: &Bucket| it.level / it.quota.burst.max(1) as f64;
+        let mut low: Vec<(&NameHash, &Bucket)> =
+            self.buckets.iter().filter(|(_, it)| fill(it) < RESTART_LEVEL).collect();
+        if low.len() > MAX_LOW {
+            low.sort_by(|(_, a), (_, b)| fill(a).total_cmp(&fill(b)));
+            low.truncate(MAX_LOW);
+        }
+        low.into_iter().map(|(team, it)| (*team, it.level as i64)).collect()
+    }
+
+    /// Takes over what a peer tells of low buckets, if this instance has started a short time ago.
+    pub fn record_low_buckets(&mut self, now: Instant, low: impl Iterator<Item = (NameHash, i64)>) {
+        if now >= self.learns_until {
+            return;
+        }
+        for (team, level) in low {
+            if let Some(bucket) = self.buckets.get_mut(&team) {
+                bucket.refill(now, self.reachable_share);
+                bucket.level = bucket.level.min(level as f64);
+            }
+        }
+    }
+
     /// Sets the time after which spending of peers has been reported.
     pub fn set_report_age(&mut self, report_age: Duration) {
         if self.report_age == report_age {
@@ -232,6 +204,9 @@
         teams: impl Iterator<Item = &'a Arc<Team>>,
         start_full: bool,
     ) {
+        if self.buckets.is_empty() && !start_full {
+            self.learns_until = now + LEARNING_TIME;
+        }
         let mut old = std::mem::take(&mut self.buckets);
         for team in teams {
             let Some(quota) = team.quota.clone() else { continue };
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -91,6 +91,8 @@
         }
         self.handle_suspects(now, &heartbeat);
         self.handle_limits(now, &heartbeat);
+        let low = heartbeat.low_buckets.iter().map(|it| (NameHash(it.team), it.level));
+        self.fleet.ledger.record_low_buckets(now, low);
         self.handle_cold(now, &heartbeat);
         self.handle_paces(now, &heartbeat);
         match is_relay {
--- a/crates/gateway/src/state/heartbeat.rs
+++ b/crates/gateway/src/state/heartbeat.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use siskinstile_wire::message::heartbeat::{
     Account as SentAccount, Count, Departure as SentDeparture, Heartbeat, Load as SentLoad,
+    LowBucket,
 };
 
 use crate::{
@@ -213,6 +214,7 @@
             limits: self.sent_limits(now),
             cold: self.sent_cold(now),
             paces: self.sent_paces(now, &Source::OWN),
+            low_buckets: self.fleet.ledger.low_buckets(now).into_iter().map(sent_low).collect(),
             configuration_version: self.catalog.as_ref().map_or(0, |it| it.version),
             cut_off: self.reach.cut_off_since().is_some(),
             // The adapter that follows the store sets its positions and its age.
@@ -259,6 +261,10 @@
     Count { name: name.to_owned(), count: count.into() }
 }
 
+fn sent_low((team, level): (NameHash, i64)) -> LowBucket {
+    LowBucket { team: team.0, level }
+}
+
 fn sent_departure((endpoint, started_at_ms): (NameHash, Option<u64>)) -> SentDeparture {
     SentDeparture { endpoint: endpoint.0, started_at_ms }
 }
--- a/crates/gateway/tests/testsuite/quota.rs
+++ b/crates/gateway/tests/testsuite/quota.rs
@@ -346,3 +346,31 @@
     let id = site.send("/review/");
     assert_eq!(site.failure(id).is_none(), admitted, "{:?}", site.failure(id));
 }
+
+/// Guards against a team that spends more than it may while instances restart: one that starts does not know
+/// what the team has spent, and takes over what those tell that do. What an instance tells that has itself
+/// just started shows nothing, and later on reports show all.
+#[rstest]
+#[case::told_at_start(1_000, false, -30_000.0)]
+#[case::told_later(9_000, false, 30_000.0)]
+#[case::teller_restarted(1_000, true, 30_000.0)]
+fn low_bucket_told(#[case] at_ms: u64, #[case] teller_restarted: bool, #[case] expected: f64) {
+    let now = Instant::from_millis(at_ms);
+    let mut teller = ledger(!teller_restarted);
+    let peer = (Name::from("peer"), 1);
+    let reception = Reception { all_accounts: true, was_unreachable: false };
+    let team_hash = NameHash::of("a");
+    teller.record_report(now, peer.clone(), &[(team_hash, spent(0))], reception);
+    teller.record_report(now, peer, &[(team_hash, spent(90_000))], reception);
+    let mut started = ledger(false);
+    // Its level is half a burst, whatever it has earned since.
+    drain(&mut started, at_ms, at_ms + 500);
+    let before = started.status("a").expect("a quota").level;
+    let told = teller.low_buckets(now).into_iter();
+    started.record_low_buckets(now, told);
+    let level = started.status("a").expect("a quota").level;
+    match expected < 0.0 {
+        true => assert!((level - expected).abs() < 1.0, "{level}"),
+        false => assert_eq!(level, before),
+    }
+}
--- a/crates/gateway/tests/testsuite/spending.rs
+++ b/crates/gateway/tests/testsuite/spending.rs
@@ -127,7 +127,6 @@
 #[case::calm(false, false)]
 #[case::restarts(true, false)]
 #[case::cut(false, true)]
-#[ignore = "KNOWN-RED.txt: QUOTA after restarts"]
 #[case::restarts_and_cut(true, true)]
 fn spending_bounded(#[case] restarts: bool, #[case] cut: bool) {
     let mut spender = Spender::new();
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -93,6 +93,21 @@
     /// Whether the sender reaches no endpoint, so that no request can be handed over to it.
     #[prost(bool, tag = "33")]
     pub cut_off: bool,
+    /// Teams whose buckets hold less than an instance takes for granted at its start, as the sender knows
+    /// it.
+    #[prost(message, repeated, tag = "34")]
+    pub low_buckets: Vec<LowBucket>,
+}
+
+/// What is left in the bucket of a team.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LowBucket {
+    /// Hash of the team's name.
+    #[prost(fixed64, tag = "1")]
+    pub team: u64,
+    /// Units; negative if more has been spent.
+    #[prost(sint64, tag = "2")]
+    pub level: i64,
 }
 
 /// What an endpoint has stated on its present speed and its queue.
