--- a/crates/gatewayd/src/handover.rs
+++ b/crates/gatewayd/src/handover.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use hyper::{
-    HeaderMap, Request, Response,
+    HeaderMap, Request, Response, StatusCode,
     body::{Body as _, Frame, Incoming, SizeHint},
     header::{
         CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TE, TRAILER,
@@ -69,7 +69,7 @@
 pub struct Crossing {
     /// Time that is left of the request's time.
     pub time_left: Duration,
-    /// Version of the configuration that is in force at the peer.
+    /// Version of the configuration that is in force at the instance which hands it over.
     pub version: u64,
 }
 
@@ -128,7 +128,9 @@
             return Some(Outcome::NotTaken { cause: "too many connections" });
         }
     };
-    if reply.head.headers.contains_key(NOT_TAKEN) {
+    // Responses of endpoints with this status are not relayed, so that it is the peer's own.
+    let is_refusal = reply.head.status == StatusCode::SERVICE_UNAVAILABLE;
+    if is_refusal && reply.head.headers.contains_key(NOT_TAKEN) {
         return Some(Outcome::NotTaken { cause: "refused" });
     }
     let status = reply.head.status;
