--- a/crates/gateway/src/state/handovers.rs
+++ b/crates/gateway/src/state/handovers.rs
@@ -137,9 +137,13 @@
     pub(super) fn hand_over_open(&mut self, now: Instant, waiting: Vec<request::Id>) {
         let open: Vec<request::Id> = self.jobs.keys().copied().collect();
         for id in open {
-            let may_move = waiting.contains(&id) || self.may_move(now, id);
-            if !may_move {
-                continue;
+            match self.may_move(now, id) {
+                true => {}
+                false if waiting.contains(&id) => {
+                    self.proceed(now, id);
+                    continue;
+                }
+                false => continue,
             }
             let Some(mut job) = self.jobs.swap_remove(&id) else { continue };
             self.clean_up(now, &mut job);
@@ -156,11 +160,8 @@
     fn may_move(&mut self, now: Instant, id: request::Id) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
         let is_sent = job.may_have_run || self.has_open_run(job);
-        let is_rerunnable = match job.route.retry {
-            Retry::Idempotent => true,
-            Retry::Stream { resumable } => resumable && job.last_event.is_none(),
-            _ => false,
-        };
+        // A stream that was sent has told its origin, which a run at a peer would contradict.
+        let is_rerunnable = job.route.retry == Retry::Idempotent;
         let may_move = match job.phase {
             Phase::Relaying => false,
             _ if job.fallback.is_some() => false,
--- a/crates/gateway/tests/testsuite/handover.rs
+++ b/crates/gateway/tests/testsuite/handover.rs
@@ -359,6 +359,19 @@
     assert!(moved.contains(&lookup) && moved.contains(&prompt) && !moved.contains(&issue));
 }
 
+/// Guards against streams that are joined from two versions: one that was sent and has no event yet stays,
+/// since its origin has been told, and a run at a peer could begin it at another version.
+#[test]
+fn sent_stream_stays() {
+    let mut fleet = Fleet::open(&["north"]);
+    let stream = fleet.site.send("/review-again/");
+    fleet.site.run_generation();
+    fleet.site.accepts = Some(false);
+    fleet.advance(NOTICE_MS);
+    assert_eq!(fleet.logged(record::CUT_OFF.number), 1);
+    assert!(!fleet.handovers().iter().any(|it| it.request == stream));
+}
+
 /// Guards against requests and prompts that are quarantined for crashes of endpoints which only the own
 /// links have ended.
 #[test]
