Gateway: a stream goes on only at an endpoint that is proven to have the start of its entry, whether or not the store answers

What callers saw: a stream complete in one answer, its first part from one software version and the rest from another (ORDER), without any outage. An endpoint ends and starts again under its name with another version, and writes its entry 1.0 to 1.2 s later; the endpoint where streams run ends meanwhile. Cause: the proof of a start was asked for only while the store was in doubt, but what makes an entry out of date is the endpoint. Plain services had no proof at all and were cut while the store was away. Change: an endpoint is asked for its start (GET /report, born) right before each run that goes on, engines and plain services alike. One that tells none has to answer on a connection that was open for as long as an entry may be missing (twice the interval of entries and 0.1 s; in an outage of the store since before it began), answers on several connections are joined to one lifetime; where that is not shown yet, the stream waits for it once. A failed question ejects nobody for good.

Tests that step through a run that goes on answer the question first; start_proven has cases with a serving store, which it lacked.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -80,6 +80,8 @@
     },
     /// Queries an engine's stage and state.
     Inspect,
+    /// Queries when an endpoint started, on the connection that has been open for longest.
+    QueryStart,
     /// Changes the stage of an engine.
     Order(Order),
 }
@@ -130,8 +132,13 @@
         busy: bool,
         /// Number of requests that it runs or that wait there.
         requests: u32,
-        /// Wall-clock time of its start, in milliseconds, if it tells it.
+    },
+    /// An endpoint has been asked when it started.
+    StartTold {
+        /// Wall-clock time of its start, in milliseconds; `None` if it does not tell.
         started_at_ms: Option<u64>,
+        /// Time for which the connection had been open that it has answered on.
+        connection_age: Duration,
     },
     /// The endpoint has carried out the step; there is nothing to relay.
     Done,
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -6,8 +6,10 @@
 //! neither knows is looked up in the [`journal`]; a stream that is not found there is not resumed.
 
 pub mod journal;
+mod lifetime;
 mod unverified;
 
+pub use lifetime::Lifetimes;
 pub use unverified::Unverified;
 
 use std::time::Duration;
--- a/crates/gateway/src/range.rs
+++ b/crates/gateway/src/range.rs
@@ -81,6 +81,7 @@
     fn confine(&mut self) -> bool {
         match self {
             Outcome::Computed { tokens, .. } => clamp(tokens, MAX_TOKENS),
+            Outcome::StartTold { started_at_ms, .. } => clamp_some(started_at_ms, MAX_TIME_MS),
             _ => false,
         }
     }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -103,6 +103,8 @@
 pub const EVACUATIONS_UNKNOWN: Code = code(758, Level::Warn, "evacuations not known");
 /// A route or a team names a region that no data centre has.
 pub const REGION_UNKNOWN: Code = code(759, Level::Warn, "region without data centre");
+/// An endpoint does not get a stream that goes on, as its start is not the one that its entry tells.
+pub const START_NOT_PROVEN: Code = code(775, Level::Info, "start of an endpoint not proven");
 
 /// The origins of a service's streams are journaled in the store, or no longer.
 pub const JOURNALING: Code = code(751, Level::Info, "journal of origins");
@@ -172,6 +174,7 @@
     COPY_CONFIRMED,
     INNER_FAULT,
     VALUE_CLAMPED,
+    START_NOT_PROVEN,
 ];
 
 /// A log line: the event, its request and the inputs of the decision.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -97,6 +97,8 @@
     pub drain: Duration,
     /// Time between the signal to stop and the end of the process.
     pub grace: Duration,
+    /// Time between two entries that an endpoint writes, and from its start to the first one.
+    pub entry_interval: Duration,
 }
 
 impl Settings {
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -140,6 +140,8 @@
             unsent_attempts: 0,
             has_retry: false,
             proof: None,
+            prove_at: None,
+            has_awaited_proof: false,
             backup: None,
             excluded: Vec::new(),
             may_have_run: false,
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -41,6 +41,7 @@
         self.fail_timed_out(now);
         self.refuse_expired(now);
         self.hedge(now);
+        self.prove_again(now);
         self.plan_orders(now);
         self.run_journal(now);
         self.refuse_waiting(now);
@@ -51,8 +52,9 @@
     pub fn wake(&self) -> Instant {
         let call_deadlines = self.calls.values().filter_map(|it| it.deadline);
         let job_times = self.jobs.values();
-        let job_times =
-            job_times.flat_map(|it| [Some(it.deadline), it.hedge_at, it.search_end()]).flatten();
+        let job_times = job_times
+            .flat_map(|it| [Some(it.deadline), it.hedge_at, it.prove_at, it.search_end()])
+            .flatten();
         let times = call_deadlines.chain(job_times).chain(self.queue.next_deadline());
         let placement =
             (!self.queue.is_empty()).then(|| self.times.last_placement + PLACEMENT_INTERVAL);
--- a/crates/gateway/src/state/engine.rs
+++ b/crates/gateway/src/state/engine.rs
@@ -16,7 +16,7 @@
 
 use super::{
     State,
-    job::{Job, Phase, Plan, Slot},
+    job::{Job, Phase, Plan, Proof, Slot},
     prompts::Check,
 };
 
@@ -127,17 +127,6 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(slot) = &mut job.slot else { return };
         slot.hold = Some(hold);
-        let goes_on = job.software.is_some();
-        match goes_on && self.are_entries_doubtful(now) {
-            true => self.prove_start(now, id),
-            false => self.use_slot(now, id),
-        }
-    }
-
-    /// Uses a reserved slot: starts the prefill, or the run.
-    pub(super) fn use_slot(&mut self, now: Instant, id: request::Id) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let Some(slot) = &job.slot else { return };
         let decode = slot.endpoint.clone();
         if self.is_evacuated(&decode) {
             return self.replace_slot(now, id);
@@ -193,7 +182,8 @@
         );
     }
 
-    /// Sends a request to the decode engine at which it has a slot.
+    /// Sends a request to the decode engine at which it has a slot, once the start of the engine is proven if
+    /// a stream goes on there.
     pub(super) fn start_run(
         &mut self,
         now: Instant,
@@ -212,6 +202,17 @@
         if wants_no_calls || !may_run || is_evacuated || is_barred || is_late && !is_ready {
             return self.replace_slot(now, id);
         }
+        let endpoint = slot.endpoint.clone();
+        match job.software.is_some() {
+            true => self.prove_start(now, id, Proof { endpoint, source }),
+            false => self.send_run(now, id, source),
+        }
+    }
+
+    /// Sends a request to the decode engine at which it has a slot.
+    pub(super) fn send_run(&mut self, now: Instant, id: request::Id, source: Option<call::Handle>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(slot) = &mut job.slot else { return };
         let (endpoint, hold) = (slot.endpoint.clone(), slot.hold.take());
         let start = job.start();
         job.phase = Phase::Running;
--- a/crates/gateway/src/state/job.rs
+++ b/crates/gateway/src/state/job.rs
@@ -122,8 +122,12 @@
     pub(super) slot: Option<Slot>,
     /// A place at another engine that is being reserved.
     pub(super) backup: Option<Backup>,
-    /// The call for the start of the engine with the slot, while it is open.
-    pub(super) proof: Option<call::Id>,
+    /// The proof of an endpoint's start, while it is sought.
+    pub(super) proof: Option<Proof>,
+    /// When the proof is sought again.
+    pub(super) prove_at: Option<Instant>,
+    /// Whether it has been sought again.
+    pub(super) has_awaited_proof: bool,
     pub(super) prefill: Option<Arc<Endpoint>>,
     pub(super) prompt: Option<Prompt>,
     /// What is known of a prompt that takes longer than expected.
@@ -215,6 +219,14 @@
     pub(super) prefill: Option<Arc<Endpoint>>,
 }
 
+/// Proof that an endpoint has the start that its entry tells, before a stream goes on there.
+#[value]
+pub(super) struct Proof {
+    pub(super) endpoint: Arc<Endpoint>,
+    /// The computed prompt that the run is to fetch.
+    pub(super) source: Option<call::Handle>,
+}
+
 /// Kind of step that an open call carries out.
 #[value(id)]
 pub(super) enum Kind {
@@ -222,6 +234,7 @@
     Prefill,
     Run,
     Inspect,
+    QueryStart,
     Order,
     Other,
 }
@@ -308,6 +321,7 @@
             call::Step::Prefill => Kind::Prefill,
             call::Step::Run { .. } => Kind::Run,
             call::Step::Inspect => Kind::Inspect,
+            call::Step::QueryStart => Kind::QueryStart,
             call::Step::Order(_) => Kind::Order,
             _ => Kind::Other,
         };
--- a/crates/gateway/src/state/journal.rs
+++ b/crates/gateway/src/state/journal.rs
@@ -13,7 +13,7 @@
     member::PEER_TIMEOUT,
     name_hash::NameHash,
     origin::{
-        Unverified,
+        Lifetimes, Unverified,
         journal::{Answer, Finding, Journal},
     },
     record::{self, Record},
@@ -27,8 +27,10 @@
 
 /// Time after a caller has asked for its stream at which the lookup ends without an answer.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time after an outage of the store within which endpoints have written their entries again.
-const ENTRY_TIME: Duration = Duration::from_millis(2_500);
+/// Longest time from the beginning of an outage of the store to the first call that shows it.
+const MAX_UNNOTICED_OUTAGE: Duration = Duration::from_secs(1);
+/// Time for which an entry may be on its way from an endpoint to this instance.
+const MAX_ENTRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of origins in one message, which then has 25 KB.
 const MAX_SENT_ORIGINS: usize = 1_000;
 
@@ -47,8 +49,11 @@
 pub(super) struct Journaling {
     pub(super) journal: Journal,
     pub(super) unverified: Unverified,
+    pub(super) lifetimes: Lifetimes,
     /// Since when the store does not answer this instance.
     store_lost: Option<Instant>,
+    /// When the last outage of the store began.
+    outage_began: Option<Instant>,
     /// When it last began to again.
     store_regained: Option<Instant>,
     /// The instance of the data centre that writes the journal; `None` before one is known.
@@ -63,7 +68,9 @@
         Journaling {
             journal: Journal::new(&settings.datacentre, settings.first_start),
             unverified: Unverified::default(),
+            lifetimes: Lifetimes::default(),
             store_lost: None,
+            outage_began: None,
             store_regained: None,
             writer: None,
             active: IndexSet::new(),
@@ -76,6 +83,7 @@
     /// Records the listed versions of the services with resumable streams.
     pub(super) fn observe_versions(&mut self, now: Instant) {
         self.fleet.journaling.unverified.record_list(&self.listed);
+        self.fleet.journaling.lifetimes.retain_listed(&self.listed);
         let Some(catalog) = self.catalog.clone() else { return };
         for service in catalog.resumable_services() {
             let versions = self.listed.versions(service);
@@ -93,16 +101,33 @@
                 journaling.store_regained = Some(now);
                 journaling.journal.retry(now);
             }
-            false => journaling.store_lost = journaling.store_lost.or(Some(now)),
+            false => {
+                journaling.store_lost = journaling.store_lost.or(Some(now));
+                journaling.outage_began = journaling.store_lost;
+            }
         }
     }
 
+    /// Returns the time within which an endpoint that has started has written its entry, and this instance has read it,
+    /// while the store answers.
+    pub(super) fn entry_limit(&self) -> Duration {
+        self.settings.entry_interval * 2 + MAX_ENTRY_DELAY
+    }
+
+    /// Returns for how long an endpoint must have lived so that it has an entry that this instance has read.
+    pub(super) fn proving_age(&self, now: Instant) -> Duration {
+        let Journaling { outage_began, .. } = self.fleet.journaling;
+        let outage = outage_began.filter(|_| self.are_entries_doubtful(now));
+        let unread = outage.map(|it| now.since(it) + MAX_UNNOTICED_OUTAGE);
+        unread.unwrap_or_default() + self.entry_limit()
+    }
+
     /// Returns whether the entries of endpoints may be out of date, as the store does not answer, or does so again
     /// for so short a time that endpoints may not have written theirs yet. An instance that relies on peers calls the
     /// store itself as soon as it answers none of them.
     pub(super) fn are_entries_doubtful(&self, now: Instant) -> bool {
         let Journaling { store_lost, store_regained, .. } = self.fleet.journaling;
-        let is_recent = store_regained.is_some_and(|it| now.since(it) < ENTRY_TIME);
+        let is_recent = store_regained.is_some_and(|it| now.since(it) < self.entry_limit());
         store_lost.is_some() || is_recent
     }
 
--- a/crates/gateway/src/state/plain.rs
+++ b/crates/gateway/src/state/plain.rs
@@ -1,14 +1,17 @@
 //! Processing of a request at the endpoints of a plain service.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use siskinstile_core::error::{Failure, Kind as ErrorKind};
 
-use crate::{Effect, Instant, call, catalog::Retry, load::Load, plain::View, record, request};
+use crate::{
+    Effect, Instant, call, catalog::Retry, directory::Endpoint, load::Load, plain::View, record,
+    request,
+};
 
 use super::{
     State,
-    job::{Job, Phase, Plan},
+    job::{Job, Phase, Plan, Proof},
 };
 
 /// Share of the latency target after which an idempotent request is hedged to a second endpoint.
@@ -55,16 +58,26 @@
         }
     }
 
-    /// Sends a request to an endpoint, excluding those already tried.
+    /// Sends a request to an endpoint, excluding those already tried, once the start of the endpoint is proven
+    /// if a stream goes on there.
     pub(super) fn send_plain(&mut self, now: Instant, id: request::Id) {
         let Some(job) = self.jobs.get(&id) else { return };
-        // Endpoints of plain services do not tell their start.
-        if job.software.is_some() && self.are_entries_doubtful(now) {
-            return self.fail_exhausted(now, id, "version not proven");
-        }
         let barred = self.barred(job);
         let chosen = self.with_plain_view(now, job, |view| view.choose(&barred));
         let Some(endpoint) = chosen else { return self.no_endpoint(now, id) };
+        match job.software.is_some() {
+            true => self.prove_start(now, id, Proof { endpoint, source: None }),
+            false => self.send_plain_run(now, id, endpoint),
+        }
+    }
+
+    /// Sends a request to an endpoint.
+    pub(super) fn send_plain_run(
+        &mut self,
+        now: Instant,
+        id: request::Id,
+        endpoint: Arc<Endpoint>,
+    ) {
         let pace = self.stated_pace(now, &endpoint.id);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.phase = Phase::Running;
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -99,7 +99,7 @@
             Outcome::Refused { .. } if open.kind == Kind::Prefill => Signal::Declined,
             Outcome::Refused { .. } => Signal::Full,
             Outcome::Buffered { status } if *status >= FIRST_SERVER_ERROR => Signal::Error,
-            Outcome::FirstEvent | Outcome::Done => return,
+            Outcome::FirstEvent | Outcome::Done | Outcome::StartTold { .. } => return,
             _ => Signal::Success,
         };
         // A run may be refused because its computed prompt is lost, which is the fault of the
@@ -149,11 +149,7 @@
                 self.prefill_broken(now, id, sent);
             }
             (Kind::Prefill, _) => self.prefill_failed(now, id),
-            (Kind::Inspect, outcome)
-                if self.jobs.get(&id).is_some_and(|it| it.proof == Some(call)) =>
-            {
-                self.start_told(now, id, &outcome);
-            }
+            (Kind::QueryStart, outcome) => self.start_told(now, id, &outcome),
             (Kind::Inspect, outcome) => self.prompt_checked(now, id, &outcome),
             (Kind::Run, Outcome::Head { .. }) => self.start_relay(now, id, call),
             (Kind::Run, Outcome::FirstEvent) => self.first_event(now, id, call),
--- a/crates/gateway/src/state/starts.rs
+++ b/crates/gateway/src/state/starts.rs
@@ -1,48 +1,115 @@
-//! Proof that an engine has the start of its entry, before a stream goes on there.
+//! Proof that an endpoint has the start that its entry tells, before a stream goes on there.
 //!
-//! The version of an engine is known of a start of it; its entry may be of an earlier one while the store does not
-//! answer.
+//! The version of an endpoint is that of one start of it. An endpoint that starts again under its name, perhaps with
+//! another version, writes its entry only some time later, and while the store does not answer not at all; until then
+//! the entry that instances have read is that of the earlier start. So the endpoint is asked for its start first.
+//! Where it tells none, its answer has to come on a connection that has been open for longer than an endpoint takes to
+//! write its entry: what has accepted the connection, and still answers on it, has written the entry that was read.
+
+use std::time::Duration;
 
 use crate::{
     Instant,
     call::{self, Outcome},
     load::Load,
-    request,
+    record, request,
 };
 
-use super::{State, engine::SHORT_CALL_TIMEOUT, job::Plan};
+use super::{
+    State,
+    engine::SHORT_CALL_TIMEOUT,
+    job::{Plan, Proof},
+};
 
 impl State {
-    /// Asks an engine for its start, before a stream goes on there whose entry may be out of date.
-    pub(super) fn prove_start(&mut self, now: Instant, id: request::Id) {
+    /// Asks an endpoint for its start, before a stream goes on there.
+    pub(super) fn prove_start(&mut self, now: Instant, id: request::Id, proof: Proof) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let Some(slot) = &job.slot else { return };
-        job.proof = Some(call::Id(self.next_call));
         let plan = Plan {
-            endpoint: slot.endpoint.clone(),
-            step: call::Step::Inspect,
+            endpoint: proof.endpoint.clone(),
+            step: call::Step::QueryStart,
             timeout: Some(SHORT_CALL_TIMEOUT),
             load: Load::default(),
         };
+        job.proof = Some(proof);
         self.call(now, id, plan);
     }
 
-    /// Goes on at an engine that has the start of its entry, and so its version; looks for another one otherwise.
+    /// Goes on at an endpoint that has the start of its entry, and so its version; looks for another one otherwise.
     pub(super) fn start_told(&mut self, now: Instant, id: request::Id, outcome: &Outcome) {
+        let Some(proof) = self.jobs.get_mut(&id).and_then(|it| it.proof.take()) else { return };
+        let &Outcome::StartTold { started_at_ms: told, connection_age } = outcome else {
+            return self.go_on_elsewhere(now, id, &proof);
+        };
+        let lifetimes = &mut self.fleet.journaling.lifetimes;
+        let lifetime = lifetimes.record(now, &proof.endpoint.id, connection_age);
+        let missing = self.proving_age(now).saturating_sub(lifetime);
+        match told.zip(proof.endpoint.started_at_ms) {
+            Some((told, listed)) if told == listed => self.go_on(now, id, proof),
+            Some(_) => {
+                self.log_unproven(now, id, &proof, "other start");
+                self.fleet.journaling.unverified.record_start(&proof.endpoint);
+                self.go_on_elsewhere(now, id, &proof);
+            }
+            None if missing.is_zero() => self.go_on(now, id, proof),
+            None => {
+                self.log_unproven(now, id, &proof, "young connection");
+                self.await_proof(now, id, missing);
+            }
+        }
+    }
+
+    /// Sends a stream on at an endpoint whose start is proven.
+    fn go_on(&mut self, now: Instant, id: request::Id, proof: Proof) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        match job.slot.is_some() {
+            true => self.send_run(now, id, proof.source),
+            false => self.send_plain_run(now, id, proof.endpoint),
+        }
+    }
+
+    fn go_on_elsewhere(&mut self, now: Instant, id: request::Id, proof: &Proof) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.proof = None;
-        let Some(slot) = &job.slot else { return };
-        let endpoint = slot.endpoint.clone();
-        match outcome {
-            Outcome::Inspected { started_at_ms: Some(told), .. }
-                if endpoint.started_at_ms == Some(*told) =>
-            {
-                self.use_slot(now, id);
+        match job.slot.is_some() {
+            true => self.hold_failed(now, id),
+            false => {
+                job.excluded.push(proof.endpoint.id.clone());
+                self.send_plain(now, id);
             }
-            _ => {
-                self.fleet.journaling.unverified.record_start(&endpoint);
-                self.replace_slot(now, id);
+        }
+    }
+
+    /// Looks for a proof again, once, when an endpoint that lives on has lived for long enough.
+    fn await_proof(&mut self, now: Instant, id: request::Id, missing: Duration) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        match job.slot.is_some() {
+            true => self.hold_failed(now, id),
+            false if job.has_awaited_proof => self.fail_exhausted(now, id, "version not proven"),
+            false => {
+                job.has_awaited_proof = true;
+                job.prove_at = Some(now + missing);
+            }
+        }
+    }
+
+    /// Looks again for the proofs that are due.
+    pub(super) fn prove_again(&mut self, now: Instant) {
+        let due = self.jobs.values().filter(|it| it.prove_at.is_some_and(|at| at <= now));
+        for id in due.map(|it| it.id).collect::<Vec<_>>() {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.prove_at = None;
             }
+            self.send_plain(now, id);
         }
     }
+
+    fn log_unproven(&mut self, now: Instant, id: request::Id, proof: &Proof, cause: &'static str) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let line = job
+            .log_record(record::START_NOT_PROVEN, now)
+            .with("endpoint", &*proof.endpoint.id)
+            .with("software", &*proof.endpoint.version)
+            .with("cause", cause);
+        self.log(line);
+    }
 }
--- a/crates/gateway/tests/testsuite/generation.rs
+++ b/crates/gateway/tests/testsuite/generation.rs
@@ -57,7 +57,10 @@
         last_event: last_event.clone(),
     };
     site.report(first.id, broken);
-    let starts: Vec<Start> = site.calls().iter().map(start).collect();
+    let starts: Vec<Start> = match goes_on {
+        true => vec![start(&site.tell_start())],
+        false => site.calls().iter().map(start).collect(),
+    };
     let expected: Vec<Start> = last_event.into_iter().map(Start::After).collect();
     assert_eq!((starts, site.failure(id).is_none()), (expected, goes_on));
 }
@@ -133,7 +136,7 @@
         let hold = site.call();
         site.report(hold.id, Outcome::Held { hold: "h2".into() });
         // Another prefill would exceed the route's attempts.
-        let again = site.call();
+        let again = site.tell_start();
         assert_ne!(again.endpoint.id, run.endpoint.id);
         assert!(matches!(again.step, Step::Run { start: Start::After(id), .. } if &*id == "7"));
     }
--- a/crates/gateway/tests/testsuite/orders.rs
+++ b/crates/gateway/tests/testsuite/orders.rs
@@ -128,13 +128,7 @@
             match call.step {
                 Step::Inspect => {
                     let stage = Stage::Prefill;
-                    let outcome = Outcome::Inspected {
-                        stage,
-                        orders: 0,
-                        busy: false,
-                        requests: 0,
-                        started_at_ms: None,
-                    };
+                    let outcome = Outcome::Inspected { stage, orders: 0, busy: false, requests: 0 };
                     site.report(call.id, outcome);
                 }
                 Step::Order(order) => {
@@ -166,13 +160,7 @@
     let inspection = calls.pop().expect("an inspection");
     assert_eq!(inspection.step, Step::Inspect);
     site.post(Event::Evacuated(vec!["north".into()]));
-    let outcome = Outcome::Inspected {
-        stage: Stage::Prefill,
-        orders: 0,
-        busy: false,
-        requests: 0,
-        started_at_ms: None,
-    };
+    let outcome = Outcome::Inspected { stage: Stage::Prefill, orders: 0, busy: false, requests: 0 };
     site.report(inspection.id, outcome);
     site.advance(30_000);
     assert!(site.calls().is_empty());
--- a/crates/gateway/tests/testsuite/origins.rs
+++ b/crates/gateway/tests/testsuite/origins.rs
@@ -1,7 +1,7 @@
 //! Streams that callers take up, at any instance: they go on at the version that began them, and what
 //! is not known is refused.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use rstest::rstest;
 use siskinstile_gateway::{
@@ -74,7 +74,13 @@
     }
     let hold = fleet.instances[name].calls.pop().expect("a reservation");
     fleet.report(name, &hold, Outcome::Held { hold: "h".into() });
-    let run = fleet.instances[name].calls.pop().expect("a run");
+    let mut run = fleet.instances[name].calls.pop().expect("a run");
+    if run.step == Step::QueryStart {
+        let started_at_ms = run.endpoint.started_at_ms;
+        let connection_age = Duration::ZERO;
+        fleet.report(name, &run, Outcome::StartTold { started_at_ms, connection_age });
+        run = fleet.instances[name].calls.pop().expect("a run");
+    }
     fleet.report(name, &run, Outcome::Head { status: 200 });
     fleet.report(name, &run, Outcome::FirstEvent);
     Some(run.endpoint.version.clone())
@@ -177,7 +183,7 @@
     }
     let hold = site.call();
     site.report(hold.id, Outcome::Held { hold: "h".into() });
-    let run = site.call();
+    let run = site.tell_start();
     assert_eq!(run.endpoint.version, version);
     assert!(matches!(run.step, Step::Run { start: Start::After(_), .. }));
 }
--- a/crates/gateway/tests/testsuite/prompts.rs
+++ b/crates/gateway/tests/testsuite/prompts.rs
@@ -40,13 +40,7 @@
 }
 
 fn report(requests: u32) -> Outcome {
-    Outcome::Inspected {
-        stage: Stage::Prefill,
-        orders: 0,
-        busy: false,
-        requests,
-        started_at_ms: None,
-    }
+    Outcome::Inspected { stage: Stage::Prefill, orders: 0, busy: false, requests }
 }
 
 /// An engine that is at work is not abandoned, and its prompt is used.
--- a/crates/gateway/tests/testsuite/simulation.rs
+++ b/crates/gateway/tests/testsuite/simulation.rs
@@ -176,6 +176,7 @@
             propagation: Duration::from_secs(4),
             drain: Duration::from_millis(3_500),
             grace: Duration::from_secs(8),
+            entry_interval: Duration::from_millis(1_200),
         });
         let instance = Instance {
             state,
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -220,6 +220,17 @@
         })
     }
 
+    /// Answers the question for the start of an endpoint with the start that its entry tells; returns the call
+    /// that follows.
+    pub(crate) fn tell_start(&mut self) -> Call {
+        let question = self.call();
+        assert_eq!(question.step, Step::QueryStart);
+        let started_at_ms = question.endpoint.started_at_ms;
+        let connection_age = Duration::ZERO;
+        self.report(question.id, Outcome::StartTold { started_at_ms, connection_age });
+        self.call()
+    }
+
     /// Advances a generation to the run at the decode engine and returns that call.
     pub(crate) fn run_generation(&mut self) -> Call {
         let hold = self.call();
@@ -256,6 +267,7 @@
         propagation: Duration::from_secs(3),
         drain: Duration::from_millis(3_500),
         grace: Duration::from_secs(8),
+        entry_interval: Duration::from_millis(1_200),
     }
 }
 
--- a/crates/gateway/tests/testsuite/starts.rs
+++ b/crates/gateway/tests/testsuite/starts.rs
@@ -1,19 +1,21 @@
 //! Endpoints that have started again, perhaps with another version, since their entries were written.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use rstest::rstest;
 use siskinstile_gateway::{
-    Directory, Event,
+    Catalog, Directory, Event, Instant, Name,
     call::{Outcome, Step},
-    directory::{Endpoint, Stage},
+    catalog::Split,
+    directory::Endpoint,
     effect::Call,
+    origin::Lifetimes,
     request::Id,
 };
 
 use crate::{
     origins::{arrival, engine},
-    site::Site,
+    site::{Site, draft, plain_endpoint},
 };
 
 /// Guards against an endpoint that has restarted under its name with another version, while its entry
@@ -57,37 +59,114 @@
     assert_eq!(is_sent, goes_on);
 }
 
-/// Guards against a stream that goes on at an endpoint that was upgraded in place while the store does not answer, so that
-/// its entry still tells the old version: the endpoint has to tell the start that its entry has.
-#[rstest]
-#[case::same_start(Some(1), true)]
-#[case::other_start(Some(2), false)]
-#[case::not_told(None, false)]
-fn start_proven(#[case] told: Option<u64>, #[case] goes_on: bool) {
+/// Time in which an endpoint has written its entry after a start, for the test's interval of 1.2 s.
+const ENTRY_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// Returns the outcome of a run that is cut after some events.
+fn cut() -> Outcome {
+    let (sent, unresponsive, ended, closed, cause) = (true, false, true, false, "stream cut");
+    Outcome::Failed { sent, unresponsive, ended, closed, last_event: Some("3".into()), cause }
+}
+
+/// Returns the runs among the calls made since the last query.
+fn runs(site: &mut Site) -> Vec<Call> {
+    let mut calls = site.calls();
+    calls.retain(|it| matches!(it.step, Step::Run { .. }));
+    calls
+}
+
+/// Starts two endpoints of `v1` at a service, and a stream at one of them that is cut; returns the question for the
+/// start of the other one.
+fn broken_stream(service: &str, store_serves: bool) -> (Site, Call) {
     let mut site = Site::configured();
+    site.advance(10_000);
     let engines = [engine(1, "v1"), engine(2, "v1")];
+    let plain = ["r1", "r2"].map(|it| plain_endpoint(it, "north"));
     let started = |it: Endpoint| Endpoint { started_at_ms: Some(1), ..it };
-    let listed = Directory::new(engines.map(started));
+    let listed = Directory::new(engines.into_iter().chain(plain).map(started));
     site.post(Event::EndpointsListed(Arc::new(listed)));
+    let mut draft = draft(2);
+    for route in &mut draft.routes {
+        route.splits = vec![Split { service: service.into(), weight: 1 }];
+    }
+    let catalog = Catalog::check(draft).expect("the draft is sound");
+    site.post(Event::Configured(Arc::new(catalog)));
     site.post(arrival(1, None));
-    let hold = site.call();
-    site.report(hold.id, Outcome::Held { hold: "h".into() });
-    let run = site.call();
+    let run = reach_run(&mut site);
     site.report(run.id, Outcome::Head { status: 200 });
     site.report(run.id, Outcome::FirstEvent);
-    site.post(Event::StoreContact(false));
-    let (sent, unresponsive, ended, closed, cause) = (true, false, true, false, "stream cut");
-    let last_event = Some("3".into());
-    let broken = Outcome::Failed { sent, unresponsive, ended, closed, last_event, cause };
-    site.report(run.id, broken);
-    let hold = site.call();
-    assert_ne!(hold.endpoint.id, run.endpoint.id);
-    site.report(hold.id, Outcome::Held { hold: "h".into() });
-    let inspection = site.call();
-    assert_eq!(inspection.step, Step::Inspect);
-    let (stage, started_at_ms) = (Stage::Decode, told);
-    let report = Outcome::Inspected { stage, orders: 0, busy: false, requests: 0, started_at_ms };
-    site.report(inspection.id, report);
-    let is_run = |it: &Call| matches!(it.step, Step::Run { .. });
-    assert_eq!(site.calls().iter().any(is_run), goes_on);
+    if !store_serves {
+        site.post(Event::StoreContact(false));
+    }
+    site.report(run.id, cut());
+    let question = reach_run(&mut site);
+    assert_eq!(question.step, Step::QueryStart);
+    assert_ne!(question.endpoint.id, run.endpoint.id);
+    (site, question)
+}
+
+/// Grants the reservation that was asked for, if any, and returns the call that follows.
+fn reach_run(site: &mut Site) -> Call {
+    let call = site.call();
+    match call.step {
+        Step::Hold { .. } => {
+            site.report(call.id, Outcome::Held { hold: "h".into() });
+            site.call()
+        }
+        _ => call,
+    }
+}
+
+/// Guards against a stream that goes on at an endpoint that was upgraded in place, while its entry still tells the old
+/// version: since the store does not answer, or since the endpoint has not written it yet. It is sent only after the
+/// endpoint has told the start of its entry, or has answered on a connection from before any start without an entry.
+#[rstest]
+#[case::same_start(Some(1), Duration::ZERO, true)]
+#[case::other_start(Some(2), ENTRY_LIMIT, false)]
+#[case::not_told(None, Duration::ZERO, false)]
+#[case::old_connection(None, ENTRY_LIMIT, true)]
+fn start_proven(
+    #[case] started_at_ms: Option<u64>,
+    #[case] connection_age: Duration,
+    #[case] goes_on: bool,
+    #[values("model", "registry")] service: &str,
+    #[values(true, false)] store_serves: bool,
+) {
+    let (mut site, question) = broken_stream(service, store_serves);
+    // What was read before an outage is older.
+    let outage = if store_serves { Duration::ZERO } else { Duration::from_secs(1) };
+    let connection_age = connection_age + outage;
+    site.report(question.id, Outcome::StartTold { started_at_ms, connection_age });
+    assert_eq!(runs(&mut site).len(), usize::from(goes_on));
+}
+
+/// Guards against a stream that is lost since its next endpoint does not tell its start: it is sent once the connection
+/// has been open for long enough, and fails only if there is none then either.
+#[rstest]
+#[case::later(ENTRY_LIMIT, true)]
+#[case::never(Duration::ZERO, false)]
+fn start_awaited(#[case] connection_age: Duration, #[case] goes_on: bool) {
+    let (mut site, question) = broken_stream("registry", true);
+    let told = |connection_age| Outcome::StartTold { started_at_ms: None, connection_age };
+    site.report(question.id, told(Duration::from_millis(500)));
+    site.advance(1_900);
+    assert!(site.calls().is_empty());
+    site.advance(200);
+    let question = site.call();
+    site.report(question.id, told(connection_age));
+    assert_eq!(runs(&mut site).len(), usize::from(goes_on));
+    assert_eq!(site.failure(Id(1)).is_none(), goes_on);
+}
+
+/// Guards against streams that are lost since others use the old connections to their next endpoint: an answer on a
+/// connection that was opened before the endpoint's last answer is one of the same start.
+#[test]
+fn lifetimes_joined() {
+    let mut lifetimes = Lifetimes::default();
+    let (name, ms) = (Name::from("r1"), Duration::from_millis);
+    let mut record = |at: u64, age: u64| lifetimes.record(Instant::from_millis(at), &name, ms(age));
+    assert_eq!(record(10_000, 3_000), ms(3_000));
+    assert_eq!(record(10_100, 200), ms(3_100));
+    assert_eq!(record(10_200, 50), ms(50), "it may have started again after 10.1 s");
+    assert_eq!(record(10_300, 200), ms(200));
 }
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -127,6 +127,7 @@
     let started = time::Instant::now();
     let reuse = match call.step {
         Step::Run { .. } => Reuse::Unrefused,
+        Step::QueryStart => Reuse::Oldest,
         _ => Reuse::Any,
     };
     let max_connections = call.max_connections as usize;
@@ -195,9 +196,15 @@
             return report_failed(control, call, Some(&response), fault.into(), None).await;
         }
     };
+    let connection_age = connection.age();
     return_connection(control, connection, &response);
     let protocol = &control.protocol;
     let outcome = match call.step {
+        // An endpoint need not know the question; it has answered on the connection all the same.
+        Step::QueryStart if !response.not_run && !head.status.is_server_error() => {
+            let started_at_ms = protocol.read_start(&body).filter(|_| head.status.is_success());
+            Outcome::StartTold { started_at_ms, connection_age }
+        }
         _ if response.not_run || !head.status.is_success() => Outcome::Refused { status },
         Step::Hold { .. } => {
             protocol.read_hold(&body).map(|hold| Outcome::Held { hold }).into_or_unreadable()
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -75,6 +75,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     open_counts: Rc<RefCell<HashMap<SocketAddr, usize>>>,
+    opened_at: Instant,
     /// Time until which it may be reused while it is idle.
     reusable_until: Instant,
     /// Whether a refusal has arrived on it, which the server may repeat as the response to a later
@@ -88,6 +89,11 @@
     pub fn record_refusal(&mut self) {
         self.has_refused = true;
     }
+
+    /// Returns the time for which it has been open.
+    pub fn age(&self) -> Duration {
+        self.opened_at.elapsed()
+    }
 }
 
 /// Which idle connections a request may be sent on.
@@ -97,6 +103,8 @@
     Any,
     /// Those on which no refusal has arrived.
     Unrefused,
+    /// Any, preferably the one that has been open for longest.
+    Oldest,
 }
 
 impl Drop for Connection {
@@ -231,6 +239,10 @@
         let pool = idle.get_mut(&address)?;
         let now = Instant::now();
         pool.retain(|it| it.reusable_until > now && it.sender.is_ready());
+        if reuse == Reuse::Oldest {
+            let oldest = (0..pool.len()).min_by_key(|it| pool[*it].opened_at)?;
+            return Some(pool.remove(oldest));
+        }
         let is_usable = |it: &Connection| reuse == Reuse::Any || !it.has_refused;
         // Those that only few requests may use go first.
         let refused = pool.iter().rposition(|it| is_usable(it) && it.has_refused);
@@ -277,6 +289,7 @@
             sender,
             task: task.abort_handle(),
             open_counts,
+            opened_at: Instant::now(),
             reusable_until: Instant::now(),
             has_refused: false,
         })
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -76,6 +76,7 @@
             propagation: settings.propagation,
             drain: DRAIN,
             grace: settings.grace,
+            entry_interval: settings.entry_interval,
         });
         let (sender, heartbeats) = mpsc::unbounded_channel();
         let (quarantine, quarantine_changes) = mpsc::unbounded_channel();
--- a/crates/gatewayd/src/protocol.rs
+++ b/crates/gatewayd/src/protocol.rs
@@ -91,6 +91,9 @@
     /// is malformed.
     fn read_handle(&self, body: &[u8]) -> Option<(Name, u64)>;
 
+    /// Parses the time of an endpoint's start, in Unix milliseconds; `None` if the body does not tell it.
+    fn read_start(&self, body: &[u8]) -> Option<u64>;
+
     /// Parses an engine's status report; `None` if the body is malformed.
     fn read_report(&self, body: &[u8]) -> Option<Outcome>;
 
--- a/crates/gatewayd/src/settings.rs
+++ b/crates/gatewayd/src/settings.rs
@@ -58,6 +58,8 @@
     pub removal_limit: Duration,
     /// Time between the signal to stop and the end of the process.
     pub grace: Duration,
+    /// Time between two entries that an endpoint writes.
+    pub entry_interval: Duration,
     /// Lowest severity at which diagnostics are logged.
     pub log_level: LevelFilter,
     /// Limit on the memory of the process, in bytes, if it is known.
