Gateway: a stream that began at an endpoint whose restart was not listed yet is of the version that its entry tells later

Found by reading, on the other side of the same cause: the version at which a stream begins is taken from the entry at the time when the run is sent; an endpoint that had started again by then, and had written nothing, makes the events of its new version, and the stream went on at endpoints of the old one. Where the clocks do not show which came first (0.25 s), the stream is of no version and is not taken up. Not covered: a stream that breaks off before the entry is read.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -33,6 +33,11 @@
 #[value(id)]
 pub struct Software(pub NameHash);
 
+impl Software {
+    /// The version of a stream of which it cannot be known; no endpoint has it.
+    pub const UNKNOWN: Software = Software(NameHash(0));
+}
+
 /// An endpoint as listed by the platform.
 #[value]
 pub struct Endpoint {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -105,6 +105,8 @@
 pub const REGION_UNKNOWN: Code = code(759, Level::Warn, "region without data centre");
 /// An endpoint does not get a stream that goes on, as its start is not the one that its entry tells.
 pub const START_NOT_PROVEN: Code = code(775, Level::Info, "start of an endpoint not proven");
+/// The version of a stream was corrected, as its endpoint had started again before the stream began there.
+pub const ORIGIN_CORRECTED: Code = code(776, Level::Info, "version of a stream corrected");
 
 /// The origins of a service's streams are journaled in the store, or no longer.
 pub const JOURNALING: Code = code(751, Level::Info, "journal of origins");
@@ -175,6 +177,7 @@
     INNER_FAULT,
     VALUE_CLAMPED,
     START_NOT_PROVEN,
+    ORIGIN_CORRECTED,
 ];
 
 /// A log line: the event, its request and the inputs of the decision.
--- a/crates/gateway/src/state/journal.rs
+++ b/crates/gateway/src/state/journal.rs
@@ -84,6 +84,7 @@
     pub(super) fn observe_versions(&mut self, now: Instant) {
         self.fleet.journaling.unverified.record_list(&self.listed);
         self.fleet.journaling.lifetimes.retain_listed(&self.listed);
+        self.correct_origins(now);
         let Some(catalog) = self.catalog.clone() else { return };
         for service in catalog.resumable_services() {
             let versions = self.listed.versions(service);
--- a/crates/gateway/src/state/origins.rs
+++ b/crates/gateway/src/state/origins.rs
@@ -32,14 +32,23 @@
     /// can reach the caller.
     pub(super) fn tell_origin(&mut self, now: Instant, id: request::Id, plan: &Plan) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let (Some(stream), call::Step::Run { .. }) = (job.stream, &plan.step) else { return };
+        if !matches!(plan.step, call::Step::Run { .. }) {
+            return;
+        }
         // Once an event has been relayed the version stays.
         let has_begun_here = job.last_event.is_none() || job.sends > 1;
         if job.software.is_some() && has_begun_here {
             return;
         }
+        self.tell_version(now, id, plan.endpoint.software());
+    }
+
+    /// Tells peers the version at which the last run of a stream begins.
+    pub(super) fn tell_version(&mut self, now: Instant, id: request::Id, software: Software) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(stream) = job.stream else { return };
         let run = if job.resumes.is_some() { 0 } else { job.sends };
-        let origin = Origin { software: plan.endpoint.software(), run };
+        let origin = Origin { software, run };
         self.fleet.origins.record(now, stream, origin);
         let members = self.fleet.members.reachable_places(now);
         let holders = origin::told(stream, &self.settings.datacentre, members);
--- a/crates/gateway/src/state/starts.rs
+++ b/crates/gateway/src/state/starts.rs
@@ -6,11 +6,12 @@
 //! Where it tells none, its answer has to come on a connection that has been open for longer than an endpoint takes to
 //! write its entry: what has accepted the connection, and still answers on it, has written the entry that was read.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     Instant,
     call::{self, Outcome},
+    directory::{Endpoint, Software},
     load::Load,
     record, request,
 };
@@ -18,9 +19,21 @@
 use super::{
     State,
     engine::SHORT_CALL_TIMEOUT,
-    job::{Plan, Proof},
+    job::{Kind, OpenCall, Plan, Proof},
 };
 
+/// Difference between the clocks of an endpoint and an instance up to which it is known which came first.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_millis(250);
+
+/// The version of a stream that began at an endpoint of which an earlier start was known.
+struct Correction {
+    call: call::Id,
+    request: request::Id,
+    /// The endpoint as it is listed now.
+    endpoint: Arc<Endpoint>,
+    software: Software,
+}
+
 impl State {
     /// Asks an endpoint for its start, before a stream goes on there.
     pub(super) fn prove_start(&mut self, now: Instant, id: request::Id, proof: Proof) {
@@ -103,6 +116,47 @@
         }
     }
 
+    /// Corrects the versions of streams that began at an endpoint which had started again and not written its entry
+    /// yet: a run that began after a start is one of that start.
+    pub(super) fn correct_origins(&mut self, now: Instant) {
+        let corrections: Vec<Correction> =
+            self.calls.iter().filter_map(|(id, open)| self.correction(now, *id, open)).collect();
+        for Correction { call, request, endpoint, software } in corrections {
+            if let Some(open) = self.calls.get_mut(&call) {
+                open.endpoint = endpoint.clone();
+            }
+            let Some(job) = self.jobs.get_mut(&request) else { continue };
+            job.software = job.software.map(|_| software);
+            let line = job
+                .log_record(record::ORIGIN_CORRECTED, now)
+                .with("endpoint", &*endpoint.id)
+                .with("software", &*endpoint.version)
+                .with("known", software != Software::UNKNOWN);
+            self.log(line);
+            self.tell_version(now, request, software);
+            self.journal_begun(now, request);
+        }
+    }
+
+    /// Returns the correction of a first run, if its endpoint's entry tells a later start than when it was sent.
+    fn correction(&self, now: Instant, call: call::Id, open: &OpenCall) -> Option<Correction> {
+        let request = open.request.filter(|_| open.kind == Kind::Run)?;
+        let job = self.jobs.get(&request).filter(|it| it.last_event.is_none())?;
+        let listed = self.listed.get(&open.endpoint.id)?;
+        let is_later = listed.started_at_ms? > open.endpoint.started_at_ms?;
+        if !is_later || job.resumes.is_some() || listed.version == open.endpoint.version {
+            return None;
+        }
+        let (run_age, start_age) = (now.since(open.started), self.listed.age(listed)?);
+        let software = match () {
+            () if run_age + MAX_CLOCK_DIFFERENCE <= start_age => listed.software(),
+            () if run_age < start_age + MAX_CLOCK_DIFFERENCE => Software::UNKNOWN,
+            // The run is one of the earlier start, and about to break off.
+            () => return None,
+        };
+        Some(Correction { call, request, endpoint: listed.clone(), software })
+    }
+
     fn log_unproven(&mut self, now: Instant, id: request::Id, proof: &Proof, cause: &'static str) {
         let Some(job) = self.jobs.get(&id) else { return };
         let line = job
--- a/crates/gateway/tests/testsuite/starts.rs
+++ b/crates/gateway/tests/testsuite/starts.rs
@@ -158,6 +158,40 @@
     assert_eq!(site.failure(Id(1)).is_none(), goes_on);
 }
 
+/// Guards against a stream that is joined from two versions since it began at an endpoint that had started again with
+/// another version and written no entry yet: once the entry is read, the stream is one of the version that it tells, or
+/// of none if the clocks do not show whether the start came first.
+#[rstest]
+#[case::started_before(1_200, Some("v2"))]
+#[case::at_once(550, None)]
+#[case::started_after(100, Some("v1"))]
+fn began_unlisted(#[case] start_age_ms: u64, #[case] goes_on_at: Option<&str>) {
+    let mut site = Site::configured();
+    site.advance(10_000);
+    let entry = |number, version: &str, started_at_ms| Endpoint {
+        id: format!("e-{number}").into(),
+        started_at_ms: Some(started_at_ms),
+        ..engine(number, version)
+    };
+    let first = Directory::new([entry(1, "v1", 1)]);
+    site.post(Event::EndpointsListed(Arc::new(first)));
+    site.post(arrival(1, None));
+    let run = reach_run(&mut site);
+    site.report(run.id, Outcome::Head { status: 200 });
+    site.report(run.id, Outcome::FirstEvent);
+    site.advance(500);
+    let read_at_ms = 1_000_000;
+    let started_at_ms = read_at_ms - start_age_ms;
+    let entries = [entry(1, "v2", started_at_ms), entry(2, "v1", 1), entry(3, "v2", 1)];
+    let listed = Directory::new(entries).read_at(read_at_ms);
+    site.post(Event::EndpointsListed(Arc::new(listed)));
+    site.report(run.id, cut());
+    let holds = site.calls().into_iter().filter(|it| matches!(it.step, Step::Hold { .. }));
+    let version = holds.map(|it| it.endpoint.version.clone()).next();
+    assert_eq!(version.as_deref(), goes_on_at);
+    assert_eq!(site.failure(Id(1)).is_some(), goes_on_at.is_none());
+}
+
 /// Guards against streams that are lost since others use the old connections to their next endpoint: an answer on a
 /// connection that was opened before the endpoint's last answer is one of the same start.
 #[test]
