Gateway, gatewayd: what shows that endpoints are reached is an answer, not an accepted connection

Cause: a probe counted an accepted connection as reach, and calls that were closed without an answer were no reason to probe. Change: a probe asks for the start of an endpoint on a new connection and needs an answer, of any status; calls that end without one at two endpoints within 1 s put the reach in doubt like connections that cannot be opened. Endpoints that are cold, limited or want no calls are not asked.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -37,8 +37,8 @@
     Probed {
         /// The round that it belongs to.
         round: u64,
-        /// Whether the endpoint has accepted a connection.
-        accepted: bool,
+        /// Whether the endpoint has answered on a new connection.
+        answered: bool,
     },
     /// A handover has made progress or ended.
     HandedOver(handover::Report),
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,8 +1,8 @@
 //! Whether this instance reaches any endpoint, as shown by what arrives and by probes.
 //!
-//! A probe opens a connection to an endpoint. Silence, or connections that cannot be opened, put the
-//! reach in doubt; a round of probes decides. What arrives over open connections shows nothing of new
-//! ones, so only an accepted connection ends a cut.
+//! A probe asks an endpoint a question on a new connection. Silence, or calls to several endpoints that end without
+//! an answer, put the reach in doubt; a round of probes decides. What arrives over open connections shows nothing of
+//! new ones, and an accepted connection nothing of what is behind, so only an answer on a new one ends a cut.
 
 use std::time::Duration;
 
@@ -17,10 +17,10 @@
 const MAX_SILENCE: Duration = Duration::from_millis(400);
 /// The same for a request that arrives while no call is open.
 const MAX_IDLE_SILENCE: Duration = Duration::from_secs(1);
-/// Time within which connections that cannot be opened to several endpoints put the reach in doubt.
-const UNOPENED_TIME: Duration = Duration::from_secs(1);
+/// Time within which calls without an answer to several endpoints put the reach in doubt.
+const UNANSWERED_TIME: Duration = Duration::from_secs(1);
 /// Number of these endpoints.
-const MAX_UNOPENED: usize = 2;
+const MAX_UNANSWERED: usize = 2;
 /// Probes of the first part of a round.
 const FIRST_PROBES: usize = 2;
 /// Probes of the second part, if the first ones fail.
@@ -35,8 +35,8 @@
 pub enum Cause {
     /// No endpoint has sent anything for some time.
     Silent,
-    /// Connections could not be opened.
-    Unopened,
+    /// Connections could not be opened, or were closed without an answer.
+    Unanswered,
 }
 
 impl Cause {
@@ -44,7 +44,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Cause::Silent => "endpoints silent",
-            Cause::Unopened => "connections not opened",
+            Cause::Unanswered => "calls not answered",
         }
     }
 }
@@ -62,9 +62,9 @@
 /// A change of the state.
 #[value(eq)]
 pub enum Change {
-    /// No probe of a round was accepted.
+    /// No probe of a round was answered.
     CutOff(Cause),
-    /// A connection was accepted again.
+    /// A probe was answered again.
     Returned,
     /// A round has ended, and endpoints are reached.
     Confirmed,
@@ -73,10 +73,10 @@
 /// The reach of one instance.
 #[value(default)]
 pub struct Reach {
-    /// When an endpoint last sent something or accepted a connection.
+    /// When an endpoint last sent something.
     last_sign: Instant,
-    /// Endpoints to which no connection could be opened, since one could be opened to any.
-    unopened: IndexMap<Name, Instant>,
+    /// Endpoints that a call had no answer from, since a probe of any was answered.
+    unanswered: IndexMap<Name, Instant>,
     round: Option<Round>,
     /// Number of the last round.
     number: u64,
@@ -90,9 +90,9 @@
         self.last_sign = now;
     }
 
-    /// Records that no connection could be opened to an endpoint.
-    pub fn record_unopened(&mut self, now: Instant, endpoint: &Name) {
-        self.unopened.insert(endpoint.clone(), now);
+    /// Records that a call to an endpoint had no answer, as its connection was not opened or was closed.
+    pub fn record_unanswered(&mut self, now: Instant, endpoint: &Name) {
+        self.unanswered.insert(endpoint.clone(), now);
     }
 
     /// Returns since when no endpoint is reached; `None` if any is.
@@ -112,13 +112,13 @@
 
     /// Returns the number of probes to start now, given the start of the oldest open call.
     pub fn due_probes(&mut self, now: Instant, oldest_call: Option<Instant>) -> usize {
-        self.unopened.retain(|_, at| now.since(*at) < UNOPENED_TIME);
+        self.unanswered.retain(|_, at| now.since(*at) < UNANSWERED_TIME);
         match (self.round.is_some(), self.cut_off_since) {
             (true, _) => 0,
             (false, Some(_)) if now < self.last_round + RETURN_INTERVAL => 0,
             (false, Some(_)) => self.start_round(now, Cause::Silent),
-            (false, None) if self.unopened.len() >= MAX_UNOPENED => {
-                self.start_round(now, Cause::Unopened)
+            (false, None) if self.unanswered.len() >= MAX_UNANSWERED => {
+                self.start_round(now, Cause::Unanswered)
             }
             (false, None) if self.silence_end(oldest_call).is_some_and(|it| it <= now) => {
                 self.start_round(now, Cause::Silent)
@@ -176,18 +176,18 @@
         &mut self,
         now: Instant,
         number: u64,
-        accepted: bool,
+        answered: bool,
     ) -> (usize, Option<Change>) {
-        match accepted {
-            true => (0, self.record_accepted(now)),
+        match answered {
+            true => (0, self.record_answered(now)),
             false if number == self.number => self.record_failed(now),
             false => (0, None),
         }
     }
 
-    fn record_accepted(&mut self, now: Instant) -> Option<Change> {
+    fn record_answered(&mut self, now: Instant) -> Option<Change> {
         self.last_sign = now;
-        self.unopened.clear();
+        self.unanswered.clear();
         let confirmed = self.round.take().map(|_| Change::Confirmed);
         match self.cut_off_since.take() {
             Some(_) => Some(Change::Returned),
@@ -214,7 +214,7 @@
         }
     }
 
-    /// Ends a round in which no probe was accepted.
+    /// Ends a round in which no probe was answered.
     fn conclude(&mut self, now: Instant) -> Option<Change> {
         let round = self.round.take()?;
         self.last_round = now;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -275,7 +275,7 @@
             Event::Disconnected(request) => self.caller_disconnected(now, request),
             Event::Report(report) => self.handle_report(now, report),
             Event::Progress => self.reach.record_sign(now),
-            Event::Probed { round, accepted } => self.handle_probe(now, round, accepted),
+            Event::Probed { round, answered } => self.handle_probe(now, round, answered),
             Event::HandedOver(report) => self.handle_handover(now, report),
             Event::Heartbeat(heartbeat) => self.handle_heartbeat(now, *heartbeat),
             Event::Quarantined(reports) => self.record_suspects(now, reports.into_iter(), "store"),
--- a/crates/gateway/src/state/reach.rs
+++ b/crates/gateway/src/state/reach.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Effect, Instant, Name,
-    call::Outcome,
+    call::{self, Outcome},
     directory::{Endpoint, Readiness},
     name_hash::NameHash,
     reach::{Cause, Change},
@@ -25,10 +25,17 @@
 
 impl State {
     /// Records what the outcome of a call shows of the reach.
-    pub(super) fn record_reach(&mut self, now: Instant, endpoint: &Name, outcome: &Outcome) {
+    pub(super) fn record_reach(&mut self, now: Instant, report: call::Id, outcome: &Outcome) {
+        let Some(open) = self.calls.get(&report) else { return };
+        let job = open.request.and_then(|it| self.jobs.get(&it));
+        let has_answered = job.is_some_and(|it| it.relaying == Some(report));
         match outcome {
+            // Whatever accepted the connection has closed it without an answer.
+            Outcome::Failed { sent: true, unresponsive: false, .. } if !has_answered => {
+                self.reach.record_unanswered(now, &open.endpoint.id);
+            }
             Outcome::Failed { sent: false, unresponsive: true, .. } => {
-                self.reach.record_unopened(now, endpoint);
+                self.reach.record_unanswered(now, &open.endpoint.id);
             }
             Outcome::Failed { .. } => {}
             _ => self.reach.record_sign(now),
@@ -47,7 +54,7 @@
             return outcome;
         };
         if ended {
-            self.reach.record_unopened(now, endpoint);
+            self.reach.record_unanswered(now, endpoint);
         }
         let is_own_fault = self.reach.is_in_doubt() || self.reach.cut_off_since().is_some();
         let (ended, closed) = (ended && !is_own_fault, closed && !is_own_fault);
@@ -91,8 +98,8 @@
     }
 
     /// Records the end of a probe.
-    pub(super) fn handle_probe(&mut self, now: Instant, round: u64, accepted: bool) {
-        let (further, change) = self.reach.record_probe(now, round, accepted);
+    pub(super) fn handle_probe(&mut self, now: Instant, round: u64, answered: bool) {
+        let (further, change) = self.reach.record_probe(now, round, answered);
         if further > 0 {
             self.start_probes(now, further);
         }
@@ -102,7 +109,7 @@
     }
 
     fn start_probes(&mut self, now: Instant, count: usize) {
-        let chosen = self.probe_targets(count);
+        let chosen = self.probe_targets(now, count);
         let round = self.reach.round();
         let change = self.reach.set_started(now, chosen.len());
         for endpoint in chosen {
@@ -116,15 +123,22 @@
 
     /// Returns endpoints that the round has not probed: of different services as far as possible, those
     /// of the own data centre first.
-    fn probe_targets(&self, count: usize) -> Vec<Arc<Endpoint>> {
+    fn probe_targets(&self, now: Instant, count: usize) -> Vec<Arc<Endpoint>> {
         let round = self.reach.round().to_le_bytes();
         let own = self.settings.incarnation.to_le_bytes();
         let order = |it: &Arc<Endpoint>| {
             let is_remote = it.datacentre != self.settings.datacentre;
             (is_remote, NameHash::of_all([it.id.as_bytes(), &round[..], &own[..]]))
         };
+        let may_be_asked = |it: &Endpoint| {
+            let is_cold = self.fleet.warm_up.remaining(now, it).is_some();
+            let wants_no_calls = self.fleet.health.backoff(now, &it.id).is_some();
+            let is_limited = self.fleet.limits.is_limited(now, it);
+            !is_cold && !wants_no_calls && !is_limited && !self.is_evacuated(it)
+        };
         let is_usable = |it: &&Arc<Endpoint>| {
-            it.readiness != Readiness::Draining && !self.doubt.probed.contains(&it.id)
+            let is_probed = self.doubt.probed.contains(&it.id);
+            it.readiness != Readiness::Draining && !is_probed && may_be_asked(it)
         };
         let mut candidates: Vec<Arc<Endpoint>> =
             self.directory.iter().filter(is_usable).cloned().collect();
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -48,7 +48,7 @@
         }
         let outcome = check_not_run_status(outcome);
         self.record_health(now, &open, &outcome);
-        self.record_reach(now, &open.endpoint.id, &outcome);
+        self.record_reach(now, report.call, &outcome);
         self.record_connection(&open.endpoint, &outcome);
         let is_intermediate = matches!(outcome, Outcome::Head { .. } | Outcome::FirstEvent);
         if !is_intermediate {
--- a/crates/gateway/tests/testsuite/handover.rs
+++ b/crates/gateway/tests/testsuite/handover.rs
@@ -43,7 +43,7 @@
     /// The same for an instance that is cut off and has noticed it.
     fn cut_off(datacentres: &[&str]) -> Fleet {
         let mut fleet = Fleet::open(datacentres);
-        fleet.site.accepts = Some(false);
+        fleet.site.answers = Some(false);
         fleet.site.advance(NOTICE_MS);
         fleet.beat();
         fleet.site.send("/lookup/");
@@ -129,7 +129,7 @@
 #[case::start(0)]
 fn first_request_after_silence(#[case] silence_ms: u64) {
     let mut fleet = Fleet::open(&["north"]);
-    fleet.site.accepts = None;
+    fleet.site.answers = None;
     fleet.advance(silence_ms);
     fleet.site.effects.clear();
     let id = fleet.site.send("/issue/");
@@ -140,7 +140,7 @@
             _ => None,
         });
         let round = round.expect("probes");
-        fleet.site.post(Event::Probed { round, accepted: false });
+        fleet.site.post(Event::Probed { round, answered: false });
     }
     let handovers = fleet.handovers();
     assert_eq!(handovers.iter().map(|it| it.request).collect::<Vec<_>>(), [id]);
@@ -153,7 +153,7 @@
     let mut fleet = Fleet::cut_off(&["north"]);
     fleet.site.send("/lookup/");
     assert_eq!(fleet.handovers().len(), 1);
-    fleet.site.accepts = Some(true);
+    fleet.site.answers = Some(true);
     fleet.advance(RETURN_MS);
     assert_eq!(fleet.logged(record::CONNECTED.number), 1);
     fleet.site.calls();
@@ -353,7 +353,7 @@
     let issue = fleet.site.send("/issue/");
     let holds = fleet.site.calls().iter().filter(|it| matches!(it.step, Step::Hold { .. })).count();
     assert_eq!(holds, 1);
-    fleet.site.accepts = Some(false);
+    fleet.site.answers = Some(false);
     fleet.advance(NOTICE_MS);
     let moved: Vec<Id> = fleet.handovers().iter().map(|it| it.request).collect();
     assert!(moved.contains(&lookup) && moved.contains(&prompt) && !moved.contains(&issue));
@@ -366,7 +366,7 @@
     let mut fleet = Fleet::open(&["north"]);
     let stream = fleet.site.send("/review-again/");
     fleet.site.run_generation();
-    fleet.site.accepts = Some(false);
+    fleet.site.answers = Some(false);
     fleet.advance(NOTICE_MS);
     assert_eq!(fleet.logged(record::CUT_OFF.number), 1);
     assert!(!fleet.handovers().iter().any(|it| it.request == stream));
@@ -380,13 +380,13 @@
     for _ in 0..6 {
         fleet.site.send_content("/lookup/", &[], NameHash(7));
     }
-    fleet.site.accepts = None;
+    fleet.site.answers = None;
     for call in fleet.site.calls() {
         fleet.site.report(call.id, ended());
         fleet.advance(200);
     }
     fleet.site.effects.clear();
-    fleet.site.accepts = Some(true);
+    fleet.site.answers = Some(true);
     fleet.advance(500);
     assert_eq!(fleet.logged(record::REQUEST_QUARANTINED.number), 0);
 }
--- a/crates/gateway/tests/testsuite/simulation.rs
+++ b/crates/gateway/tests/testsuite/simulation.rs
@@ -254,8 +254,8 @@
                 }
                 Effect::Call(call) => self.instances[name].calls.push(call),
                 Effect::Probe { round, .. } => {
-                    let accepted = !self.unlinked.contains(name);
-                    self.post(name, Event::Probed { round, accepted });
+                    let answered = !self.unlinked.contains(name);
+                    self.post(name, Event::Probed { round, answered });
                 }
                 Effect::HandOver(handover) => {
                     self.handovers.push((now, name.clone(), handover));
--- a/crates/gateway/tests/testsuite/site.rs
+++ b/crates/gateway/tests/testsuite/site.rs
@@ -27,8 +27,8 @@
     pub(crate) state: State,
     pub(crate) now: Instant,
     pub(crate) effects: Vec<Effect>,
-    /// Whether endpoints accept the connections of probes; `None` if they do not answer.
-    pub(crate) accepts: Option<bool>,
+    /// Whether probes are answered; `None` while that is open.
+    pub(crate) answers: Option<bool>,
     last_request: u64,
 }
 
@@ -119,7 +119,7 @@
     pub(crate) fn with_settings(settings: Settings) -> Site {
         let state = State::new(settings);
         let now = Instant::from_millis(1_000);
-        Site { state, now, effects: Vec::new(), accepts: Some(true), last_request: 0 }
+        Site { state, now, effects: Vec::new(), answers: Some(true), last_request: 0 }
     }
 
     /// Posts an event and collects its effects.
@@ -127,9 +127,9 @@
         let effects = self.state.step(self.now, event);
         let rounds: Vec<u64> = effects.iter().filter_map(probed_round).collect();
         self.effects.extend(effects);
-        if let Some(accepted) = self.accepts {
+        if let Some(answered) = self.answers {
             for round in rounds {
-                self.post(Event::Probed { round, accepted });
+                self.post(Event::Probed { round, answered });
             }
         }
     }
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -193,16 +193,19 @@
         }
     }
 
-    /// Opens a connection to an address within a time limit, and keeps it for the next request; returns
-    /// whether it was accepted.
-    pub async fn reaches(&self, address: SocketAddr, limit: Duration) -> bool {
-        match time::timeout(limit, self.connect(address, usize::MAX)).await {
-            Ok(Ok(connection)) => {
-                self.put_idle(connection, Some(PROBE_KEEP_ALIVE));
-                true
-            }
-            Ok(Err(_)) | Err(_) => false,
-        }
+    /// Asks a question on a new connection to an address; returns whether there is an answer, of any status, within
+    /// a time limit. A connection that is accepted shows nothing: something in between may accept it.
+    pub async fn reaches(
+        &self,
+        address: SocketAddr,
+        question: Request<Bytes>,
+        limit: Duration,
+    ) -> bool {
+        let answer = async {
+            let mut connection = self.connect(address, usize::MAX).await.ok()?;
+            connection.sender.send_request(question.map(Full::new)).await.ok()
+        };
+        time::timeout(limit, answer).await.is_ok_and(|it| it.is_some())
     }
 
     /// Returns a connection to the pool once its response has been read to the end.
--- a/crates/gatewayd/src/handover.rs
+++ b/crates/gatewayd/src/handover.rs
@@ -26,8 +26,10 @@
 use siskinstile_core::error::{Failure, Kind};
 use siskinstile_gateway::{
     Event,
+    call::{self, Step},
+    catalog::Retry,
     directory::Endpoint,
-    effect::HandOver,
+    effect::{Call, HandOver},
     handover::{Outcome, Report},
     reach::PROBE_TIMEOUT,
 };
@@ -83,13 +85,24 @@
     Some(Crossing { time_left: Duration::from_millis(time_left?), version: version? })
 }
 
-/// Opens a connection to an endpoint and reports whether it was accepted.
+/// Asks an endpoint for its start on a new connection, and reports whether it answers.
 pub fn probe(control: &Rc<Control>, endpoint: Arc<Endpoint>, round: u64) {
     let control = control.clone();
     metrics::counter!("siskinstile_probes").increment(1);
     spawn_local(async move {
-        let accepted = control.client.reaches(endpoint.address, PROBE_TIMEOUT).await;
-        control.post(Event::Probed { round, accepted });
+        let question = Call {
+            id: call::Id(0),
+            request: None,
+            endpoint: endpoint.clone(),
+            max_connections: 1,
+            step: Step::QueryStart,
+            retry: Retry::AtMostOnce,
+            team: None,
+            time_left: PROBE_TIMEOUT,
+        };
+        let question = control.protocol.endpoint_request(&question, None);
+        let answered = control.client.reaches(endpoint.address, question, PROBE_TIMEOUT).await;
+        control.post(Event::Probed { round, answered });
     });
 }
 
