Gateway: a stream of a route with several services is taken up at the one where it began

Cause: the service was drawn for each attempt, and an origin tells a version only. Change: the draw is the stream's identity, which all its attempts share; one whose caller does not name the attempt is refused where there are several services. Not covered: a new configuration that moves the route or its weights between the attempts.

Measured: split_taken_up passes; with a draw for each attempt it fails (the stream goes on at the other service).

--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -111,8 +111,9 @@
         let subjects = subjects(arrival, team.as_deref());
         self.check_quarantine(now, &subjects)?;
         let stream = stream_of(route, arrival, team.as_deref());
-        let service =
-            catalog.service(route.pick_service(arrival.id.0)).expect("routes are checked");
+        // A stream that is taken up goes on at the service where it began.
+        let draw = stream.map_or(arrival.id.0, |it| it.0);
+        let service = catalog.service(route.pick_service(draw)).expect("routes are checked");
         // The peer that takes the request charges it.
         let charged = match self.hands_over(arrival.handed_over.is_some()) {
             true => 0,
--- a/crates/gateway/src/state/origins.rs
+++ b/crates/gateway/src/state/origins.rs
@@ -109,6 +109,9 @@
             return self.locate_unjournaled(now, id);
         }
         let stream = job.stream;
+        if stream.is_none() && job.route.splits.len() > 1 {
+            return self.refuse_version(now, id, "service of the stream not known");
+        }
         if let Some(origin) = stream.and_then(|it| self.fleet.origins.get(now, it)) {
             job.software = Some(origin.software);
             return self.proceed(now, id);
--- a/crates/gateway/tests/testsuite/origins.rs
+++ b/crates/gateway/tests/testsuite/origins.rs
@@ -3,17 +3,19 @@
 
 use std::{sync::Arc, time::Duration};
 
+use indexmap::IndexSet;
 use rstest::rstest;
 use siskinstile_gateway::{
-    Directory, Event, Name,
+    Catalog, Directory, Event, Name,
     call::{Outcome, Start, Step},
+    catalog::Split,
     directory::Endpoint,
     request::{Arrival, Id, Tokens},
 };
 
 use crate::{
     simulation::Fleet,
-    site::{Site, decode_engine, failed},
+    site::{Site, decode_engine, draft, failed},
 };
 
 /// Streams of a test.
@@ -201,3 +203,42 @@
     site.advance(20);
     assert!(site.calls().iter().any(|it| it.request == Some(Id(2))));
 }
+
+/// Guards against a text that is joined from two services: a stream of a route with several services is taken up at the
+/// one where it began, although both have the same version, and refused if its caller does not name the attempt.
+#[test]
+fn split_taken_up() {
+    let mut site = Site::configured();
+    let mut split = draft(2);
+    let mut other = split.services[0].clone();
+    other.name = "other".into();
+    split.services.push(other);
+    for route in &mut split.routes {
+        route.splits.push(Split { service: "other".into(), weight: 1 });
+    }
+    let split = Catalog::check(split).expect("the draft is sound");
+    site.post(Event::Configured(Arc::new(split)));
+    let other = Endpoint { service: "other".into(), ..engine(2, "v1") };
+    site.post(Event::EndpointsListed(Arc::new(Directory::new([engine(1, "v1"), other]))));
+    let mut began = IndexSet::new();
+    for id in 0..STREAMS {
+        site.post(arrival(id, None));
+        let hold = site.call();
+        site.report(hold.id, Outcome::Held { hold: "h".into() });
+        let run = site.call();
+        site.report(run.id, Outcome::Head { status: 200 });
+        site.report(run.id, Outcome::FirstEvent);
+        site.post(Event::Disconnected(Id(id)));
+        site.calls();
+        site.post(arrival(1_001 + id, Some(id)));
+        let service = run.endpoint.service.clone();
+        assert_eq!(site.call().endpoint.service, service, "stream {id}");
+        began.insert(service);
+        site.post(Event::Disconnected(Id(1_001 + id)));
+        site.calls();
+    }
+    assert_eq!(began.len(), 2);
+    let Event::Arrival(unnamed) = arrival(2_000, Some(0)) else { unreachable!("an arrival") };
+    site.post(Event::Arrival(Arrival { resumes: None, ..unnamed }));
+    assert!(site.failure(Id(2_000)).is_some());
+}
