--- a/crates/gateway/tests/testsuite/contact.rs
+++ b/crates/gateway/tests/testsuite/contact.rs
@@ -378,7 +378,9 @@
     parsed.unwrap_or(0..count)
 }
 
-/// Nothing older than the bound is in force, whatever the store does, and no herd calls it when it is back.
+/// Guards against copies that are out of date since a read waits on a call of before an outage: requests reach leaving
+/// endpoints, and withdrawn keys are accepted, long after the store is back. Nothing older than the bound is in force,
+/// whatever the store does, and no herd calls it when it is back.
 #[rstest]
 #[case::one_instance(1, 1_000)]
 #[case::small_fleet(SMALL_FLEET, 300)]
