Gateway: the range of each type stands beside the type

Cause: range.rs imported call, catalog, directory, limit and request, and these imported it: a circle of five files. Change: moved only; the trait, the largest numbers and the range of a heartbeat, which is of another crate, stay.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,15 @@
 
 use siskinstile_macros::value;
 
-use crate::{Name, directory::Stage, request};
+use crate::{
+    Name,
+    directory::Stage,
+    range::{
+        MAX_PACE, MAX_RATE, MAX_REQUESTS, MAX_SPAN, MAX_TIME_MS, MAX_TOKENS, Ranged, clamp,
+        clamp_some,
+    },
+    request,
+};
 
 /// Identifies a call within the process.
 #[value(id)]
@@ -218,3 +226,34 @@
 
 /// The request that a call belongs to; `None` for calls of the gateway itself.
 pub type Owner = Option<request::Id>;
+
+impl Ranged for ReportedLoad {
+    fn confine(&mut self) -> bool {
+        let counts =
+            clamp(&mut self.running, MAX_REQUESTS) | clamp(&mut self.waiting, MAX_REQUESTS);
+        counts | clamp_some(&mut self.slots, MAX_REQUESTS) | clamp_some(&mut self.pace, MAX_PACE)
+    }
+}
+
+impl Ranged for Notice {
+    fn confine(&mut self) -> bool {
+        let limit = match &mut self.limit {
+            StatedLimit::Rate(rate) => clamp(rate, MAX_RATE),
+            StatedLimit::None | StatedLimit::Unknown => false,
+        };
+        let load = self.load.as_mut().is_some_and(Ranged::confine);
+        let spans = clamp_some(&mut self.backoff, MAX_SPAN)
+            | clamp_some(&mut self.cold_remaining, MAX_SPAN);
+        limit | load | spans
+    }
+}
+
+impl Ranged for Outcome {
+    fn confine(&mut self) -> bool {
+        match self {
+            Outcome::Computed { tokens, .. } => clamp(tokens, MAX_TOKENS),
+            Outcome::StartTold { started_at_ms, .. } => clamp_some(started_at_ms, MAX_TIME_MS),
+            _ => false,
+        }
+    }
+}
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -5,7 +5,10 @@
 use indexmap::{IndexMap, IndexSet};
 use siskinstile_macros::value;
 
-use crate::{Name, range::Ranged as _};
+use crate::{
+    Name,
+    range::{MAX_RATE, MAX_REQUESTS, MAX_SPAN, MAX_TOKENS, MAX_TOTAL, Ranged, clamp, clamp_some},
+};
 
 /// Whether and how the requests of a route may be retried.
 #[value(id)]
@@ -346,3 +349,48 @@
     }
     Ok(keys)
 }
+
+impl Ranged for Draft {
+    fn confine(&mut self) -> bool {
+        let mut clamped = false;
+        for it in &mut self.routes {
+            clamped |= clamp(&mut it.timeout, MAX_SPAN);
+            clamped |= clamp(&mut it.target_latency, MAX_SPAN);
+            clamped |= clamp_some(&mut it.target_gap, MAX_SPAN);
+            clamped |= clamp(&mut it.attempts, MAX_REQUESTS);
+            for split in &mut it.splits {
+                clamped |= clamp(&mut split.weight, MAX_REQUESTS);
+            }
+        }
+        for it in &mut self.services {
+            clamped |= clamp(&mut it.connection_limit, MAX_REQUESTS);
+            clamped |= it.engine.as_mut().is_some_and(Ranged::confine);
+            if let Some(warm_up) = &mut it.warm_up {
+                clamped |= clamp(&mut warm_up.duration, MAX_SPAN);
+                clamped |= clamp(&mut warm_up.rate, MAX_RATE as f64);
+            }
+        }
+        for it in self.teams.iter_mut().filter_map(|it| it.quota.as_mut()) {
+            clamped |= clamp(&mut it.rate, MAX_TOTAL);
+            clamped |= clamp(&mut it.burst, MAX_TOTAL);
+            clamped |= clamp(&mut it.default_tokens, MAX_TOKENS);
+        }
+        let timeouts = [&mut self.limits.head_timeout, &mut self.limits.idle_timeout];
+        for it in timeouts {
+            clamped |= clamp(it, MAX_SPAN);
+        }
+        clamped
+    }
+}
+
+impl Ranged for Engine {
+    fn confine(&mut self) -> bool {
+        let sizes = clamp(&mut self.slots, MAX_REQUESTS)
+            | clamp(&mut self.memory_tokens, MAX_TOTAL)
+            | clamp(&mut self.event_tokens, MAX_TOKENS);
+        let spans = clamp(&mut self.hold_limit, MAX_SPAN)
+            | clamp(&mut self.handle_retention, MAX_SPAN)
+            | clamp(&mut self.reconfigure_time, MAX_SPAN);
+        sizes | spans
+    }
+}
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -5,7 +5,11 @@
 use indexmap::{IndexMap, IndexSet};
 use siskinstile_macros::value;
 
-use crate::{Name, name_hash::NameHash, range::Ranged as _};
+use crate::{
+    Name,
+    name_hash::NameHash,
+    range::{MAX_REQUESTS, MAX_SPAN, MAX_TIME_MS, Ranged, clamp, clamp_some},
+};
 
 /// Processing stage that a model engine serves.
 #[value(id)]
@@ -143,3 +147,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 }
+
+impl Ranged for Endpoint {
+    fn confine(&mut self) -> bool {
+        let times = clamp_some(&mut self.started_at_ms, MAX_TIME_MS)
+            | clamp(&mut self.cold_remaining, MAX_SPAN);
+        times | clamp(&mut self.slots, MAX_REQUESTS)
+    }
+}
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -17,8 +17,6 @@
 
 use crate::{Instant, call::StatedLimit, directory::Endpoint, name_hash::NameHash};
 
-/// Largest limit that is told from another one, in requests per 1,000 seconds.
-pub const MAX_RATE: u64 = 1_000_000_000;
 /// Part of a limit that is used; the rest is for calls that were on their way when it was stated.
 const USED_SHARE: f64 = 0.8;
 /// Time for which a call may be made late.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,7 +4,11 @@
 
 use siskinstile_macros::value;
 
-use crate::{Name, name_hash::NameHash};
+use crate::{
+    Name,
+    name_hash::NameHash,
+    range::{MAX_SPAN, MAX_TOKENS, Ranged, clamp, clamp_some},
+};
 
 /// Limit on the shared parts of a prompt that are looked at.
 const MAX_SHARED_PARTS: usize = 64;
@@ -80,3 +84,13 @@
         &shared[..shared.len().min(MAX_SHARED_PARTS)]
     }
 }
+
+impl Ranged for Arrival {
+    fn confine(&mut self) -> bool {
+        let tokens = self.tokens.as_mut().is_some_and(|it| {
+            let expected = clamp_some(&mut it.expected, MAX_TOKENS);
+            clamp(&mut it.prompt, MAX_TOKENS) | clamp(&mut it.output, MAX_TOKENS) | expected
+        });
+        tokens | clamp_some(&mut self.max_wait, MAX_SPAN)
+    }
+}
