Gateway: a stream that goes on waits for a place as long as its caller does, also while it is within its target

What callers would see (LOST): a stream that broke early, within its target time, was given up at the end of that time, although its caller waits for 2 s; one that broke later waited 1.6 s. Cause: the target of a new request was taken for one that goes on.

--- a/crates/gateway/src/state/queue.rs
+++ b/crates/gateway/src/state/queue.rs
@@ -62,11 +62,10 @@
         let compute = Duration::from_secs_f64(forecast.prompt_latency_ms(prompt) / 1_000.0);
         let target_deadline =
             job.first_attempt + job.route.target_latency - compute - RUN_START_ALLOWANCE;
-        let max_wait = if job.last_event.is_some() { RESUMED_MAX_WAIT } else { LATE_MAX_WAIT };
-        let late_deadline = now + max_wait;
         match target_deadline > now {
+            _ if job.last_event.is_some() => (now + RESUMED_MAX_WAIT).min(job.deadline),
             true => target_deadline,
-            false => late_deadline.min(job.deadline),
+            false => (now + LATE_MAX_WAIT).min(job.deadline),
         }
     }
 
