--- a/crates/gateway/src/state/starts.rs
+++ b/crates/gateway/src/state/starts.rs
@@ -38,10 +38,12 @@
     /// Asks an endpoint for its start, before a stream goes on there.
     pub(super) fn prove_start(&mut self, now: Instant, id: request::Id, proof: Proof) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
+        // A reservation would expire meanwhile; an endpoint of a plain service may be silent as long as with a run.
+        let timeout = job.slot.is_some().then_some(SHORT_CALL_TIMEOUT);
         let plan = Plan {
             endpoint: proof.endpoint.clone(),
             step: call::Step::QueryStart,
-            timeout: Some(SHORT_CALL_TIMEOUT),
+            timeout,
             load: Load::default(),
         };
         job.proof = Some(proof);
--- a/crates/gateway/tests/testsuite/starts.rs
+++ b/crates/gateway/tests/testsuite/starts.rs
@@ -140,6 +140,27 @@
     assert_eq!(runs(&mut site).len(), usize::from(goes_on));
 }
 
+/// Guards against a stream that is lost since its next endpoint is silent for a second when it is asked for its start.
+#[rstest]
+fn start_told_late(#[values("model", "registry")] service: &str) {
+    let (mut site, question) = broken_stream(service, true);
+    let told = Outcome::StartTold { started_at_ms: Some(1), connection_age: Duration::ZERO };
+    site.advance(1_100);
+    site.report(question.id, told.clone());
+    for _ in 0..20 {
+        for call in site.calls() {
+            match call.step {
+                Step::Hold { .. } => site.report(call.id, Outcome::Held { hold: "h".into() }),
+                Step::QueryStart => site.report(call.id, told.clone()),
+                Step::Run { .. } => return,
+                _ => {}
+            }
+        }
+        site.advance(100);
+    }
+    panic!("the stream does not go on: {:?}", site.failure(Id(1)));
+}
+
 /// Guards against a stream that is lost since its next endpoint does not tell its start: it is sent once the connection
 /// has been open for long enough, and fails only if there is none then either.
 #[rstest]
