Gateway, gatewayd: a slow answer to a probe still counts, and an instance without peers does not count itself as cut off

Change: an answer within 2 s after the round ends the state; probes are made only where a peer reaches endpoints.

--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -81,6 +81,8 @@
     /// Number of the last round.
     number: u64,
     last_round: Instant,
+    /// Whether there is a peer that reaches endpoints; without one this instance goes on trying them itself.
+    has_peers: bool,
     cut_off_since: Option<Instant>,
 }
 
@@ -110,6 +112,11 @@
         now.since(self.last_sign) >= MAX_IDLE_SILENCE
     }
 
+    /// Records whether there is a peer that reaches endpoints.
+    pub fn record_peers(&mut self, has_peers: bool) {
+        self.has_peers = has_peers;
+    }
+
     /// Returns the number of probes to start now, given the start of the oldest open call.
     pub fn due_probes(&mut self, now: Instant, oldest_call: Option<Instant>) -> usize {
         self.unanswered.retain(|_, at| now.since(*at) < UNANSWERED_TIME);
@@ -117,6 +124,7 @@
             (true, _) => 0,
             (false, Some(_)) if now < self.last_round + RETURN_INTERVAL => 0,
             (false, Some(_)) => self.start_round(now, Cause::Silent),
+            (false, None) if !self.has_peers => 0,
             (false, None) if self.unanswered.len() >= MAX_UNANSWERED => {
                 self.start_round(now, Cause::Unanswered)
             }
@@ -132,6 +140,7 @@
         match (self.round.is_some(), self.cut_off_since) {
             (true, _) => None,
             (false, Some(_)) => Some(self.last_round + RETURN_INTERVAL),
+            (false, None) if !self.has_peers => None,
             (false, None) => self.silence_end(oldest_call),
         }
     }
--- a/crates/gateway/src/state/reach.rs
+++ b/crates/gateway/src/state/reach.rs
@@ -87,8 +87,10 @@
         self.calls.values().filter(|it| !answered(&it.kind)).map(|it| it.started).min()
     }
 
-    /// Starts the probes that are due.
+    /// Starts the probes that are due. An instance without a peer that reaches endpoints goes on trying them itself.
     pub(super) fn probe_due(&mut self, now: Instant) {
+        let has_peers = self.fleet.members.connected(now).next().is_some();
+        self.reach.record_peers(has_peers);
         let oldest_call = self.oldest_call();
         let count = self.reach.due_probes(now, oldest_call);
         if count > 0 {
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -193,19 +193,15 @@
         }
     }
 
-    /// Asks a question on a new connection to an address; returns whether there is an answer, of any status, within
-    /// a time limit. A connection that is accepted shows nothing: something in between may accept it.
-    pub async fn reaches(
-        &self,
-        address: SocketAddr,
-        question: Request<Bytes>,
-        limit: Duration,
-    ) -> bool {
-        let answer = async {
-            let mut connection = self.connect(address, usize::MAX).await.ok()?;
-            connection.sender.send_request(question.map(Full::new)).await.ok()
-        };
-        time::timeout(limit, answer).await.is_ok_and(|it| it.is_some())
+    /// Asks a question on a new connection to an address; returns whether there is an answer, of any status. A
+    /// connection that is accepted shows nothing: something in between may accept it.
+    pub async fn reaches(&self, address: SocketAddr, question: Request<Bytes>) -> bool {
+        match self.connect(address, usize::MAX).await {
+            Ok(mut connection) => {
+                connection.sender.send_request(question.map(Full::new)).await.is_ok()
+            }
+            Err(_) => false,
+        }
     }
 
     /// Returns a connection to the pool once its response has been read to the end.
--- a/crates/gatewayd/src/handover.rs
+++ b/crates/gatewayd/src/handover.rs
@@ -34,7 +34,7 @@
     reach::PROBE_TIMEOUT,
 };
 use siskinstile_macros::value;
-use tokio::task::spawn_local;
+use tokio::{task::spawn_local, time};
 
 use crate::{
     client::{Connection, Fault, Reply, Reuse},
@@ -42,6 +42,8 @@
     exchange::Body,
 };
 
+/// Time after the end of a probe in which its answer is still waited for.
+const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Milliseconds that are left of the time of a request that is handed over.
 const TIME_LEFT: HeaderName = HeaderName::from_static("siskinstile-time-left");
 /// Version of the configuration that is in force at the instance which hands a request over.
@@ -101,8 +103,14 @@
             time_left: PROBE_TIMEOUT,
         };
         let question = control.protocol.endpoint_request(&question, None);
-        let answered = control.client.reaches(endpoint.address, question, PROBE_TIMEOUT).await;
-        control.post(Event::Probed { round, answered });
+        let answer = control.client.reaches(endpoint.address, question);
+        tokio::pin!(answer);
+        let in_time = time::timeout(PROBE_TIMEOUT, &mut answer).await.ok();
+        control.post(Event::Probed { round, answered: in_time.unwrap_or(false) });
+        // An endpoint that is silent for a while lives, and shows so late.
+        if in_time.is_none() && time::timeout(LATE_ANSWER_TIMEOUT, answer).await.unwrap_or(false) {
+            control.post(Event::Probed { round, answered: true });
+        }
     });
 }
 
