Core: a stored lease whose fencing token leaves no room for a next one is unreadable

What operators would see: an instance that takes over such a lease ends with an overflow in a build that checks for them (exit 70 in a test of ours, with a lease of fence 2^64 - 1 in the store), and in a release build writes a lower token than the one before, which endpoints refuse. Cause: the token was read without a range. Tests: order::read_fence_out_of_range failed before (panic, attempt to add with overflow).

--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -23,6 +23,9 @@
 /// Margin for clock drift and for orders in transit.
 pub const MARGIN: Duration = Duration::from_secs(5);
 
+/// Largest fencing token of a stored lease; tokens go up by one with each holder.
+pub const MAX_FENCE: u64 = u32::MAX as u64 - 1;
+
 /// A lease as stored on the platform.
 #[value(eq)]
 pub struct Lease {
@@ -35,12 +38,12 @@
 }
 
 impl Lease {
-    /// Parses a stored lease; none if a field is missing or has the wrong type.
+    /// Parses a stored lease; none if a field is missing, has the wrong type or is out of its range.
     pub fn parse(value: &Value) -> Option<Lease> {
         Some(Lease {
             holder: value["holder"].as_str()?.into(),
             incarnation: value["incarnation"].as_u64()?,
-            fence: value["fence"].as_u64()?,
+            fence: value["fence"].as_u64().filter(|it| *it <= MAX_FENCE)?,
         })
     }
 
--- a/crates/core/tests/testsuite/order.rs
+++ b/crates/core/tests/testsuite/order.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 use siskinstile_core::{
     Instant,
-    order::{Candidate, Endpoint, Lease, LeaseClient, Order, Phase, Step, TERM},
+    order::{Candidate, Endpoint, Lease, LeaseClient, MAX_FENCE, Order, Phase, Step, TERM},
     store::{Answer, Object},
 };
 
@@ -242,3 +242,19 @@
     client.handle_answer(now, Answer::Written { version: 7 });
     assert_eq!(client.fence(now), None);
 }
+
+/// Guards against a candidate that ends with an overflow, or whose token is lower than the one before, since the
+/// stored lease has a token that leaves no room for a next one: such a lease counts as unreadable and is replaced.
+#[test]
+fn read_fence_out_of_range() {
+    for fence in [MAX_FENCE + 1, u64::MAX] {
+        let mut client = candidate(0, 1);
+        let now = Instant::from_millis(1_000);
+        client.poll(now, true);
+        let lease = Lease { holder: "odd".into(), incarnation: 1, fence };
+        client.handle_answer(now, answer(3, Some(&lease)));
+        let step = client.poll(now, true);
+        let Step::Write { lease, if_version: 3 } = step else { panic!("{step:?}") };
+        assert_eq!(lease.fence, 1);
+    }
+}
