Gateway: an address that is not available at the start is tried again

What callers saw: a process whose address was held by another socket, or not there yet, when it started ended at once with exit 1.

Cause: each of the six addresses was bound once, in a row; the first error ended the start, also for metrics alone.

Change: `listener::spawn` serves at the addresses that are available and tries the others again in tasks of their own, after 20 ms to 500 ms, without end, for errors that time can heal. Readiness answers 503 until callers can connect. Codes 704 and 705, gauge `siskinstile_addresses_missing`.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -19,6 +19,10 @@
 pub const STOPPED: Code = code(702, Level::Info, "gateway stopped");
 /// The settings file has been reloaded.
 pub const RELOADED: Code = code(703, Level::Info, "settings reloaded");
+/// One of the addresses that the process listens on is not available yet; it is tried again.
+pub const ADDRESS_MISSING: Code = code(704, Level::Warn, "address not available yet");
+/// An address that was not available at the start is in use.
+pub const ADDRESS_BOUND: Code = code(705, Level::Info, "address bound late");
 /// A configuration is in force.
 pub const CONFIGURED: Code = code(710, Level::Info, "configuration in force");
 /// A configuration was refused; the previous one stays in force.
@@ -129,6 +133,8 @@
     DRAINING,
     STOPPED,
     RELOADED,
+    ADDRESS_MISSING,
+    ADDRESS_BOUND,
     CONFIGURED,
     CONFIG_REFUSED,
     LISTED,
--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -73,6 +73,8 @@
     state: RefCell<State>,
     events: RefCell<VecDeque<Event>>,
     is_stepping: Cell<bool>,
+    /// Whether callers can connect.
+    is_listening: Cell<bool>,
     /// When the last event was handled completely.
     last_step: Cell<Instant>,
     stepped: Notify,
@@ -110,6 +112,7 @@
             state: RefCell::new(state),
             events: RefCell::default(),
             is_stepping: Cell::new(false),
+            is_listening: Cell::new(false),
             stepped: Notify::new(),
             outputs,
             phase: watch::Sender::new(Phase::Serving),
@@ -163,6 +166,16 @@
         self.clock.now().since(self.last_step.get()) < MAX_STEP_INTERVAL
     }
 
+    /// Records that callers can connect.
+    pub fn set_listening(&self) {
+        self.is_listening.set(true);
+    }
+
+    /// Returns whether callers can connect.
+    pub fn is_listening(&self) -> bool {
+        self.is_listening.get()
+    }
+
     /// Starts a graceful shutdown.
     pub fn drain(self: &Rc<Control>) {
         self.post(Event::Drain);
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -1,8 +1,7 @@
 //! The gateway process: start-up, reload and graceful shutdown.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::OnceCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use anyhow::Context as _;
 use siskinstile_core::order::Candidate;
 use siskinstile_gateway::{
     State,
@@ -23,6 +22,7 @@
     control::{Control, Outputs, Phase},
     fault::{self, spawn_essential},
     frontend, lease,
+    listener::{self, Purpose},
     logger::Logger,
     memory::Memory,
     peers, status,
@@ -49,9 +49,10 @@
 }
 
 impl Daemon {
-    /// Binds the addresses and starts the tasks on the current thread's `LocalSet`.
+    /// Starts the tasks on the current thread's `LocalSet`, and listens at those addresses that are
+    /// available; at the others it does so as soon as they are.
     ///
-    /// Fails if an address cannot be bound or if the logger or the metrics recorder cannot start.
+    /// Fails if the process may not listen at an address or if the logger or the metrics recorder cannot start.
     pub async fn spawn(settings: Settings, protocol: Box<dyn Protocol>) -> anyhow::Result<Daemon> {
         let clock = Clock::start();
         let logger = Logger::spawn(&settings.name)?;
@@ -89,50 +90,74 @@
         let follower = Follower::new(control.clone(), &settings);
         let daemon = Daemon { control, follower, addresses, settings };
         daemon.set_seeds(&daemon.settings);
-        daemon.spawn_listeners(heartbeats).await?;
+        daemon.spawn_listeners(heartbeats)?;
         daemon.spawn_followers(incarnation);
         spawn_essential(daemon.follower.clone().keep_quarantine(quarantine_changes));
         spawn_essential(daemon.follower.clone().keep_journal(journal_commands));
         Ok(daemon)
     }
 
-    async fn spawn_listeners(
+    fn spawn_listeners(
         &self,
         heartbeats: mpsc::UnboundedReceiver<(Heartbeat, Recipients)>,
     ) -> anyhow::Result<()> {
-        let listen = &self.settings.listen;
-        let front = bind(listen.front).await?;
-        let ready = bind(listen.ready).await?;
-        let metrics_listener = bind(listen.metrics).await?;
-        let snapshots = bind(listen.peers).await?;
-        let handovers = bind(listen.handovers).await?;
-        let datagrams = UdpSocket::bind(listen.peers).await;
-        let datagrams =
-            Rc::new(datagrams.with_context(|| format!("datagrams at {}", listen.peers))?);
         let metrics = status::install_metrics()?;
-        let control = &self.control;
-        spawn_essential(control.clone().run_timer());
+        spawn_essential(self.control.clone().run_timer());
+        let listen = &self.settings.listen;
+        self.spawn_frontend((Purpose::Callers, listen.front), frontend::Source::Callers)?;
+        self.spawn_frontend((Purpose::Handovers, listen.handovers), frontend::Source::Peers)?;
+        let control = self.control.clone();
+        self.spawn_connections((Purpose::Readiness, listen.ready), move |it| {
+            status::serve_ready(control, it)
+        })?;
+        let control = self.control.clone();
+        self.spawn_connections((Purpose::Metrics, listen.metrics), move |it| {
+            status::serve_metrics(control, metrics, it)
+        })?;
+        let (control, follower) = (self.control.clone(), self.follower.clone());
+        self.spawn_connections((Purpose::Snapshots, listen.peers), move |it| {
+            peers::transfer::serve(control, it, follower)
+        })?;
+        self.spawn_heartbeats(heartbeats)
+    }
+
+    fn spawn_frontend(
+        &self,
+        target: (Purpose, SocketAddr),
+        source: frontend::Source,
+    ) -> anyhow::Result<()> {
+        let control = self.control.clone();
         let descriptors = self.settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-        let (callers, peers) = (frontend::Source::Callers, frontend::Source::Peers);
-        spawn_essential(frontend::serve(control.clone(), front, callers, descriptors));
-        spawn_essential(frontend::serve(control.clone(), handovers, peers, descriptors));
-        spawn_essential(status::serve_ready(control.clone(), ready));
-        spawn_essential(status::serve_metrics(control.clone(), metrics, metrics_listener));
-        spawn_essential(peers::transfer::serve(control.clone(), snapshots, self.follower.clone()));
+        self.spawn_connections(target, move |it| frontend::serve(control, it, source, descriptors))
+    }
+
+    fn spawn_connections<F: Future<Output = ()> + 'static>(
+        &self,
+        target: (Purpose, SocketAddr),
+        serve: impl FnOnce(TcpListener) -> F + 'static,
+    ) -> anyhow::Result<()> {
+        listener::spawn(&self.control.logger, target, listener::open_connections, serve)
+    }
+
+    fn spawn_heartbeats(
+        &self,
+        heartbeats: mpsc::UnboundedReceiver<(Heartbeat, Recipients)>,
+    ) -> anyhow::Result<()> {
+        let socket: Rc<OnceCell<UdpSocket>> = Rc::default();
+        let own = self.settings.listen.peers;
         spawn_essential(peers::send_heartbeats(
-            datagrams.clone(),
+            socket.clone(),
             self.addresses.clone(),
-            (listen.peers, self.settings.datacentre.clone()),
+            (own, self.settings.datacentre.clone()),
             self.follower.clone(),
             heartbeats,
         ));
-        spawn_essential(peers::receive_heartbeats(
-            control.clone(),
-            datagrams,
-            self.addresses.clone(),
-            self.follower.clone(),
-        ));
-        Ok(())
+        let control = self.control.clone();
+        let (addresses, follower) = (self.addresses.clone(), self.follower.clone());
+        let target = (Purpose::Heartbeats, own);
+        listener::spawn(&self.control.logger, target, listener::open_datagrams, move |it| {
+            peers::receive_heartbeats(control, socket, it, addresses, follower)
+        })
     }
 
     fn spawn_followers(&self, incarnation: u64) {
@@ -198,7 +223,3 @@
         }
     }
 }
-
-async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).await.with_context(|| format!("listening at {address}"))
-}
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -100,6 +100,9 @@
     source: Source,
     descriptors: usize,
 ) {
+    if source == Source::Callers {
+        control.set_listening();
+    }
     tokio::select! {
         () = accept(control.clone(), listener, source, descriptors) => {}
         () = control.reached(Phase::Stopped) => {}
--- a/crates/gatewayd/src/lib.rs
+++ b/crates/gatewayd/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod frontend;
 pub mod handover;
 pub mod lease;
+pub mod listener;
 pub mod logger;
 pub mod memory;
 pub mod mirror;
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -2,7 +2,12 @@
 
 pub mod transfer;
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use indexmap::IndexMap;
 use prost::Message as _;
@@ -114,15 +119,16 @@
     }
 }
 
-/// Sends the heartbeats from the channel, each to its recipients.
+/// Sends the heartbeats from the channel, each to its recipients; those before `socket` is set are lost.
 pub async fn send_heartbeats(
-    socket: Rc<UdpSocket>,
+    socket: Rc<OnceCell<UdpSocket>>,
     addresses: Rc<Addresses>,
     (own, datacentre): (SocketAddr, Name),
     follower: Rc<Follower>,
     mut heartbeats: mpsc::UnboundedReceiver<(Heartbeat, Recipients)>,
 ) {
     while let Some((mut heartbeat, recipients)) = heartbeats.recv().await {
+        let Some(socket) = socket.get() else { continue };
         // What concerns single streams says nothing of the sender.
         if heartbeat.streams.is_none() {
             let configuration = follower.changed_position(Kind::Configuration);
@@ -154,7 +160,7 @@
             .filter(|(it, _)| *it != own)
             // Fields of an encoded message may follow in a second one.
             .map(|(it, part)| (it, [&bytes[..], &part].concat()));
-        send_paced(&socket, datagrams).await;
+        send_paced(socket, datagrams).await;
     }
 }
 
@@ -192,13 +198,15 @@
     Some((addresses.get(&recipient.name)?, part.encode_to_vec()))
 }
 
-/// Receives peers' heartbeats and posts them to the reducer.
+/// Receives peers' heartbeats and posts them to the reducer; from now on heartbeats can be sent, too.
 pub async fn receive_heartbeats(
     control: Rc<Control>,
-    socket: Rc<UdpSocket>,
+    socket: Rc<OnceCell<UdpSocket>>,
+    opened: UdpSocket,
     addresses: Rc<Addresses>,
     follower: Rc<Follower>,
 ) {
+    let socket = socket.get_or_init(|| opened);
     let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
     loop {
         let (length, sender) = match socket.recv_from(&mut buffer).await {
--- a/crates/gatewayd/src/status.rs
+++ b/crates/gatewayd/src/status.rs
@@ -43,6 +43,7 @@
     let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS_MS)?;
     let handle = builder.install_recorder()?;
     *installed = Some(handle.clone());
+    count_missing_address(0.0);
     Ok(handle)
 }
 
@@ -67,6 +68,11 @@
     }
 }
 
+/// Adds to the number of addresses that the process cannot listen at yet.
+pub fn count_missing_address(change: f64) {
+    metrics::gauge!("siskinstile_addresses_missing").increment(change);
+}
+
 /// Counts a request that ended with the complete response of an endpoint.
 pub fn count_answer() {
     metrics::counter!("siskinstile_requests_answered").increment(1);
@@ -81,7 +87,8 @@
 /// Serves readiness checks: 200 while the instance should get new connections, 503 otherwise.
 pub async fn serve_ready(control: Rc<Control>, listener: TcpListener) {
     serve(listener, move || {
-        let ready = control.read(State::is_ready) && control.is_progressing();
+        let ready =
+            control.is_listening() && control.read(State::is_ready) && control.is_progressing();
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         (status, Bytes::new())
     })
