Gateway: outgoing connections leave their local port to listeners

Cause: outgoing sockets did not allow the reuse of their local address; the kernel gives ports out from a range in which listeners may lie. On loopback a connection to such a port at which nothing listens can be given the same port and be connected to itself: an endpoint that has ended seems to listen, and cannot do so again.

--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -20,6 +20,8 @@
     time,
 };
 
+use crate::outgoing;
+
 /// Time limit for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may be unacknowledged before the kernel closes a connection.
@@ -261,7 +263,7 @@
         }
         *self.open_counts.borrow_mut().entry(address).or_default() += 1;
         let reservation = Reservation { address, open_counts: Some(self.open_counts.clone()) };
-        let stream = match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        let stream = match time::timeout(CONNECT_TIMEOUT, outgoing::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
                 log::debug!("connection to {address} failed: {error}");
--- a/crates/gatewayd/src/lib.rs
+++ b/crates/gatewayd/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod logger;
 pub mod memory;
 pub mod mirror;
+pub mod outgoing;
 pub mod peers;
 pub mod protocol;
 pub mod settings;
--- a/crates/gatewayd/src/peers/transfer.rs
+++ b/crates/gatewayd/src/peers/transfer.rs
@@ -16,7 +16,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::ERROR_DELAY;
-use crate::{control::Control, sync::Follower};
+use crate::{control::Control, outgoing, sync::Follower};
 
 /// Size limit of a snapshot.
 const MAX_SNAPSHOT_BYTES: usize = 16 << 20;
@@ -102,7 +102,7 @@
     }
 
     async fn begin(address: SocketAddr, pull: &Pull) -> io::Result<Incoming> {
-        let mut frames = framed(TcpStream::connect(address).await?);
+        let mut frames = framed(outgoing::connect(address).await?);
         frames.send(Bytes::from(pull.encode_to_vec())).await?;
         let mut stream = frames.into_inner();
         // The codec begins a frame with its length as 32 bits.
--- a/crates/gatewayd/tests/testsuite/main.rs
+++ b/crates/gatewayd/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod logger;
 mod memory;
 mod mirror;
+mod outgoing;
 mod peers;
 mod stream;
