--- a/crates/gatewayd/src/listener.rs
+++ b/crates/gatewayd/src/listener.rs
@@ -11,7 +11,7 @@
 use siskinstile_gateway::record::{self, Record};
 use siskinstile_macros::value;
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::{TcpListener, TcpSocket, UdpSocket},
     time,
 };
 
@@ -21,6 +21,9 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Longest pause between two tries.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Connections that may wait to be accepted, as callers return all at once after a loss; the kernel
+/// may allow fewer.
+const MAX_WAITING: u32 = 1_024;
 /// Time between two log lines on the same address.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -80,9 +83,14 @@
 
 /// Opens a socket that accepts connections.
 pub fn open_connections(address: SocketAddr) -> io::Result<TcpListener> {
-    let listener = std::net::TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
-    TcpListener::from_std(listener)
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    // Connections of the process before may not have ended yet.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(MAX_WAITING)
 }
 
 /// Opens a socket that receives datagrams.
