Gateway: a start waits for settings that can be used

What callers saw: an instance that was not back: a settings file that is missing, empty or half written at the moment of the start was exit 1 at once, and the same at each start until the file was whole (a loop of ends beside a platform that starts processes again). Nothing told how often a start was tried, and the one line on standard error had no time, name or code. Cause: the file was read once, and an error ended the process. Change: the file is read again every 100 ms; 707 tells the problem when it changes and every 10 s, with tries and waited_ms, 708 the end of the wait. SIGTERM meanwhile is exit 0. The logger starts before the settings are read; its lines have the instance `unknown` until then. Tests: startup::settings_unusable_at_start (missing, empty, truncated) and terminated_before_settings failed before ("the process has ended"), check_exit_code held before.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -23,6 +23,10 @@
 pub const ADDRESS_MISSING: Code = code(704, Level::Warn, "address not available yet");
 /// An address that was not available at the start is in use.
 pub const ADDRESS_BOUND: Code = code(705, Level::Info, "address bound late");
+/// The settings file cannot be read or has a problem; the process waits for it.
+pub const SETTINGS_UNUSABLE: Code = code(707, Level::Warn, "settings not usable yet");
+/// The settings file could be used after it had not been usable.
+pub const SETTINGS_READ: Code = code(708, Level::Info, "settings read");
 /// A configuration is in force.
 pub const CONFIGURED: Code = code(710, Level::Info, "configuration in force");
 /// A configuration was refused; the previous one stays in force.
@@ -135,6 +139,8 @@
     RELOADED,
     ADDRESS_MISSING,
     ADDRESS_BOUND,
+    SETTINGS_UNUSABLE,
+    SETTINGS_READ,
     CONFIGURED,
     CONFIG_REFUSED,
     LISTED,
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -52,11 +52,14 @@
     /// Starts the tasks on the current thread's `LocalSet`, and listens at those addresses that are
     /// available; at the others it does so as soon as they are.
     ///
-    /// Fails if the process may not listen at an address or if the logger or the metrics recorder cannot start.
-    pub async fn spawn(settings: Settings, protocol: Box<dyn Protocol>) -> anyhow::Result<Daemon> {
+    /// Fails if the process may not listen at an address or if the metrics recorder cannot start.
+    pub async fn spawn(
+        settings: Settings,
+        protocol: Box<dyn Protocol>,
+        logger: Logger,
+    ) -> anyhow::Result<Daemon> {
         let clock = Clock::start();
-        let logger = Logger::spawn(&settings.name)?;
-        logger.install(settings.log_level);
+        logger.set_instance(&settings.name);
         logger.write(
             &Record::new(record::STARTED)
                 .with("datacentre", &*settings.datacentre)
--- a/crates/gatewayd/src/lib.rs
+++ b/crates/gatewayd/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 pub mod protocol;
 pub mod settings;
+pub mod startup;
 pub mod status;
 pub mod store;
 pub mod stream;
--- a/crates/gatewayd/src/logger.rs
+++ b/crates/gatewayd/src/logger.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     io::Write as _,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     thread,
@@ -19,6 +19,9 @@
 /// Maximum number of lines that wait to be written; further lines are dropped and counted.
 const QUEUE_CAPACITY: usize = 2_048;
 
+/// Name in lines that are written before the name of the instance is known.
+const UNKNOWN_INSTANCE: &str = "unknown";
+
 /// Lines of one code that may be written at once, if they concern no request.
 const MAX_BURST: f64 = 20.0;
 /// Lines of one code that may be written each second after that.
@@ -65,12 +68,13 @@
     dropped: Arc<AtomicU64>,
     /// By code.
     limits: Arc<Mutex<HashMap<u16, Limit>>>,
-    instance: Arc<str>,
+    /// Name of the instance, once it is known.
+    instance: Arc<OnceLock<Arc<str>>>,
 }
 
 impl Logger {
-    /// Starts the writer thread; `instance` is the name in each line.
-    pub fn spawn(instance: &str) -> std::io::Result<Logger> {
+    /// Starts the writer thread; the name of the instance is not known yet.
+    pub fn spawn() -> std::io::Result<Logger> {
         let (lines, written) = channel::bounded::<String>(QUEUE_CAPACITY);
         thread::Builder::new().name("log".to_owned()).spawn(move || {
             let mut out = std::io::stdout();
@@ -79,13 +83,24 @@
                 let _ = out.write_all(line.as_bytes());
             }
         })?;
-        Ok(Logger::new(lines, instance))
+        Ok(Logger::unnamed(lines))
     }
 
-    /// Creates a logger that queues lines to `lines`.
+    /// Creates a logger that queues lines to `lines`; `instance` is the name in each line.
     pub fn new(lines: Sender<String>, instance: &str) -> Logger {
+        let logger = Logger::unnamed(lines);
+        logger.set_instance(instance);
+        logger
+    }
+
+    fn unnamed(lines: Sender<String>) -> Logger {
         let (dropped, limits) = (Arc::default(), Arc::default());
-        Logger { lines, dropped, limits, instance: instance.into() }
+        Logger { lines, dropped, limits, instance: Arc::default() }
+    }
+
+    /// Sets the name in each later line, if it has not been set.
+    pub fn set_instance(&self, name: &str) {
+        self.instance.get_or_init(|| name.into());
     }
 
     /// Installs this logger for the messages of the `log` crate, down to the given severity.
@@ -125,7 +140,10 @@
         line.insert("level".to_owned(), json!(record.code.level.as_str()));
         line.insert("code".to_owned(), json!(record.code.number));
         line.insert("event".to_owned(), json!(record.code.text));
-        line.insert("instance".to_owned(), json!(&*self.instance));
+        line.insert(
+            "instance".to_owned(),
+            json!(self.instance.get().map_or(UNKNOWN_INSTANCE, |it| it)),
+        );
         if let Some(request) = &record.request {
             line.insert("request".to_owned(), json!(&**request));
         }
--- a/crates/gatewayd/src/settings.rs
+++ b/crates/gatewayd/src/settings.rs
@@ -6,7 +6,6 @@
 };
 
 use indexmap::IndexMap;
-use log::LevelFilter;
 use siskinstile_gateway::{Name, budget::Bound, quota::Tolerance, state::ColdTolerance};
 use siskinstile_macros::value;
 
@@ -60,8 +59,6 @@
     pub grace: Duration,
     /// Time between two entries that an endpoint writes.
     pub entry_interval: Duration,
-    /// Lowest severity at which diagnostics are logged.
-    pub log_level: LevelFilter,
     /// Limit on the memory of the process, in bytes, if it is known.
     pub memory_bytes: Option<usize>,
     /// Limit on the file descriptors of the process.
