Gateway: a reload of settings that fails is a line of the log

What operators saw: SIGHUP with a file that cannot be used left one line on standard error, without time, name or code. Cause: the error was printed beside the logger. Change: code 709 with the problem; the process keeps what it has, as before. Test: startup::reload_unusable failed before ("not within 20 s: a line 709") and passes.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -27,6 +27,9 @@
 pub const SETTINGS_UNUSABLE: Code = code(707, Level::Warn, "settings not usable yet");
 /// The settings file could be used after it had not been usable.
 pub const SETTINGS_READ: Code = code(708, Level::Info, "settings read");
+/// The settings file could not be reloaded; the process keeps the settings that it has.
+pub const RELOAD_FAILED: Code =
+    code(709, Level::Error, "settings reload failed, previous ones kept");
 /// A configuration is in force.
 pub const CONFIGURED: Code = code(710, Level::Info, "configuration in force");
 /// A configuration was refused; the previous one stays in force.
@@ -141,6 +144,7 @@
     ADDRESS_BOUND,
     SETTINGS_UNUSABLE,
     SETTINGS_READ,
+    RELOAD_FAILED,
     CONFIGURED,
     CONFIG_REFUSED,
     LISTED,
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -198,10 +198,16 @@
         fault::log_panics(&self.control.logger);
     }
 
-    /// Applies reloaded settings; only the seeds can change while the process runs.
-    pub fn reload(&self, settings: &Settings) {
-        self.set_seeds(settings);
-        let line = Record::new(record::RELOADED).with("seeds", settings.seeds.len());
+    /// Applies settings that were read again, or logs why they cannot be used; only the seeds can change
+    /// while the process runs.
+    pub fn reload(&self, settings: anyhow::Result<Settings>) {
+        let line = match &settings {
+            Ok(settings) => {
+                self.set_seeds(settings);
+                Record::new(record::RELOADED).with("seeds", settings.seeds.len())
+            }
+            Err(error) => Record::new(record::RELOAD_FAILED).with("problem", format!("{error:#}")),
+        };
         self.control.logger.write(&line);
     }
 
