A response without a length is whole only if its request was taken

Cause: a response without a length ends with its connection, and a FIN was taken for that end without a look at the request. The reset that follows a FIN is never returned by a read: reads after a FIN return the end again, and the HTTP library closes the socket on it.

Change: connections have a socket of their own. When the server ends the connection in a response, the end is held back until the kernel has no unacknowledged bytes of the request and no reset has followed within 2 ms; the rest of the request is written meanwhile, for 1 s at most. Otherwise the read fails, and the call as any broken one: retried if idempotent and not begun, else 502, a begun stream is broken off. A write that finds the connection broken leaves it to the next read, so that a response which states its length and has arrived is still whole. The kernel's unacknowledged bytes are seen without unsafe code: with the smallest send buffer a socket can be written to only if there are next to none. Idle connections and those without a byte of a response end at once, as before.

Not seen: a reset later than 2 ms after the FIN, where the whole request was acknowledged but not read.

--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -36,7 +36,7 @@
     stream::Splitter,
 };
 
-use failed::Failed;
+use failed::{Failed, UNTAKEN};
 
 /// Size limit of a response that is buffered before it is relayed.
 const MAX_PLAIN_BYTES: usize = 16 << 20;
@@ -193,7 +193,8 @@
             return report(control, call, &response, Outcome::Refused { status });
         }
         Err(fault) => {
-            return report_failed(control, call, Some(&response), fault.into(), None).await;
+            let failed = Failed::of_body(fault, &connection);
+            return report_failed(control, call, Some(&response), failed, None).await;
         }
     };
     let connection_age = connection.age();
@@ -238,7 +239,8 @@
     let buffer = match body::read(&control.memory, body, MAX_PLAIN_BYTES).await {
         Ok(buffer) => buffer,
         Err(fault) => {
-            return report_failed(control, call, Some(&response), fault.into(), None).await;
+            let failed = Failed::of_body(fault, &connection);
+            return report_failed(control, call, Some(&response), failed, None).await;
         }
     };
     return_connection(control, connection, &response);
@@ -276,6 +278,7 @@
     let broken = loop {
         let chunk = match body.frame().await {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Some(Err(_)) if connection.is_untaken() => break Some(UNTAKEN),
             Some(Err(_)) => break Some("stream cut"),
             None if splitter.is_partial() => break Some("stream ends in an event"),
             None if !framed && splitter.events() == 0 => break Some("stream without events"),
--- a/crates/gatewayd/src/calls/failed.rs
+++ b/crates/gatewayd/src/calls/failed.rs
@@ -1,6 +1,12 @@
 //! Failures of calls to endpoints.
 
-use crate::{body, client::Fault};
+use crate::{
+    body,
+    client::{Connection, Fault},
+};
+
+/// Cause of a failure after which nobody can tell whether the response is whole.
+pub(super) const UNTAKEN: &str = "connection ended before the request was taken";
 
 /// Why a call failed.
 pub(super) struct Failed {
@@ -19,6 +25,17 @@
     pub(super) fn broken(cause: &'static str) -> Failed {
         Failed { sent: true, unresponsive: false, at_once: false, cause }
     }
+
+    /// Returns the failure of a call whose response body could not be read from its connection.
+    pub(super) fn of_body(fault: body::Fault, connection: &Connection) -> Failed {
+        match fault {
+            body::Fault::Cut if connection.is_untaken() => Failed::broken(UNTAKEN),
+            body::Fault::Cut => Failed::broken("answer cut"),
+            body::Fault::TooLarge => Failed::broken("answer too large"),
+            body::Fault::OutOfMemory => Failed::broken("no memory for the answer"),
+            body::Fault::Stalled => Failed::broken("answer stalled"),
+        }
+    }
 }
 
 impl From<Fault> for Failed {
@@ -37,14 +54,3 @@
         }
     }
 }
-
-impl From<body::Fault> for Failed {
-    fn from(fault: body::Fault) -> Failed {
-        match fault {
-            body::Fault::Cut => Failed::broken("answer cut"),
-            body::Fault::TooLarge => Failed::broken("answer too large"),
-            body::Fault::OutOfMemory => Failed::broken("no memory for the answer"),
-            body::Fault::Stalled => Failed::broken("answer stalled"),
-        }
-    }
-}
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -1,5 +1,7 @@
 //! HTTP client for endpoints and the store, with a pool of idle connections for each address.
 
+mod socket;
+
 use std::{
     cell::RefCell,
     collections::HashMap,
@@ -21,6 +23,7 @@
 };
 
 use crate::outgoing;
+use socket::{Exchange, Socket};
 
 /// Time limit for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -77,6 +80,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     open_counts: Rc<RefCell<HashMap<SocketAddr, usize>>>,
+    exchange: Rc<Exchange>,
     opened_at: Instant,
     /// Time until which it may be reused while it is idle.
     reusable_until: Instant,
@@ -92,6 +96,11 @@
         self.has_refused = true;
     }
 
+    /// Returns whether the server has ended it before it had taken the request.
+    pub fn is_untaken(&self) -> bool {
+        self.exchange.is_untaken()
+    }
+
     /// Returns the time for which it has been open.
     pub fn age(&self) -> Duration {
         self.opened_at.elapsed()
@@ -162,6 +171,7 @@
                 Some(connection) => (connection, true),
                 None => (self.connect(address, max_connections).await?, false),
             };
+            connection.exchange.begin();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
@@ -212,10 +222,12 @@
     /// `IDLE_MARGIN`, or if the pool for its address is full.
     pub fn put_idle(&self, mut connection: Connection, keep_alive: Option<Duration>) {
         let Some(max_idle) = keep_alive.and_then(|it| it.checked_sub(IDLE_MARGIN)) else { return };
+        connection.exchange.finish();
         connection.reusable_until = Instant::now() + max_idle;
         let mut idle = self.idle.borrow_mut();
         let pool = idle.entry(connection.address).or_default();
-        if pool.len() < MAX_IDLE && !connection.sender.is_closed() {
+        let is_closed = connection.sender.is_closed() || connection.exchange.has_ended();
+        if pool.len() < MAX_IDLE && !is_closed {
             pool.push(connection);
         }
     }
@@ -275,10 +287,12 @@
             Err(_) => return Err(Fault::Unreachable),
         };
         set_socket_options(&stream, self.is_probing);
+        let exchange = Rc::<Exchange>::default();
+        let socket = Socket::new(stream, exchange.clone());
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, driver) =
-            builder.handshake(TokioIo::new(stream)).await.map_err(|_| Fault::Unreachable)?;
+            builder.handshake(TokioIo::new(socket)).await.map_err(|_| Fault::Unreachable)?;
         let task = spawn_local(async move {
             if let Err(error) = driver.await {
                 log::debug!("connection to {address} ended: {error}");
@@ -290,6 +304,7 @@
             sender,
             task: task.abort_handle(),
             open_counts,
+            exchange,
             opened_at: Instant::now(),
             reusable_until: Instant::now(),
             has_refused: false,
