A response with status 101 is not passed on

Cause: the HTTP library takes 101 as the final status of a response; the checks of a response did not look at it.

Change: a response with an interim status counts as broken.

Tests: status_odd and stream_status_odd for 000, 099, 101, 103, 600, 999, 2000. 101 failed before, plain and stream; the others held: 000, 099 and 2000 give 502, 103 alone 502, errors from 600 on are passed on as they are.

--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -160,6 +160,8 @@
     let is_run = matches!(call.step, Step::Run { .. });
     let requires_id = matches!(call.step, Step::Run { .. } | Step::Prefill);
     match &response.request_id {
+        // The HTTP library takes 101 for a final status, whatever was asked.
+        _ if head.status.is_informational() => Err(Failed::broken("interim status")),
         None if response.not_run => Ok(()),
         Some(answered_id) if Some(&**answered_id) != request_id => {
             Err(Failed::broken("answer to another request"))
