Limit the interim heads before a response

What callers saw: an endpoint that sends interim heads (100, 102, 103) without end takes the core of the instance that called it until the deadline of each request; the others at that instance wait.

Cause: the HTTP library limits the bytes of each head, and starts anew with each interim one.

They are counted as the library reads them, up to one read buffer late. The time limit stays that of the call. It holds for endpoints, the store and peers.

--- a/crates/gatewayd/src/calls/failed.rs
+++ b/crates/gatewayd/src/calls/failed.rs
@@ -51,6 +51,7 @@
                 cause: "too many connections",
             },
             Fault::Broken => Failed::broken("connection broke"),
+            Fault::TooManyHeads => Failed::broken("too many interim heads"),
         }
     }
 }
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for endpoints and the store, with a pool of idle connections for each address.
 
+mod interim;
 mod socket;
 
 use std::{
@@ -60,6 +61,8 @@
     ConnectionLimit,
     /// The connection broke or the response was malformed; bytes of the request may have been sent.
     Broken,
+    /// The same, as too many interim heads came before the response.
+    TooManyHeads,
 }
 
 /// What a connection shows of an endpoint that broke off a call.
@@ -171,8 +174,11 @@
                 Some(connection) => (connection, true),
                 None => (self.connect(address, max_connections).await?, false),
             };
-            connection.exchange.begin();
+            connection.exchange.begin(&mut request);
             match connection.sender.try_send_request(request).await {
+                Ok(_) if connection.exchange.has_too_many_heads() => {
+                    return Err(Fault::TooManyHeads);
+                }
                 Ok(response) => {
                     let (head, body) = response.into_parts();
                     return Ok(Reply { head, body, connection });
@@ -182,7 +188,10 @@
                     Some(_) => return Err(Fault::Unreachable),
                     None => {
                         log::debug!("request to {address} failed: {}", error.error());
-                        return Err(Fault::Broken);
+                        return Err(match connection.exchange.has_too_many_heads() {
+                            true => Fault::TooManyHeads,
+                            false => Fault::Broken,
+                        });
                     }
                 },
             }
@@ -210,7 +219,9 @@
     pub async fn reaches(&self, address: SocketAddr, question: Request<Bytes>) -> bool {
         match self.connect(address, usize::MAX).await {
             Ok(mut connection) => {
-                connection.sender.send_request(question.map(Full::new)).await.is_ok()
+                let mut question = question.map(Full::new);
+                connection.exchange.begin(&mut question);
+                connection.sender.send_request(question).await.is_ok()
             }
             Err(_) => false,
         }
--- a/crates/gatewayd/src/client/socket.rs
+++ b/crates/gatewayd/src/client/socket.rs
@@ -8,10 +8,12 @@
     io,
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
 
+use hyper::Request;
 use rustix::{
     event::{PollFd, PollFlags, Timespec, poll},
     io::Errno,
@@ -24,6 +26,8 @@
     time::{self, Instant, Sleep},
 };
 
+use super::interim::Interim;
+
 /// Time within which a reset follows the end of a connection that was closed with unread bytes, and between two
 /// looks at whether the request has been taken.
 const RESET_TIMEOUT: Duration = Duration::from_millis(2);
@@ -44,11 +48,14 @@
     has_ended: Cell<bool>,
     /// Whether its end was not passed on, since the request was not taken.
     is_untaken: Cell<bool>,
+    /// What comes before the response.
+    interim: Arc<Interim>,
 }
 
 impl Exchange {
     /// Begins with a request.
-    pub(super) fn begin(&self) {
+    pub(super) fn begin<B>(&self, request: &mut Request<B>) {
+        self.interim.watch(request);
         self.is_open.set(true);
         self.has_begun.set(false);
     }
@@ -63,6 +70,11 @@
         self.has_ended.get()
     }
 
+    /// Returns whether more interim heads came before the response than are allowed.
+    pub(super) fn has_too_many_heads(&self) -> bool {
+        self.interim.is_exceeded()
+    }
+
     /// Returns whether the server has ended the connection before it had taken the request.
     pub(super) fn is_untaken(&self) -> bool {
         self.is_untaken.get()
@@ -177,6 +189,9 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.exchange.has_too_many_heads() {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
         if self.end.is_some() {
             return self.poll_end(cx);
         }
--- a/crates/gatewayd/src/handover.rs
+++ b/crates/gatewayd/src/handover.rs
@@ -141,7 +141,7 @@
     let reply = match control.peer_client.send(address, request, MAX_CONNECTIONS, Reuse::Any).await
     {
         Ok(reply) => reply,
-        Err(Fault::Broken) => return Some(Outcome::Broken),
+        Err(Fault::Broken | Fault::TooManyHeads) => return Some(Outcome::Broken),
         Err(Fault::Unreachable | Fault::NotListening) => {
             return Some(Outcome::NotTaken { cause: "unreachable" });
         }
