A response that states more bytes than are read is not read

What callers saw: an endpoint whose plain responses have no end keeps the core of an instance busy: 16 MB of each are read and copied before it is broken off, also where its head states that more will come.

Cause: the size limit was compared with what had arrived only.

Change: a stated length over the limit breaks the call with its head. Bodies of callers are read as before.

--- a/crates/gatewayd/src/body.rs
+++ b/crates/gatewayd/src/body.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
-use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use siskinstile_macros::value;
 use tokio::time;
 
@@ -38,6 +38,18 @@
     Stalled,
 }
 
+/// Reads a response's body to its end, up to a size limit; nothing of one that states a larger size.
+pub async fn read_response(
+    memory: &Memory,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<Buffer, Fault> {
+    match body.size_hint().lower() > max_bytes as u64 {
+        true => Err(Fault::TooLarge),
+        false => read(memory, body, max_bytes).await,
+    }
+}
+
 /// Reads a body to its end, up to a size limit.
 ///
 /// The bytes are copied, since a small part of a body may keep a whole read buffer.
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -183,7 +183,7 @@
         connection.record_refusal();
     }
     let status = head.status.as_u16();
-    let read = body::read(&control.memory, body, MAX_STEP_BYTES);
+    let read = body::read_response(&control.memory, body, MAX_STEP_BYTES);
     let result = match response.not_run {
         true => time::timeout(REFUSAL_BODY_TIMEOUT, read).await.unwrap_or(Err(body::Fault::Cut)),
         false => read.await,
@@ -238,7 +238,7 @@
 
 async fn buffer_response(control: &Rc<Control>, call: &Call, reply: Reply, response: ResponseHead) {
     let Reply { head, body, connection } = reply;
-    let buffer = match body::read(&control.memory, body, MAX_PLAIN_BYTES).await {
+    let buffer = match body::read_response(&control.memory, body, MAX_PLAIN_BYTES).await {
         Ok(buffer) => buffer,
         Err(fault) => {
             let failed = Failed::of_body(fault, &connection);
