Gateway: connections within the descriptors that the process has

When accept failed for want of a descriptor, the loop waited for one, while idle callers kept theirs.

Change: the process raises its own limit to that of the settings as far as it may (code 706 if that is less) and divides the lesser of both: a reserved part, which scales with the limit, and one budget for connections of callers, of peers and to endpoints. A connection that finds no descriptor closes an idle one to an endpoint or the caller's that has been idle the longest. The store has a client of its own, whose connections are reserved. At 4,100 descriptors the parts of callers and peers are what they were.

Measured: `descriptors::idle_callers`, `descriptors::waiting_callers` (256 descriptors, 300 callers) and `descriptors::soft_limit_raised` failed before (a late caller is not served; the limit stays at 128) and pass now, 0.7 s together.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -23,6 +23,8 @@
 pub const ADDRESS_MISSING: Code = code(704, Level::Warn, "address not available yet");
 /// An address that was not available at the start is in use.
 pub const ADDRESS_BOUND: Code = code(705, Level::Info, "address bound late");
+/// The process may open fewer descriptors than its settings say.
+pub const DESCRIPTORS_FEWER: Code = code(706, Level::Warn, "fewer descriptors than configured");
 /// The settings file cannot be read or has a problem; the process waits for it.
 pub const SETTINGS_UNUSABLE: Code = code(707, Level::Warn, "settings not usable yet");
 /// The settings file could be used after it had not been usable.
@@ -142,6 +144,7 @@
     RELOADED,
     ADDRESS_MISSING,
     ADDRESS_BOUND,
+    DESCRIPTORS_FEWER,
     SETTINGS_UNUSABLE,
     SETTINGS_READ,
     RELOAD_FAILED,
--- a/crates/gatewayd/src/client.rs
+++ b/crates/gatewayd/src/client.rs
@@ -1,4 +1,4 @@
-//! HTTP client for endpoints and the store, with a pool of idle connections for each address.
+//! HTTP client for endpoints, peers and the store, with a pool of idle connections for each address.
 
 mod interim;
 mod socket;
@@ -19,11 +19,15 @@
 use siskinstile_macros::value;
 use tokio::{
     net::TcpStream,
+    sync::OwnedSemaphorePermit,
     task::{AbortHandle, spawn_local},
     time,
 };
 
-use crate::outgoing;
+use crate::{
+    descriptors::{self, Budget},
+    outgoing,
+};
 use socket::{Exchange, Socket};
 
 /// Time limit for opening a TCP connection.
@@ -57,7 +61,7 @@
     Unreachable,
     /// The same, since nothing listens at the address.
     NotListening,
-    /// This process already has the maximum number of connections to the address.
+    /// This process already has the maximum number of connections to the address, or no descriptor for another one.
     ConnectionLimit,
     /// The connection broke or the response was malformed; bytes of the request may have been sent.
     Broken,
@@ -148,14 +152,21 @@
     open_counts: Rc<RefCell<HashMap<SocketAddr, usize>>>,
     /// Whether the kernel probes connections without traffic.
     is_probing: bool,
+    /// Descriptors that the connections share with others, unless theirs are reserved.
+    descriptors: Option<Rc<Budget>>,
 }
 
 impl Client {
     /// Creates a client for peers, whose connections end soon after the peer has fallen silent.
     ///
     /// Endpoints may fall silent and go on, so that their connections are not probed.
-    pub fn for_peers() -> Client {
-        Client { is_probing: true, ..Client::default() }
+    pub fn for_peers(descriptors: Rc<Budget>) -> Client {
+        Client { is_probing: true, ..Client::within(descriptors) }
+    }
+
+    /// Creates a client whose connections use descriptors of a budget.
+    pub fn within(descriptors: Rc<Budget>) -> Client {
+        Client { descriptors: Some(descriptors), ..Client::default() }
     }
 
     /// Sends a request and waits for the response head.
@@ -258,6 +269,35 @@
         idle.retain(|_, pool| !pool.is_empty());
     }
 
+    /// Acquires the descriptor of a connection; idle connections are closed if there is none, those to
+    /// endpoints before those of callers.
+    async fn permit(&self) -> Result<Option<OwnedSemaphorePermit>, Fault> {
+        let Some(descriptors) = &self.descriptors else { return Ok(None) };
+        let permit = descriptors.acquire(|| self.close_first_expiring()).await;
+        permit.map(Some).ok_or(Fault::ConnectionLimit)
+    }
+
+    /// Closes the idle connection that would expire first; returns whether there was one.
+    fn close_first_expiring(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let pools = idle.values_mut().filter(|it| !it.is_empty());
+        let Some(pool) = pools.min_by_key(|it| it[0].reusable_until) else { return false };
+        pool.remove(0);
+        true
+    }
+
+    /// Returns what an error on opening a connection shows of the address.
+    async fn fault(&self, error: &io::Error) -> Fault {
+        match (&self.descriptors, error.kind()) {
+            (Some(descriptors), _) if descriptors::is_exhausted(error) => {
+                descriptors.recover(error).await;
+                Fault::ConnectionLimit
+            }
+            (_, io::ErrorKind::ConnectionRefused) => Fault::NotListening,
+            _ => Fault::Unreachable,
+        }
+    }
+
     fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let pool = idle.get_mut(&address)?;
@@ -286,14 +326,12 @@
         }
         *self.open_counts.borrow_mut().entry(address).or_default() += 1;
         let reservation = Reservation { address, open_counts: Some(self.open_counts.clone()) };
+        let permit = self.permit().await?;
         let stream = match time::timeout(CONNECT_TIMEOUT, outgoing::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
                 log::debug!("connection to {address} failed: {error}");
-                return Err(match error.kind() {
-                    io::ErrorKind::ConnectionRefused => Fault::NotListening,
-                    _ => Fault::Unreachable,
-                });
+                return Err(self.fault(&error).await);
             }
             Err(_) => return Err(Fault::Unreachable),
         };
@@ -305,6 +343,7 @@
         let (sender, driver) =
             builder.handshake(TokioIo::new(socket)).await.map_err(|_| Fault::Unreachable)?;
         let task = spawn_local(async move {
+            let _permit = permit;
             if let Err(error) = driver.await {
                 log::debug!("connection to {address} ended: {error}");
             }
--- a/crates/gatewayd/src/control.rs
+++ b/crates/gatewayd/src/control.rs
@@ -18,8 +18,8 @@
 };
 
 use crate::{
-    Protocol, calls, client::Client, clock::Clock, exchange, fault, handover, logger::Logger,
-    memory::Memory, peers, status,
+    Protocol, calls, client::Client, clock::Clock, descriptors::Budget, exchange, fault, handover,
+    logger::Logger, memory::Memory, peers, status,
 };
 
 /// Time without a handled event after which an instance is not ready.
@@ -52,10 +52,14 @@
 pub struct Control {
     /// Message formats of callers, endpoints and the store.
     pub protocol: Box<dyn Protocol>,
-    /// HTTP connections to endpoints and the store.
+    /// HTTP connections to endpoints.
     pub client: Client,
     /// HTTP connections to peers, over which requests are handed over.
     pub peer_client: Client,
+    /// HTTP connections to the store.
+    pub store_client: Client,
+    /// The budget for file descriptors.
+    pub descriptors: Rc<Budget>,
     /// The budget for buffered bytes.
     pub memory: Memory,
     /// Callers' open requests.
@@ -91,7 +95,7 @@
     pub fn new(
         protocol: Box<dyn Protocol>,
         state: State,
-        memory: Memory,
+        (memory, descriptors): (Memory, Rc<Budget>),
         clock: Clock,
         logger: Logger,
         outputs: Outputs,
@@ -99,8 +103,10 @@
     ) -> Rc<Control> {
         Rc::new(Control {
             protocol,
-            client: Client::default(),
-            peer_client: Client::for_peers(),
+            client: Client::within(descriptors.clone()),
+            peer_client: Client::for_peers(descriptors.clone()),
+            store_client: Client::default(),
+            descriptors,
             exchanges: exchange::Table::new(memory.clone()),
             memory,
             calls: calls::Table::default(),
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -20,6 +20,7 @@
     Protocol, Settings,
     clock::Clock,
     control::{Control, Outputs, Phase},
+    descriptors::{self, Budget},
     fault::{self, spawn_essential},
     frontend, lease,
     listener::{self, Purpose},
@@ -36,8 +37,6 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(100);
 /// Time limit for removing the instance from the list of members.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
-/// File descriptors that are reserved for files, the store and peers.
-const RESERVED_DESCRIPTORS: usize = 264;
 
 /// A running gateway.
 #[derive(Debug)]
@@ -89,7 +88,8 @@
         let memory = Memory::new(settings.memory_bytes);
         let addresses: Rc<peers::Addresses> = Rc::default();
         let handovers = (addresses.clone(), settings.listen.handovers.port());
-        let control = Control::new(protocol, state, memory, clock, logger, outputs, handovers);
+        let budgets = (memory, descriptors(&settings, &logger));
+        let control = Control::new(protocol, state, budgets, clock, logger, outputs, handovers);
         let follower = Follower::new(control.clone(), &settings);
         let daemon = Daemon { control, follower, addresses, settings };
         daemon.set_seeds(&daemon.settings);
@@ -130,8 +130,7 @@
         source: frontend::Source,
     ) -> anyhow::Result<()> {
         let control = self.control.clone();
-        let descriptors = self.settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-        self.spawn_connections(target, move |it| frontend::serve(control, it, source, descriptors))
+        self.spawn_connections(target, move |it| frontend::serve(control, it, source))
     }
 
     fn spawn_connections<F: Future<Output = ()> + 'static>(
@@ -232,3 +231,16 @@
         }
     }
 }
+
+/// Raises the limit on descriptors to that of the settings, and returns the budget of those that there are.
+fn descriptors(settings: &Settings, logger: &Logger) -> Rc<Budget> {
+    let limit = descriptors::raise_limit(settings.descriptors);
+    if limit < settings.descriptors {
+        let line = Record::new(record::DESCRIPTORS_FEWER)
+            .with("limit", limit)
+            .with("configured", settings.descriptors);
+        status::count_line(&line);
+        logger.write(&line);
+    }
+    Budget::new(limit)
+}
--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -29,7 +29,6 @@
     request as gateway,
 };
 use siskinstile_macros::value;
-use siskinstile_net::Slots;
 use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -65,12 +64,6 @@
 /// Time for which a caller may accept no bytes of its response before the kernel closes its
 /// connection, which cannot be evicted meanwhile.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause after an error on accepting a connection.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Share of the process's file descriptors that callers' connections may use, in percent.
-const CALLER_PERCENT: usize = 60;
-/// The same for connections over which peers hand requests over.
-const PEER_PERCENT: usize = 15;
 
 /// From whom connections come.
 #[value(id)]
@@ -81,54 +74,41 @@
     Peers,
 }
 
-impl Source {
-    /// Returns the share of the file descriptors that its connections may use, in percent.
-    fn percent(self) -> usize {
-        match self {
-            Source::Callers => CALLER_PERCENT,
-            Source::Peers => PEER_PERCENT,
-        }
-    }
-}
-
 /// Accepts and serves connections; closes the listener at the end of a graceful shutdown.
-///
-/// `descriptors` is the number of file descriptors available to the gateway.
-pub async fn serve(
-    control: Rc<Control>,
-    listener: TcpListener,
-    source: Source,
-    descriptors: usize,
-) {
+pub async fn serve(control: Rc<Control>, listener: TcpListener, source: Source) {
     if source == Source::Callers {
         control.set_listening();
     }
     tokio::select! {
-        () = accept(control.clone(), listener, source, descriptors) => {}
+        () = accept(control.clone(), listener, source) => {}
         () = control.reached(Phase::Stopped) => {}
     }
 }
 
-async fn accept(control: Rc<Control>, listener: TcpListener, source: Source, descriptors: usize) {
-    let max_connections = descriptors * source.percent() / 100;
-    let slots = Slots::new(max_connections);
+async fn accept(control: Rc<Control>, listener: TcpListener, source: Source) {
+    let slots = match source {
+        Source::Callers => control.descriptors.callers(),
+        Source::Peers => control.descriptors.peers(),
+    };
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!("accepting a caller's connection failed: {error}");
-                time::sleep(ACCEPT_RETRY_DELAY).await;
+                control.descriptors.recover(&error).await;
                 continue;
             }
         };
-        let Some(activity) = slots.acquire().map(Activity::new) else {
+        let permit = control.descriptors.acquire(|| false).await;
+        let activity = slots.acquire().map(Activity::new);
+        let (Some(permit), Some(activity)) = (permit, activity) else {
             metrics::counter!("siskinstile_connections_refused").increment(1);
             continue;
         };
         let open = control.open_connection();
         let control = control.clone();
         spawn_local(async move {
-            let _open = open;
+            let _held = (open, permit);
             tokio::select! {
                 biased;
                 () = serve_connection(control, stream, source, activity.clone()) => {}
--- a/crates/gatewayd/src/lib.rs
+++ b/crates/gatewayd/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod descriptors;
 pub mod exchange;
 pub mod fault;
 pub mod frontend;
--- a/crates/gatewayd/src/peers.rs
+++ b/crates/gatewayd/src/peers.rs
@@ -28,7 +28,7 @@
 const BURST_PAUSE: Duration = Duration::from_millis(1);
 /// Time after a heartbeat for which its sender's address goes before the one that the platform lists.
 const HEARD_TIME: Duration = Duration::from_secs(5);
-/// Pause after an error on accepting a connection or receiving a datagram.
+/// Pause after an error on receiving a datagram.
 const ERROR_DELAY: Duration = Duration::from_millis(50);
 
 /// Address of a peer.
--- a/crates/gatewayd/src/peers/transfer.rs
+++ b/crates/gatewayd/src/peers/transfer.rs
@@ -15,7 +15,6 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::ERROR_DELAY;
 use crate::{control::Control, outgoing, sync::Follower};
 
 /// Size limit of a snapshot.
@@ -43,12 +42,17 @@
             Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("accepting a peer's connection failed: {error}");
-                time::sleep(ERROR_DELAY).await;
+                control.descriptors.recover(&error).await;
                 continue;
             }
         };
+        let Some(permit) = control.descriptors.acquire(|| false).await else {
+            metrics::counter!("siskinstile_connections_refused").increment(1);
+            continue;
+        };
         let (control, follower) = (control.clone(), follower.clone());
         spawn_local(async move {
+            let _permit = permit;
             let started = control.now();
             let served = serve_pull(stream, &follower).await;
             let line = Record::new(record::SNAPSHOT_SERVED)
--- a/crates/gatewayd/src/status.rs
+++ b/crates/gatewayd/src/status.rs
@@ -19,14 +19,12 @@
     State,
     record::{self, Record},
 };
-use tokio::{net::TcpListener, task::spawn_local, time};
+use tokio::{net::TcpListener, task::spawn_local};
 
 use crate::control::Control;
 
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause after an error on accepting a connection.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Upper bounds of the buckets of latency histograms, in milliseconds.
 const LATENCY_BUCKETS_MS: [f64; 10] =
     [10.0, 30.0, 100.0, 200.0, 300.0, 600.0, 900.0, 2_000.0, 5_000.0, 14_000.0];
@@ -86,7 +84,9 @@
 
 /// Serves readiness checks: 200 while the instance should get new connections, 503 otherwise.
 pub async fn serve_ready(control: Rc<Control>, listener: TcpListener) {
-    serve(listener, move || {
+    let state = control.clone();
+    serve(&control, listener, move || {
+        let control = &state;
         let ready =
             control.is_listening() && control.read(State::is_ready) && control.is_progressing();
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -97,21 +97,33 @@
 
 /// Serves the metrics in the Prometheus text format.
 pub async fn serve_metrics(control: Rc<Control>, handle: PrometheusHandle, listener: TcpListener) {
-    serve(listener, move || {
-        metrics::gauge!("siskinstile_buffered_bytes").set(control.memory.used() as f64);
+    let memory = control.memory.clone();
+    serve(&control, listener, move || {
+        metrics::gauge!("siskinstile_buffered_bytes").set(memory.used() as f64);
         handle.run_upkeep();
         (StatusCode::OK, handle.render().into())
     })
     .await;
 }
 
-async fn serve(listener: TcpListener, respond: impl Fn() -> (StatusCode, Bytes) + 'static) {
+async fn serve(
+    control: &Control,
+    listener: TcpListener,
+    respond: impl Fn() -> (StatusCode, Bytes) + 'static,
+) {
     let respond = Rc::new(respond);
+    let slots = control.descriptors.status();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accepting a status connection failed: {error}");
+                control.descriptors.recover(&error).await;
+                continue;
+            }
         };
+        // Each answer is complete at once, so that all connections are idle.
+        let Some(slot) = slots.acquire() else { continue };
         let respond = respond.clone();
         spawn_local(async move {
             let service = service_fn(|_: Request<Incoming>| {
@@ -122,8 +134,12 @@
             });
             let mut server = http1::Builder::new();
             server.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
-            if let Err(error) = server.serve_connection(TokioIo::new(stream), service).await {
-                log::debug!("status connection ended: {error}");
+            tokio::select! {
+                biased;
+                result = server.serve_connection(TokioIo::new(stream), service) => {
+                    result.unwrap_or_else(|it| log::debug!("status connection ended: {it}"));
+                }
+                () = slot.evicted() => {}
             }
         });
     }
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -161,6 +161,7 @@
                 self.apply_endpoints();
             }
             self.control.client.sweep();
+            self.control.store_client.sweep();
             self.control.peer_client.sweep();
             // A large answer on a slow link delays that to a probe.
             let is_due = self.receiving.get() == 0 && self.contact.borrow_mut().begin_probe(now);
--- a/crates/gatewayd/src/sync/transport.rs
+++ b/crates/gatewayd/src/sync/transport.rs
@@ -57,14 +57,14 @@
 
     /// Records that an answer did not come in time, as the connections may be dead.
     fn time_out(&self) -> Fault {
-        self.control.client.close_idle(self.store);
+        self.control.store_client.close_idle(self.store);
         Fault::Lost
     }
 
     async fn send(&self, call: &Call, given_up: impl Future<Output = ()>) -> Result<Answer, Fault> {
         let protocol = &self.control.protocol;
         let request = protocol.store_request(call);
-        let client = &self.control.client;
+        let client = &self.control.store_client;
         let wait = match call {
             Call::Watch { wait, .. } => *wait,
             _ => Duration::ZERO,
--- a/crates/gatewayd/tests/testsuite/main.rs
+++ b/crates/gatewayd/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's adapters without a network.
 
 mod archive;
+mod descriptors;
 mod fault;
 mod logger;
 mod memory;
--- a/crates/net/src/slots.rs
+++ b/crates/net/src/slots.rs
@@ -33,6 +33,17 @@
         /// Numbers of the idle connections, longest idle first.
         pub(super) idle: IndexSet<u64>,
     }
+
+    impl Table {
+        /// Takes the slot from the longest idle connection; returns whether there was one.
+        pub(super) fn evict_idle(&mut self) -> bool {
+            let Some(oldest) = self.idle.shift_remove_index(0) else { return false };
+            if let Some(evicted) = self.open.remove(&oldest) {
+                evicted.notify_one();
+            }
+            true
+        }
+    }
 }
 
 impl Slots {
@@ -47,11 +58,8 @@
     /// connection is idle.
     pub fn acquire(self: &Arc<Slots>) -> Option<Slot> {
         let mut table = self.lock();
-        if table.open.len() >= self.capacity {
-            let oldest = table.idle.shift_remove_index(0)?;
-            if let Some(evicted) = table.open.remove(&oldest) {
-                evicted.notify_one();
-            }
+        if table.open.len() >= self.capacity && !table.evict_idle() {
+            return None;
         }
         let number = table.next;
         table.next += 1;
@@ -61,6 +69,11 @@
         Some(Slot { slots: self.clone(), number, evicted })
     }
 
+    /// Evicts the longest idle connection; returns whether there was one.
+    pub fn evict_idle(&self) -> bool {
+        self.lock().evict_idle()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
