Gateway: the log tells why a start failed, and with which version and limits one began

Cause: the logger started after what can fail, and nothing waited for its thread before the process ended but 50 ms after a panic. In logger::write_after_limit the line is taken out of its message, else it is as before.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -136,6 +136,9 @@
 /// A caller, an endpoint or a peer has stated a number out of its range; the nearest one in it is used.
 pub const VALUE_CLAMPED: Code = code(774, Level::Warn, "value out of range");
 
+/// The process ends by an error.
+pub const ENDED_BY_ERROR: Code = code(754, Level::Error, "gateway ended by an error");
+
 /// All codes, in the order of the catalogue.
 pub const CODES: &[Code] = &[
     STARTED,
@@ -186,6 +189,7 @@
     JOURNALING,
     ORIGIN_LOOKED_UP,
     JOURNAL_NOT_WRITTEN,
+    ENDED_BY_ERROR,
     ENDPOINT_COLD,
     CRASH_SHOWN,
     CUT_OFF,
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -21,7 +21,7 @@
     clock::Clock,
     control::{Control, Outputs, Phase},
     descriptors::{self, Budget},
-    fault::{self, spawn_essential},
+    fault::spawn_essential,
     frontend, lease,
     listener::{self, Purpose},
     logger::Logger,
@@ -59,11 +59,7 @@
     ) -> anyhow::Result<Daemon> {
         let clock = Clock::start();
         logger.set_instance(&settings.name);
-        logger.write(
-            &Record::new(record::STARTED)
-                .with("datacentre", &*settings.datacentre)
-                .with("first_start", settings.first_start),
-        );
+        log_start(&logger, &settings);
         let incarnation = rand::random();
         let state = State::new(state::Settings {
             name: settings.name.clone(),
@@ -192,11 +188,6 @@
             .set_seeds(settings.seeds.iter().map(|it| SocketAddr::new(*it, port)).collect());
     }
 
-    /// Logs panics from now on; for a process that has one gateway.
-    pub fn log_panics(&self) {
-        fault::log_panics(&self.control.logger);
-    }
-
     /// Applies settings that were read again, or logs why they cannot be used; only the seeds can change
     /// while the process runs.
     pub fn reload(&self, settings: anyhow::Result<Settings>) {
@@ -244,3 +235,14 @@
     }
     Budget::new(limit)
 }
+
+fn log_start(logger: &Logger, settings: &Settings) {
+    let line = Record::new(record::STARTED)
+        .with("version", env!("CARGO_PKG_VERSION"))
+        .with("datacentre", &*settings.datacentre)
+        .with("first_start", settings.first_start)
+        .with("since_start_ms", logger.age().as_millis() as u64)
+        .with("memory_bytes", settings.memory_bytes)
+        .with("descriptors", settings.descriptors);
+    logger.write(&line);
+}
--- a/crates/gatewayd/src/fault.rs
+++ b/crates/gatewayd/src/fault.rs
@@ -2,7 +2,7 @@
 //!
 //! A panic while one request is handled outside the reducer ends only that request's task.
 
-use std::{panic, panic::AssertUnwindSafe, process, thread, time::Duration};
+use std::{panic, panic::AssertUnwindSafe, process, thread};
 
 use futures_util::FutureExt as _;
 use siskinstile_gateway::record::{self, Record};
@@ -12,8 +12,6 @@
 
 /// Exit status of a process that ends by an inner fault.
 pub const EXIT_STATUS: i32 = 70;
-/// Time for the log to be written before the process ends.
-const FLUSH_TIME: Duration = Duration::from_millis(50);
 
 /// Logs each panic of the process with its message and place, before what is done without this.
 pub fn log_panics(logger: &Logger) {
@@ -54,6 +52,6 @@
 }
 
 fn end_process() -> ! {
-    thread::sleep(FLUSH_TIME);
+    log::logger().flush();
     process::exit(EXIT_STATUS)
 }
--- a/crates/gatewayd/src/logger.rs
+++ b/crates/gatewayd/src/logger.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crossbeam::channel::{self, Sender};
@@ -22,6 +22,8 @@
 /// Name in lines that are written before the name of the instance is known.
 const UNKNOWN_INSTANCE: &str = "unknown";
 
+/// Longest time for which the end of a process waits for its lines to be written.
+const MAX_FLUSH_TIME: Duration = Duration::from_secs(1);
 /// Lines of one code that may be written at once, if they concern no request.
 const MAX_BURST: f64 = 20.0;
 /// Lines of one code that may be written each second after that.
@@ -61,10 +63,20 @@
     }
 }
 
+/// What the writer thread gets.
+#[derive(Debug)]
+pub enum Message {
+    /// A line to write.
+    Line(String),
+    /// All lines before are to be written; then the sender is dropped.
+    Flush(Sender<()>),
+}
+
 /// Queues log lines for a thread that writes them to standard output.
 #[derive(Debug, Clone)]
 pub struct Logger {
-    lines: Sender<String>,
+    messages: Sender<Message>,
+    started_at: Instant,
     dropped: Arc<AtomicU64>,
     /// By code.
     limits: Arc<Mutex<HashMap<u16, Limit>>>,
@@ -75,27 +87,40 @@
 impl Logger {
     /// Starts the writer thread; the name of the instance is not known yet.
     pub fn spawn() -> std::io::Result<Logger> {
-        let (lines, written) = channel::bounded::<String>(QUEUE_CAPACITY);
+        let (messages, written) = channel::bounded(QUEUE_CAPACITY);
         thread::Builder::new().name("log".to_owned()).spawn(move || {
-            let mut out = std::io::stdout();
-            for line in written {
-                // There is no other output to report a failed write to.
-                let _ = out.write_all(line.as_bytes());
+            for message in written {
+                write_out(message);
             }
         })?;
-        Ok(Logger::unnamed(lines))
+        Ok(Logger::unnamed(messages))
     }
 
-    /// Creates a logger that queues lines to `lines`; `instance` is the name in each line.
-    pub fn new(lines: Sender<String>, instance: &str) -> Logger {
-        let logger = Logger::unnamed(lines);
+    /// Creates a logger that queues lines to `messages`; `instance` is the name in each line.
+    pub fn new(messages: Sender<Message>, instance: &str) -> Logger {
+        let logger = Logger::unnamed(messages);
         logger.set_instance(instance);
         logger
     }
 
-    fn unnamed(lines: Sender<String>) -> Logger {
-        let (dropped, limits) = (Arc::default(), Arc::default());
-        Logger { lines, dropped, limits, instance: Arc::default() }
+    fn unnamed(messages: Sender<Message>) -> Logger {
+        let (dropped, limits, instance) = (Arc::default(), Arc::default(), Arc::default());
+        Logger { messages, started_at: Instant::now(), dropped, limits, instance }
+    }
+
+    /// Returns the time since the logger was started.
+    pub fn age(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    /// Waits until the lines so far are written, but no longer than `MAX_FLUSH_TIME`; for the end of a process.
+    pub fn flush(&self) {
+        let deadline = Instant::now() + MAX_FLUSH_TIME;
+        let (done, written) = channel::bounded(0);
+        if self.messages.send_deadline(Message::Flush(done), deadline).is_ok() {
+            // The sender is dropped as soon as the lines are written; nothing is sent.
+            let _ = written.recv_deadline(deadline);
+        }
     }
 
     /// Sets the name in each later line, if it has not been set.
@@ -122,7 +147,7 @@
         let Some(left_out) = left_out else { return };
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         let text = self.line(record, dropped + left_out);
-        if self.lines.try_send(text).is_err() {
+        if self.messages.try_send(Message::Line(text)).is_err() {
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
         }
     }
@@ -169,5 +194,16 @@
         self.write(&line);
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        Logger::flush(self);
+    }
+}
+
+fn write_out(message: Message) {
+    let mut out = std::io::stdout();
+    // There is no other output to report a failed write to.
+    let _ = match message {
+        Message::Line(line) => out.write_all(line.as_bytes()),
+        Message::Flush(_) => out.flush(),
+    };
 }
--- a/crates/gatewayd/tests/testsuite/logger.rs
+++ b/crates/gatewayd/tests/testsuite/logger.rs
@@ -2,7 +2,7 @@
 
 use crossbeam::channel;
 use siskinstile_gateway::record::{self, Record};
-use siskinstile_gatewayd::logger::Logger;
+use siskinstile_gatewayd::logger::{Logger, Message};
 
 /// Guards against a storm of lines in a large fleet: a line for each of 1,000 peers becomes a few,
 /// and lines about requests are not affected.
@@ -33,6 +33,40 @@
     }
     std::thread::sleep(std::time::Duration::from_millis(1_100));
     logger.write(&Record::new(record::PEER_REACHABLE));
-    let last = lines.try_iter().last().expect("a line");
+    let Some(Message::Line(last)) = lines.try_iter().last() else { panic!("no line") };
     assert!(last.contains("\"left_out\":"), "{last}");
 }
+
+/// Guards against a process that ends before its last lines are written: a flush waits until all lines before it are.
+#[test]
+fn flush_waits() {
+    let (sender, messages) = channel::unbounded();
+    let logger = Logger::new(sender, "one");
+    let (written, ended) = channel::unbounded();
+    let writer = std::thread::spawn(move || {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        for message in messages {
+            match message {
+                Message::Line(line) => written.send(line).expect("the test runs"),
+                Message::Flush(done) => drop(done),
+            }
+        }
+    });
+    for _ in 0..10 {
+        logger.write(&Record::new(record::STARTED));
+    }
+    logger.flush();
+    assert_eq!(ended.try_iter().count(), 10);
+    drop(logger);
+    writer.join().expect("no panic");
+}
+
+/// Guards against a process that does not end since nobody takes its lines.
+#[test]
+fn flush_bounded() {
+    let (sender, lines) = channel::unbounded();
+    let logger = Logger::new(sender, "one");
+    logger.flush();
+    drop(lines);
+    logger.flush();
+}
