Log: the phases of an instance's start, and what it lacks

The lines 700, 710 and 712 tell when a start began and when a configuration and a list came, but not when the instance had all that it needs to serve, what else it waited for, or that it is alive and still waits: an instance that is up and not ready wrote nothing at all after 700 unless the store failed (720).

777 is written once a start, with the time to each need and the number of reachable peers; 778 every 2 s while something is missing, with its name.

startup::start_phases_logged and startup::missing_needs_logged are new; without the lines there is nothing that they could find.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -138,6 +138,10 @@
 
 /// The process ends by an error.
 pub const ENDED_BY_ERROR: Code = code(754, Level::Error, "gateway ended by an error");
+/// The instance has all that it needs to serve.
+pub const READY: Code = code(777, Level::Info, "ready to serve");
+/// The instance lacks something that it needs to serve.
+pub const NOT_READY: Code = code(778, Level::Warn, "not ready to serve yet");
 
 /// All codes, in the order of the catalogue.
 pub const CODES: &[Code] = &[
@@ -201,6 +205,8 @@
     VALUE_CLAMPED,
     START_NOT_PROVEN,
     ORIGIN_CORRECTED,
+    READY,
+    NOT_READY,
 ];
 
 /// A log line: the event, its request and the inputs of the decision.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,8 +8,8 @@
 //! are, `evacuations` the list of evacuated data centres, `origins` where streams began, `journal` what
 //! the store keeps of it, `reach` whether endpoints are reached at all, `handovers` the requests that
 //! peers serve while none is, `fleet` the heartbeats of other instances, `heartbeat` and `relays` the sending
-//! of own and relayed ones, `orders` the reconfiguration of engines and `clock` everything that depends
-//! on time. `job` contains the requests in progress and their open calls.
+//! of own and relayed ones, `orders` the reconfiguration of engines, `startup` what a new instance waits for
+//! and `clock` everything that depends on time. `job` contains the requests in progress and their open calls.
 
 mod admission;
 mod backup;
@@ -34,6 +34,7 @@
 mod relays;
 mod reports;
 mod starts;
+mod startup;
 mod warm_up;
 
 use std::{sync::Arc, time::Duration};
@@ -192,6 +193,7 @@
     doubt: reach::Doubt,
     handovers: handovers::Handovers,
     planner: orders::Planner,
+    startup: startup::Startup,
     stopped: bool,
     effects: Vec<Effect>,
 }
@@ -256,6 +258,7 @@
             doubt: reach::Doubt::default(),
             handovers: handovers::Handovers::default(),
             planner: orders::Planner::default(),
+            startup: startup::Startup::default(),
             stopped: false,
             effects: Vec::new(),
         }
@@ -285,6 +288,7 @@
         }
         self.run_due(now);
         self.place_waiting(now);
+        self.observe_start(now);
         self.send_heartbeats(now);
         std::mem::take(&mut self.effects)
     }
@@ -314,8 +318,7 @@
     /// Returns whether the instance should receive new connections: it has a configuration,
     /// endpoints and the list of evacuations, and is not draining.
     pub fn is_ready(&self) -> bool {
-        let is_informed = !self.directory.is_empty() && !self.evacuations.is_missing();
-        self.catalog.is_some() && is_informed && !self.is_draining()
+        self.is_informed() && !self.is_draining()
     }
 
     /// Returns whether a graceful stop has begun.
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -59,7 +59,7 @@
         let placement =
             (!self.queue.is_empty()).then(|| self.times.last_placement + PLACEMENT_INTERVAL);
         let heartbeat = (!self.stopped).then(|| self.heartbeat_due());
-        let times = times.chain(self.evacuations.wait_end());
+        let times = times.chain(self.evacuations.wait_end()).chain(self.report_due());
         let times = times.chain(self.reach.probes_due(self.oldest_call()));
         let times = times.chain(self.handovers.next_deadline());
         let journal = (!self.stopped).then(|| self.journal_due()).flatten();
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -38,5 +38,6 @@
 mod spending;
 mod spread;
 mod starts;
+mod startup;
 mod uneven;
 mod warm_up;
