--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -41,6 +41,8 @@
 pub const LISTED: Code = code(712, Level::Info, "endpoints listed");
 /// An entry of the platform cannot be read and is skipped.
 pub const ENTRY_UNREADABLE: Code = code(713, Level::Warn, "unreadable entry skipped");
+/// Fields of the settings that cannot be used have their defaults.
+pub const SETTINGS_PARTIAL: Code = code(714, Level::Error, "settings used in part");
 /// A call to the platform's store has failed; further failures are not logged until one succeeds.
 pub const STORE_LOST: Code = code(720, Level::Warn, "platform store lost");
 /// The platform's store answers again.
@@ -159,6 +161,7 @@
     CONFIG_REFUSED,
     LISTED,
     ENTRY_UNREADABLE,
+    SETTINGS_PARTIAL,
     STORE_LOST,
     STORE_REGAINED,
     PEER_LOST,
--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -26,7 +26,9 @@
     listener::{self, Purpose},
     logger::Logger,
     memory::Memory,
-    peers, status,
+    peers,
+    settings::Unusable,
+    status,
     sync::{Follower, Member},
 };
 
@@ -190,13 +192,13 @@
 
     /// Applies settings that were read again, or logs why they cannot be used; only the seeds can change
     /// while the process runs.
-    pub fn reload(&self, settings: anyhow::Result<Settings>) {
+    pub fn reload(&self, settings: Result<Settings, Unusable>) {
         let line = match &settings {
             Ok(settings) => {
                 self.set_seeds(settings);
                 Record::new(record::RELOADED).with("seeds", settings.seeds.len())
             }
-            Err(error) => Record::new(record::RELOAD_FAILED).with("problem", format!("{error:#}")),
+            Err(unusable) => Record::new(record::RELOAD_FAILED).with("problem", &*unusable.problem),
         };
         self.control.logger.write(&line);
     }
--- a/crates/gatewayd/src/settings.rs
+++ b/crates/gatewayd/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a gateway process.
 
 use std::{
+    fmt,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -64,3 +65,20 @@
     /// Limit on the file descriptors of the process.
     pub descriptors: usize,
 }
+
+/// Why settings cannot be used as they are.
+#[derive(Debug)]
+pub struct Unusable {
+    /// The file, and its problem or the fields that have one.
+    pub problem: String,
+    /// The settings with defaults in place of the fields that have a problem, if those without a default have none.
+    pub partial: Option<Box<Settings>>,
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.problem)
+    }
+}
+
+impl std::error::Error for Unusable {}
