An endpoint that breaks each answer gets single trials only

What callers saw: an endpoint whose health is good and whose every answer is broken, or has no end, was given most requests of its service, as it ends them soonest and so has the fewest: beside one sound endpoint, which is busy, nearly all requests that may not be repeated failed.

Cause: a broken call raised the cost of its endpoint by at most 12 running requests; where more wait at the sound one, the broken one is the cheapest. Only endpoints without any response were ejected.

Change: after five broken answers in a row a plain endpoint is ejected, for 0.4 s and up to 3 s as an unresponsive one; then it has one request of each instance at a time until it answers. Ejected ones are used where there are no others, so that a cause that lies elsewhere ejects none. Errors that the endpoint has answered, calls that were not sent, and engines (which accept a hold before each run) do not count. Line 779 tells when it begins and ends.

--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -1,4 +1,5 @@
-//! Passive health checks: an unresponsive endpoint is ejected, a failing one is chosen less often.
+//! Passive health checks: an endpoint that is unresponsive, or that breaks each answer, is ejected; a failing one is
+//! chosen less often.
 
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 const BASE_EJECTION: Duration = Duration::from_millis(400);
 /// Maximum ejection time.
 const MAX_EJECTION: Duration = Duration::from_secs(3);
+/// Broken answers, one after the other, from which on an endpoint is ejected for all but single trials.
+const MIN_BROKEN_ANSWERS: u32 = 5;
 /// Half-life of the failure rate.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weight of a new call in the failure rate.
@@ -27,8 +30,10 @@
 pub enum Signal {
     /// The call succeeded.
     Success,
-    /// The response was an error, corrupt or truncated.
+    /// The response was an error, or the call failed for a reason that need not lie with the endpoint.
     Error,
+    /// The response was corrupt, truncated or none, although the endpoint had got the request.
+    Broken,
     /// The endpoint could not be reached or did not respond in time.
     Unresponsive,
     /// The endpoint refused the call because it is full.
@@ -41,6 +46,7 @@
 #[value(default)]
 struct Record {
     consecutive_timeouts: u32,
+    consecutive_broken: u32,
     ejected_until: Instant,
     consecutive_refusals: u32,
     full_until: Instant,
@@ -63,6 +69,11 @@
     }
 }
 
+/// Returns the time of an ejection after a number of others with the same cause.
+fn ejection(earlier: u32) -> Duration {
+    MAX_EJECTION.min(BASE_EJECTION * 2_u32.saturating_pow(earlier.min(8)))
+}
+
 /// The health records of all endpoints, by name.
 #[value(default)]
 pub struct Tracker {
@@ -77,9 +88,18 @@
             Signal::Success => {
                 record.consecutive_timeouts = 0;
                 record.consecutive_refusals = 0;
+                record.consecutive_broken = 0;
                 record.sample(now, 0.0);
             }
             Signal::Error => record.sample(now, 1.0),
+            Signal::Broken => {
+                record.sample(now, 1.0);
+                record.consecutive_broken += 1;
+                if let Some(more) = record.consecutive_broken.checked_sub(MIN_BROKEN_ANSWERS) {
+                    let until = now + ejection(more);
+                    record.ejected_until = record.ejected_until.max(until);
+                }
+            }
             Signal::Declined => {
                 record.ejected_until = record.ejected_until.max(now + DECLINED_EJECTION);
             }
@@ -91,10 +111,8 @@
             }
             Signal::Unresponsive => {
                 record.sample(now, 1.0);
-                let ejection =
-                    BASE_EJECTION * 2_u32.saturating_pow(record.consecutive_timeouts.min(8));
+                record.ejected_until = now + ejection(record.consecutive_timeouts);
                 record.consecutive_timeouts += 1;
-                record.ejected_until = now + ejection.min(MAX_EJECTION);
             }
         }
     }
@@ -104,6 +122,12 @@
         self.records.get(endpoint).is_some_and(|it| it.ejected_until > now)
     }
 
+    /// Returns whether an endpoint has broken so many answers that it may have one request at a time, which shows
+    /// whether it serves again.
+    pub fn is_on_trial(&self, endpoint: &str) -> bool {
+        self.records.get(endpoint).is_some_and(|it| it.consecutive_broken >= MIN_BROKEN_ANSWERS)
+    }
+
     /// Returns whether an endpoint counts as full after a recent refusal.
     pub fn is_full(&self, now: Instant, endpoint: &str) -> bool {
         self.records.get(endpoint).is_some_and(|it| it.full_until > now)
@@ -131,6 +155,7 @@
     pub fn clear_ejections(&mut self) {
         for record in self.records.values_mut() {
             record.consecutive_timeouts = 0;
+            record.consecutive_broken = 0;
             record.ejected_until = Instant::default();
         }
     }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -129,11 +129,18 @@
                 && self.warm_up.wait(self.now, it).is_none()
         };
         let ready = || self.endpoints.iter().filter(|it| may_call(it));
-        let available = ready().filter(|it| !self.health.is_ejected(self.now, &it.id));
+        let available = ready().filter(|it| !self.is_ejected(it));
         let available: Vec<&Arc<Endpoint>> = available.collect();
         if available.is_empty() { ready().collect() } else { available }
     }
 
+    /// Returns whether an endpoint is ejected, or on trial with a request of this instance.
+    fn is_ejected(&self, endpoint: &Endpoint) -> bool {
+        let is_tried = || self.loads.own().contains_key(&NameHash::of(&endpoint.id));
+        self.health.is_ejected(self.now, &endpoint.id)
+            || self.health.is_on_trial(&endpoint.id) && is_tried()
+    }
+
     /// Returns the time until the response of the endpoint that responds first; `None` if a request
     /// would not wait there, or if the time cannot be estimated.
     pub fn expected(&self, excluded: &[Name]) -> Option<Duration> {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -122,6 +122,8 @@
 pub const START_NOT_PROVEN: Code = code(775, Level::Info, "start of an endpoint not proven");
 /// The version of a stream was corrected, as its endpoint had started again before the stream began there.
 pub const ORIGIN_CORRECTED: Code = code(776, Level::Info, "version of a stream corrected");
+/// An endpoint breaks each answer, or does so no longer.
+pub const ANSWERS_BROKEN: Code = code(779, Level::Warn, "endpoint breaks its answers");
 
 /// The origins of a service's streams are journaled in the store, or no longer.
 pub const JOURNALING: Code = code(751, Level::Info, "journal of origins");
@@ -210,6 +212,7 @@
     ORIGIN_CORRECTED,
     READY,
     NOT_READY,
+    ANSWERS_BROKEN,
 ];
 
 /// A log line: the event, its request and the inputs of the decision.
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -95,6 +95,7 @@
             Outcome::Failed { unresponsive: true, .. } | Outcome::Failed { closed: true, .. } => {
                 Signal::Unresponsive
             }
+            Outcome::Failed { sent: true, .. } if open.endpoint.stage.is_none() => Signal::Broken,
             Outcome::Failed { .. } => Signal::Error,
             Outcome::Refused { .. } if open.kind == Kind::Prefill => Signal::Declined,
             Outcome::Refused { .. } => Signal::Full,
@@ -106,7 +107,20 @@
         // engine that computed it, not of the refusing one.
         let is_fault_of_other = open.kind == Kind::Run && signal == Signal::Full;
         if !is_fault_of_other {
-            self.fleet.health.record(now, &open.endpoint.id, signal);
+            self.record_signal(now, &open.endpoint.id, signal);
+        }
+    }
+
+    fn record_signal(&mut self, now: Instant, endpoint: &Name, signal: Signal) {
+        let health = &mut self.fleet.health;
+        let before = health.is_on_trial(endpoint);
+        health.record(now, endpoint, signal);
+        let is_on_trial = health.is_on_trial(endpoint);
+        if is_on_trial != before {
+            let line = Record::new(record::ANSWERS_BROKEN)
+                .with("endpoint", &**endpoint)
+                .with("state", if is_on_trial { "begun" } else { "ended" });
+            self.log(line);
         }
     }
 
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's control logic without clock or network.
 
 mod backup;
+mod broken_answers;
 mod contact;
 mod crashes;
 mod drain;
