Tests: a port of an outgoing connection that another socket has as well

Seen: addresses::listen_beside_call failed in 7 of 30 runs alone at a load of 36 (address in use). Cause: the kernel gives the same local port out for connections to different addresses; a socket of another program, at 127.0.0.1 as well, that does not allow reuse keeps the port from being listened at, whatever the gateway does.

--- a/crates/gatewayd/tests/testsuite/outgoing.rs
+++ b/crates/gatewayd/tests/testsuite/outgoing.rs
@@ -12,6 +12,9 @@
 /// one after the other, before odd ones.
 const TRIES: usize = 30_000;
 
+/// Local ports that are tried, as sockets of other programs may have the same one.
+const PORTS: usize = 20;
+
 fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
     let address = listener.local_addr().expect("an address");
@@ -31,24 +34,34 @@
 #[tokio::test]
 async fn listen_beside_open() {
     let (_remote, address) = listener();
-    let stream = outgoing::connect(address).await.expect("a connection");
-    let local = stream.local_addr().expect("an address");
-    TcpListener::bind(local).expect("the address can be listened at");
+    for _ in 0..PORTS {
+        let stream = outgoing::connect(address).await.expect("a connection");
+        let local = stream.local_addr().expect("an address");
+        if TcpListener::bind(local).is_ok() {
+            return;
+        }
+    }
+    panic!("none of the addresses can be listened at");
 }
 
 /// Guards against the same for the minute after such a connection was closed from this end.
 #[tokio::test]
 async fn listen_beside_closed() {
     let (remote, address) = listener();
-    let mut stream = outgoing::connect(address).await.expect("a connection");
-    let local = stream.local_addr().expect("an address");
-    let (accepted, _) = remote.accept().expect("a connection");
-    rustix::net::shutdown(&stream, rustix::net::Shutdown::Write).expect("open");
-    drop(accepted);
-    let rest = stream.read_to_end(&mut Vec::new()).await.expect("the end of the connection");
-    assert_eq!(rest, 0);
-    drop(stream);
-    TcpListener::bind(local).expect("the address can be listened at");
+    for _ in 0..PORTS {
+        let mut stream = outgoing::connect(address).await.expect("a connection");
+        let local = stream.local_addr().expect("an address");
+        let (accepted, _) = remote.accept().expect("a connection");
+        rustix::net::shutdown(&stream, rustix::net::Shutdown::Write).expect("open");
+        drop(accepted);
+        let rest = stream.read_to_end(&mut Vec::new()).await.expect("the end of the connection");
+        assert_eq!(rest, 0);
+        drop(stream);
+        if TcpListener::bind(local).is_ok() {
+            return;
+        }
+    }
+    panic!("none of the addresses can be listened at");
 }
 
 /// Guards against an endpoint that seems to listen since a connection to its port was given the same port
