Gateway: settings that cannot be used at a reload are read again

What operators saw: a change of settings that was never in force, where SIGHUP came while the file was only half written: the reload was tried once (line 709) and the next one needed another signal. Cause: the same as at the start, one try at something that heals by itself. The seeds alone change while a process runs. Change: after a failed reload the file is read again each second until it can be used; a problem is logged once. Test: startup::reload_half_written; without the second read (interval of an hour) no line 703 within 20 s.

--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -37,6 +37,8 @@
 /// Time before the end of the grace period at which the process exits, although answers may still be
 /// on their way to callers.
 const EXIT_MARGIN: Duration = Duration::from_millis(100);
+/// Time between two reads of settings that cannot be used.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit for removing the instance from the list of members.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -190,16 +192,28 @@
             .set_seeds(settings.seeds.iter().map(|it| SocketAddr::new(*it, port)).collect());
     }
 
-    /// Applies settings that were read again, or logs why they cannot be used; only the seeds can change
-    /// while the process runs.
-    pub fn reload(&self, settings: Result<Settings, Unusable>) {
-        let line = match &settings {
-            Ok(settings) => {
-                self.set_seeds(settings);
-                Record::new(record::RELOADED).with("seeds", settings.seeds.len())
+    /// Reads the settings until they can be used, and applies them; only the seeds can change while the process runs.
+    ///
+    /// The settings in force stay until then; the log tells why, once for each problem.
+    pub async fn reload(&self, read: impl Fn() -> Result<Settings, Unusable>) {
+        let mut logged = None;
+        loop {
+            match read() {
+                Ok(settings) => return self.apply(&settings),
+                Err(unusable) if logged.as_ref() == Some(&unusable.problem) => {}
+                Err(unusable) => {
+                    let line = Record::new(record::RELOAD_FAILED);
+                    self.control.logger.write(&line.with("problem", &*unusable.problem));
+                    logged = Some(unusable.problem);
+                }
             }
-            Err(unusable) => Record::new(record::RELOAD_FAILED).with("problem", &*unusable.problem),
-        };
+            time::sleep(RELOAD_INTERVAL).await;
+        }
+    }
+
+    fn apply(&self, settings: &Settings) {
+        self.set_seeds(settings);
+        let line = Record::new(record::RELOADED).with("seeds", settings.seeds.len());
         self.control.logger.write(&line);
     }
 
