Store: first reads get more time after each that failed

Cause: each call to the store had 0.7 s for the head of its answer, the first reads of a process too, and the next try had the same. A store that answers every call, each after more than that, was asked again and again and never heard: the answers came to closed connections. All instances that start at once add calls that nobody waits for to the work of a store that is late already. Peers do not help after a loss of all, as none has a copy.

Change: the limit for reads of what there is no copy of doubles with each read that failed, to 2.8 s at most, so that three kinds are read within the 12 s of a recovery. Reads of what there is a copy of keep 0.7 s, so that outages are noticed as before; other calls, which keep it as well, show the end of one and renew these reads as before.

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -14,6 +14,11 @@
 
 use crate::Instant;
 
+/// Time limit for the head of an answer of the store, in addition to the wait that a watch requests, and for each
+/// part of its body: a large one takes long on a slow link.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Upper limit of the same for reads of what there is no copy of yet, which doubles with each failed one.
+const MAX_FIRST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2_800);
 /// Time without an answer of the store after which it is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after the first failed attempt at the instance with rank 0; it doubles with each further failure.
@@ -71,6 +76,8 @@
     outage: Option<Outage>,
     last_answer: Option<Instant>,
     last_probe: Instant,
+    /// Time limit for reads of what there is no copy of yet.
+    first_response_timeout: Duration,
 }
 
 impl<K: Hash + Eq + Clone> Contact<K> {
@@ -81,6 +88,7 @@
             outage: None,
             last_answer: None,
             last_probe: Instant::default(),
+            first_response_timeout: RESPONSE_TIMEOUT,
         }
     }
 
@@ -109,6 +117,8 @@
     /// Records that a read of a kind has failed at an instance with the given rank.
     pub fn fail(&mut self, now: Instant, kind: &K, rank: u32) {
         self.lost(now);
+        let longer = self.first_response_timeout * 2;
+        self.first_response_timeout = longer.min(MAX_FIRST_RESPONSE_TIMEOUT);
         if let Some(copy) = self.copies.get_mut(kind) {
             copy.is_checked = false;
             copy.backoff = next_backoff(copy.backoff);
@@ -121,6 +131,12 @@
         }
     }
 
+    /// Returns the time limit for the answer to a read of what there is no copy of yet. Without one the instance
+    /// cannot serve, and asking again would only add to the work of a store that is late.
+    pub fn first_response_timeout(&self) -> Duration {
+        self.first_response_timeout
+    }
+
     /// Records that the store has answered a call of this instance.
     pub fn answered(&mut self, now: Instant) -> Answered {
         self.last_answer = Some(now);
--- a/crates/gateway/tests/testsuite/contact.rs
+++ b/crates/gateway/tests/testsuite/contact.rs
@@ -395,3 +395,23 @@
     println!("{size} instances: at most {most_calls} calls in a second");
     assert!(most_calls * FLEET <= MAX_CALLS_PER_S * size, "{most_calls} calls in a second");
 }
+
+/// Guards against first reads that are given up again and again: each one that fails leaves more time to the next
+/// ones, up to a bound with which all kinds are read within the time for a recovery.
+#[test]
+fn first_reads_get_more_time() {
+    let recovery = Duration::from_secs(12);
+    let mut contact = Contact::new(0..KINDS);
+    let limits: Vec<Duration> = (0..6)
+        .map(|_| {
+            let limit = contact.first_response_timeout();
+            contact.fail(Instant::from_millis(1_000), &0, 0);
+            limit
+        })
+        .collect();
+    assert_eq!(limits[0], Duration::from_millis(RESPONSE_TIMEOUT_MS));
+    let longest = limits[5];
+    assert!(limits.is_sorted() && longest > limits[1]);
+    let failed: Duration = limits.iter().filter(|it| **it < longest).sum();
+    assert!(failed + longest * KINDS as u32 <= recovery, "{limits:?}");
+}
--- a/crates/gatewayd/src/sync/transport.rs
+++ b/crates/gatewayd/src/sync/transport.rs
@@ -4,7 +4,7 @@
 
 use siskinstile_gateway::{
     Event,
-    contact::Answered,
+    contact::{Answered, RESPONSE_TIMEOUT},
     record::{self, Record},
 };
 use tokio::time;
@@ -14,12 +14,9 @@
     body,
     client::Reuse,
     memory::Memory,
-    store::{Answer, Call, Fault},
+    store::{Answer, Call, Fault, Kind},
 };
 
-/// Time limit for the head of an answer, in addition to the wait that a watch requests, and for each
-/// part of its body: a large one takes long on a slow link.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time limit for all of a body.
 const MAX_BODY_TIME: Duration = Duration::from_secs(10);
 /// Size limit of an answer. An object has 1 MiB at most, and so does a page of a list.
@@ -65,14 +62,11 @@
         let protocol = &self.control.protocol;
         let request = protocol.store_request(call);
         let client = &self.control.store_client;
-        let wait = match call {
-            Call::Watch { wait, .. } => *wait,
-            _ => Duration::ZERO,
-        };
+        let limit = self.response_limit(call);
         let reply = client.send(self.store, request, MAX_CONNECTIONS, Reuse::Any);
         let reply = tokio::select! {
             biased;
-            reply = time::timeout(wait + RESPONSE_TIMEOUT, reply) => reply,
+            reply = time::timeout(limit, reply) => reply,
             () = given_up => return Err(Fault::GivenUp),
         };
         let reply = reply.map_err(|_| self.time_out())?.map_err(|_| Fault::Lost)?;
@@ -102,6 +96,22 @@
         protocol.read_store_answer(call, status, era, &body)
     }
 
+    /// Returns the time limit for the head of the answer to a call.
+    fn response_limit(&self, call: &Call) -> Duration {
+        match call {
+            Call::Watch { wait, .. } => *wait + RESPONSE_TIMEOUT,
+            Call::List { kind, .. } if self.lacks_copy(*kind) => {
+                self.contact.borrow().first_response_timeout()
+            }
+            _ => RESPONSE_TIMEOUT,
+        }
+    }
+
+    /// Returns whether a kind is followed and there is no copy of it yet.
+    fn lacks_copy(&self, kind: Kind) -> bool {
+        self.kinds().any(|it| it == kind) && !self.replica(kind).borrow().mirror.is_listed()
+    }
+
     /// Returns the era of an answer, and records it if it is a new one. The first era of a store
     /// that states none is 0.
     ///
