Gateway: metrics that may not be served do not end the start

Cause: errors other than those that heal by themselves ended the start for all purposes alike.

Measured: listener::spawn_not_permitted, case metrics, failed before and passes now; case callers passed before and after.

--- a/crates/gatewayd/src/listener.rs
+++ b/crates/gatewayd/src/listener.rs
@@ -45,6 +45,11 @@
 }
 
 impl Purpose {
+    /// Returns whether the process cannot serve without the address.
+    fn is_essential(self) -> bool {
+        self != Purpose::Metrics
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Purpose::Callers => "callers",
@@ -59,7 +64,7 @@
 
 /// Runs `serve` with the socket that `open` returns, now or as soon as the address is available.
 ///
-/// Fails if waiting does not make it available, as for want of a permission.
+/// Fails if waiting does not make it available, as for want of a permission, and the process cannot serve without it.
 pub fn spawn<T: 'static, F: Future<Output = ()> + 'static>(
     logger: &Logger,
     (purpose, address): (Purpose, SocketAddr),
@@ -68,7 +73,7 @@
 ) -> anyhow::Result<()> {
     match open(address) {
         Ok(socket) => spawn_essential(serve(socket)),
-        Err(error) if is_temporary(&error) => {
+        Err(error) if is_temporary(&error) || !purpose.is_essential() => {
             let missing = Missing::new(logger.clone(), purpose, address);
             missing.log(&error);
             spawn_essential(async move { serve(missing.open(open).await).await });
--- a/crates/gatewayd/tests/testsuite/main.rs
+++ b/crates/gatewayd/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod archive;
 mod descriptors;
 mod fault;
+mod listener;
 mod logger;
 mod memory;
 mod mirror;
