--- a/crates/gatewayd/src/daemon.rs
+++ b/crates/gatewayd/src/daemon.rs
@@ -113,15 +113,16 @@
         self.spawn_connections((Purpose::Readiness, listen.ready), move |it| {
             status::serve_ready(control, it)
         })?;
-        let control = self.control.clone();
-        self.spawn_connections((Purpose::Metrics, listen.metrics), move |it| {
-            status::serve_metrics(control, metrics, it)
-        })?;
         let (control, follower) = (self.control.clone(), self.follower.clone());
         self.spawn_connections((Purpose::Snapshots, listen.peers), move |it| {
             peers::transfer::serve(control, it, follower)
         })?;
-        self.spawn_heartbeats(heartbeats)
+        self.spawn_heartbeats(heartbeats)?;
+        // Last, as the platform does not know this port when it chooses the others.
+        let control = self.control.clone();
+        self.spawn_connections((Purpose::Metrics, listen.metrics), move |it| {
+            status::serve_metrics(control, metrics, it)
+        })
     }
 
     fn spawn_frontend(
