Gateway: a process of 64 descriptors serves

Cause: 64 descriptors were reserved at least, so that none was left for connections.

Change: at most half of them are reserved.

--- a/crates/gatewayd/src/descriptors.rs
+++ b/crates/gatewayd/src/descriptors.rs
@@ -14,7 +14,7 @@
 
 /// Descriptors that are reserved for files, listeners, the store, status connections and transfers.
 const MAX_RESERVED: usize = 264;
-/// The same for a process that may open few descriptors.
+/// The same for a process that may open few descriptors; half of them at most.
 const MIN_RESERVED: usize = 64;
 /// Part of all descriptors that is reserved between these two.
 const RESERVED_PERCENT: usize = 25;
@@ -63,7 +63,7 @@
     /// Creates the budget of a process that may have `limit` descriptors open.
     pub fn new(limit: usize) -> Rc<Budget> {
         let reserved = (limit * RESERVED_PERCENT / 100).clamp(MIN_RESERVED, MAX_RESERVED);
-        let capacity = limit.saturating_sub(reserved);
+        let capacity = limit - reserved.min(limit / 2);
         let callers = Slots::new(capacity * CALLER_PERCENT / 100);
         let free = Arc::new(Semaphore::new(capacity));
         Rc::new(Budget { capacity, free, callers })
