Gateway: requests of one team on one route that crash endpoints are quarantined together

A group (route and team, plain services only) is now a subject beside the exact request: told as sets of crashes and of requests that went well, in a field of heartbeats of its own; five endpoints, three apart, confirm it, success clears it in proportion, and a group that another one equals is not decided. After three crashes apart a request of it that ended its endpoint is not repeated.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -22,9 +22,11 @@
 
 use crate::{Instant, name_hash::NameHash};
 
+mod group;
 mod message;
 mod suspect;
 
+pub use group::{GroupReport, Groups};
 pub use suspect::{Crash, Report};
 
 use suspect::Suspect;
--- a/crates/core/src/quarantine/message.rs
+++ b/crates/core/src/quarantine/message.rs
@@ -6,7 +6,7 @@
 
 use crate::{Instant, name_hash::NameHash};
 
-use super::{Crash, Report, Subject};
+use super::{Crash, GroupReport, Report, Subject};
 
 impl Report {
     /// Returns a report of another instance that has just arrived.
@@ -43,3 +43,28 @@
         }
     }
 }
+
+impl GroupReport {
+    /// Returns a report of another instance that has just arrived; `None` if it tells nothing.
+    pub fn received(now: Instant, sent: &wire::SuspectGroup) -> Option<GroupReport> {
+        let hashes = |it: &wire::CrashedRequest| (NameHash(it.engine), NameHash(it.request));
+        Some(GroupReport {
+            suspicion: Report::received(now, sent.suspicion.as_ref()?),
+            requests: sent.requests.iter().map(hashes).collect(),
+            successes: sent.successes.iter().copied().map(NameHash).collect(),
+        })
+    }
+
+    /// Returns the report as it is sent now.
+    pub fn to_send(&self, now: Instant) -> wire::SuspectGroup {
+        let request = |(engine, request): &(NameHash, NameHash)| wire::CrashedRequest {
+            engine: engine.0,
+            request: request.0,
+        };
+        wire::SuspectGroup {
+            suspicion: Some(self.suspicion.to_send(now)),
+            requests: self.requests.iter().map(request).collect(),
+            successes: self.successes.iter().map(|it| it.0).collect(),
+        }
+    }
+}
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -10,7 +10,7 @@
 use super::{Subject, WHOLE_REQUEST};
 
 /// Number of crashes, one after the other, for which a subject is quarantined.
-const MIN_CRASHES: usize = 3;
+pub(super) const MIN_CRASHES: usize = 3;
 /// Number of crashes for which a part is quarantined although they were at the same time, or nothing
 /// else has run.
 const MIN_ENGINES: usize = 5;
@@ -25,7 +25,7 @@
 const OTHER_SUCCESS_TIME: Duration = Duration::from_millis(700);
 /// Time after the last crash for which a subject is quarantined. A single crash within
 /// [`CRASH_EXPIRY`] then renews it.
-const QUARANTINE_TIME: Duration = Duration::from_secs(300);
+pub(super) const QUARANTINE_TIME: Duration = Duration::from_secs(300);
 /// The same if no run at all has gone well meanwhile, so that the subject is not known to be the cause.
 const SHORT_QUARANTINE_TIME: Duration = Duration::from_secs(30);
 /// Time for which a crash counts.
@@ -33,7 +33,7 @@
 /// Time without a crash after which a subject that has been cleared is forgotten.
 const CLEARED_EXPIRY: Duration = Duration::from_secs(10);
 /// Time for which news of a suspect are told to peers.
-const REPEAT_TIME: Duration = Duration::from_secs(3);
+pub(super) const REPEAT_TIME: Duration = Duration::from_secs(3);
 /// Time between two crashes that may not have a cause in common, such as the loss of a rack.
 const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of crashes that are kept of a subject.
@@ -207,13 +207,25 @@
     /// A request has to have crashed endpoints over some time as a whole: what a lost rack breaks at
     /// once may seem to be apart by the delays of messages.
     fn crash_count_at(&self, time: Instant) -> usize {
+        let crashes = self.crashes.values().filter(|it| it.at <= time);
+        let (first, last) = (crashes.clone().map(|it| it.at).min(), crashes.map(|it| it.at).max());
+        let spread = match (first, last) {
+            (Some(first), Some(last)) => last.since(first),
+            _ => return 0,
+        };
+        let count = self.crashes_apart(time).len();
+        match spread < MIN_CRASH_INTERVAL {
+            true => count.min(MIN_CRASHES - 1),
+            false => count,
+        }
+    }
+
+    /// Returns the crashes up to a time, in order; of those at the same time only one, unless the run of
+    /// the later one began after the earlier one.
+    pub(super) fn crashes_apart(&self, time: Instant) -> Vec<Crash> {
         let mut crashes: Vec<Crash> =
             self.crashes.values().filter(|it| it.at <= time).copied().collect();
         crashes.sort_unstable_by_key(|it| it.at);
-        let spread = match (crashes.first(), crashes.last()) {
-            (Some(first), Some(last)) => last.at.since(first.at),
-            _ => return 0,
-        };
         let is_request = self.is_request();
         let mut last: Option<Instant> = None;
         crashes.retain(|it| {
@@ -225,10 +237,11 @@
             }
             counts
         });
-        match spread < MIN_CRASH_INTERVAL {
-            true => crashes.len().min(MIN_CRASHES - 1),
-            false => crashes.len(),
-        }
+        crashes
+    }
+
+    pub(super) fn last_crash(&self) -> Instant {
+        self.last_crash
     }
 
     fn is_request(&self) -> bool {
--- a/crates/gateway/src/range.rs
+++ b/crates/gateway/src/range.rs
@@ -76,7 +76,8 @@
             clamped |= clamp(&mut it.remaining_ms, MAX_SPAN.as_millis() as u64);
             clamped |= clamp(&mut it.number, MAX_TOTAL);
         }
-        for it in &mut self.suspects {
+        let groups = self.suspect_groups.iter_mut().filter_map(|it| it.suspicion.as_mut());
+        for it in self.suspects.iter_mut().chain(groups) {
             clamped |= clamp_some(&mut it.quarantined_ms, MAX_SPAN.as_millis() as u64);
             clamped |= clamp_some(&mut it.cleared_age_ms, MAX_TIME_MS);
         }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -124,6 +124,10 @@
 pub const ORIGIN_CORRECTED: Code = code(776, Level::Info, "version of a stream corrected");
 /// An endpoint breaks each answer, or does so no longer.
 pub const ANSWERS_BROKEN: Code = code(779, Level::Warn, "endpoint breaks its answers");
+/// The requests of a team on a route are quarantined, since endpoints ended that ran some of them.
+pub const GROUP_QUARANTINED: Code = code(780, Level::Warn, "group of requests quarantined");
+/// A quarantined group is free again, since enough of its requests went well.
+pub const GROUP_FREED: Code = code(781, Level::Info, "group of requests free again");
 
 /// The origins of a service's streams are journaled in the store, or no longer.
 pub const JOURNALING: Code = code(751, Level::Info, "journal of origins");
@@ -213,6 +217,8 @@
     READY,
     NOT_READY,
     ANSWERS_BROKEN,
+    GROUP_QUARANTINED,
+    GROUP_FREED,
 ];
 
 /// A log line: the event, its request and the inputs of the decision.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 mod engine;
 mod evacuations;
 mod fleet;
+mod groups;
 mod handovers;
 mod heartbeat;
 mod job;
@@ -57,7 +58,7 @@
     origin::Origins,
     pace::Paces,
     plain::{Arrivals, Usual},
-    quarantine::Quarantine,
+    quarantine::{Groups, Quarantine},
     quota::{Ledger, Tolerance},
     range::Ranged as _,
     reach::Reach,
@@ -131,6 +132,7 @@
     limits: Limits,
     warm_up: ColdTracker,
     quarantine: Quarantine,
+    groups: Groups,
     /// Crashes that entries have not shown yet, the latest first.
     unproven: Vec<quarantine::Unproven>,
     origins: Origins,
@@ -225,6 +227,7 @@
                 limits,
                 warm_up,
                 quarantine: Quarantine::default(),
+                groups: Groups::default(),
                 unproven: Vec::new(),
                 origins: Origins::default(),
                 journaling,
--- a/crates/gateway/src/state/admission.rs
+++ b/crates/gateway/src/state/admission.rs
@@ -19,6 +19,7 @@
 
 use super::{
     State,
+    groups::group_of,
     job::{Job, Phase, Times},
     prompts::Check,
 };
@@ -114,6 +115,8 @@
         // A stream that is taken up goes on at the service where it began.
         let draw = stream.map_or(arrival.id.0, |it| it.0);
         let service = catalog.service(route.pick_service(draw)).expect("routes are checked");
+        let group = group_of(route, service, team.as_deref());
+        self.check_group(now, group)?;
         // The peer that takes the request charges it.
         let charged = match self.hands_over(arrival.handed_over.is_some()) {
             true => 0,
@@ -131,6 +134,8 @@
             tokens: arrival.tokens,
             shared_parts: arrival.shared_parts().to_vec(),
             subjects,
+            group,
+            has_crashed: false,
             charged,
             arrived: now,
             first_attempt,
--- a/crates/gateway/src/state/clock.rs
+++ b/crates/gateway/src/state/clock.rs
@@ -30,6 +30,7 @@
             self.times.last_expiry = now;
             self.expire_peers(now);
             self.update_quarantine(now);
+            self.update_groups(now);
             self.fleet.origins.expire(now);
             self.update_writer(now);
         }
--- a/crates/gateway/src/state/fleet.rs
+++ b/crates/gateway/src/state/fleet.rs
@@ -88,6 +88,7 @@
             self.update_directory();
         }
         self.handle_suspects(now, &heartbeat);
+        self.handle_suspect_groups(now, &heartbeat);
         self.handle_limits(now, &heartbeat);
         let low = heartbeat.low_buckets.iter().map(|it| (NameHash(it.team), it.level));
         self.fleet.ledger.record_low_buckets(now, low);
--- a/crates/gateway/src/state/heartbeat.rs
+++ b/crates/gateway/src/state/heartbeat.rs
@@ -211,6 +211,7 @@
             reconfiguring: self.planner.reconfiguring().map(|it| it.to_string()).collect(),
             departures: self.fleet.departures.announced(now).map(sent_departure).collect(),
             suspects: self.sent_suspects(now),
+            suspect_groups: self.sent_suspect_groups(now),
             limits: self.sent_limits(now),
             cold: self.sent_cold(now),
             paces: self.sent_paces(now, &Source::OWN),
--- a/crates/gateway/src/state/job.rs
+++ b/crates/gateway/src/state/job.rs
@@ -91,6 +91,10 @@
     pub(super) shared_parts: Vec<Name>,
     /// What of the request may be quarantined: the whole first, then the shared parts.
     pub(super) subjects: Vec<Subject>,
+    /// The group of requests that it belongs to, which may be quarantined as a whole.
+    pub(super) group: Option<NameHash>,
+    /// Whether an endpoint has ended that ran it.
+    pub(super) has_crashed: bool,
     /// Units that its team has been charged.
     pub(super) charged: u64,
     pub(super) arrived: Instant,
--- a/crates/gateway/src/state/quarantine.rs
+++ b/crates/gateway/src/state/quarantine.rs
@@ -33,6 +33,7 @@
 #[value]
 pub(super) struct Unproven {
     subject: Subject,
+    group: Option<NameHash>,
     endpoint: Arc<Endpoint>,
     crash: Crash,
 }
@@ -46,6 +47,7 @@
         let Some(job) = self.jobs.get(&id) else { return };
         if framed || job.has_answered_for(now, MIN_ANSWER_TIME) {
             self.record_success(now, &job.subjects.clone());
+            self.record_group_success(now, id);
         }
     }
 
@@ -77,12 +79,17 @@
         let has_answered = job.has_answered_for(now, MIN_ANSWER_TIME);
         let has_begun = job.answering_since.take().is_some();
         let subjects = job.subjects.clone();
+        let (group, request) = (job.group, job.request_subject().hash);
+        job.has_crashed |= ended;
         let is_suspect = |it: &Subject| if it.depth == WHOLE_REQUEST { ended } else { has_begun };
         match has_answered {
             true => self.record_success(now, &subjects),
             false => {
                 let suspects: Vec<Subject> = subjects.into_iter().filter(is_suspect).collect();
                 self.record_crash(now, run, &suspects);
+                if ended {
+                    self.record_group_crash(now, group, request, crash_of(now, run));
+                }
             }
         }
     }
@@ -104,7 +111,7 @@
     /// Calls that began after an earlier break of the same start show nothing: it may have ended then.
     pub(super) fn suspect_crash(&mut self, now: Instant, id: request::Id, call: &OpenCall) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let subject = job.request_subject();
+        let (subject, group) = (job.request_subject(), job.group);
         let is_same = |it: &Unproven| {
             it.endpoint.id == call.endpoint.id
                 && it.endpoint.started_at_ms == call.endpoint.started_at_ms
@@ -113,10 +120,9 @@
         if known.any(|it| it.crash.at <= call.started) {
             return;
         }
-        let engine = engine_hash(&call.endpoint);
-        let crash = Crash { engine, began_at: call.started, at: now };
+        let (endpoint, crash) = (call.endpoint.clone(), crash_of(now, call));
         self.fleet.unproven.truncate(MAX_UNPROVEN - 1);
-        self.fleet.unproven.insert(0, Unproven { subject, endpoint: call.endpoint.clone(), crash });
+        self.fleet.unproven.insert(0, Unproven { subject, group, endpoint, crash });
         self.confirm_crashes(now);
     }
 
@@ -132,13 +138,14 @@
         let (shown, unproven): (Vec<_>, Vec<_>) = all.into_iter().partition(has_restarted);
         let is_recent = |it: &Unproven| now.since(it.crash.at) < MAX_PROOF_TIME;
         self.fleet.unproven = unproven.into_iter().filter(is_recent).collect();
-        for Unproven { subject, endpoint, crash } in shown {
+        for Unproven { subject, group, endpoint, crash } in shown {
             let line = Record::new(record::CRASH_SHOWN)
                 .with("endpoint", &*endpoint.id)
                 .with("request_hash", subject.hash.to_string())
                 .with("age_ms", now.since(crash.at).as_millis() as u64);
             self.log(line);
             self.fleet.quarantine.record_crash(now, &[subject], crash);
+            self.record_group_crash(now, group, subject.hash, crash);
             self.announce();
         }
     }
@@ -153,8 +160,7 @@
         if suspects.is_empty() {
             return;
         }
-        let crash = Crash { engine: engine_hash(&call.endpoint), began_at: call.started, at: now };
-        self.fleet.quarantine.record_crash(now, suspects, crash);
+        self.fleet.quarantine.record_crash(now, suspects, crash_of(now, call));
         self.announce();
     }
 
@@ -175,12 +181,16 @@
     pub(super) fn is_quarantined(&self, now: Instant, id: request::Id) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
         self.fleet.quarantine.find(now, &job.subjects).is_some()
+            || self.check_group(now, job.group).is_err()
     }
 
-    /// Returns whether a request has crashed so many endpoints that it must not be repeated.
+    /// Returns whether a request, or its group if it has crashed an endpoint itself, has crashed so
+    /// many endpoints that it must not be repeated.
     pub(super) fn is_too_suspect(&self, id: request::Id) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
+        let group = job.group.filter(|_| job.has_crashed);
         !self.fleet.quarantine.may_repeat(job.request_subject())
+            || group.is_some_and(|it| !self.fleet.groups.may_repeat(it))
     }
 
     /// Handles what a peer suspects.
@@ -243,7 +253,7 @@
     }
 
     /// Returns whether the request waits, or is being prepared, for an endpoint to run it.
-    fn is_unsent(&self) -> bool {
+    pub(super) fn is_unsent(&self) -> bool {
         matches!(self.phase, Phase::Locating | Phase::Queued | Phase::Holding | Phase::Prefilling)
     }
 
@@ -261,6 +271,11 @@
     (Failure::not_run(Kind::Quarantined).with_retry_after(remaining), reason)
 }
 
+/// Returns the crash of an endpoint with which a call has just broken off.
+fn crash_of(now: Instant, call: &OpenCall) -> Crash {
+    Crash { engine: engine_hash(&call.endpoint), began_at: call.started, at: now }
+}
+
 /// Returns a hash of an endpoint's name and start.
 fn engine_hash(endpoint: &Endpoint) -> NameHash {
     let started_at_ms = endpoint.started_at_ms.unwrap_or_default();
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -208,7 +208,9 @@
             _ => line,
         };
         let line = match ended {
-            true => line.with("request_hash", job.request_subject().hash.to_string()),
+            true => line
+                .with("request_hash", job.request_subject().hash.to_string())
+                .with("group_hash", job.group.map(|it| it.to_string())),
             false => line,
         };
         self.log(line);
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod follow;
 mod generation;
+mod groups;
 mod handover;
 mod handover_fleet;
 mod journal;
--- a/crates/wire/src/message/heartbeat.rs
+++ b/crates/wire/src/message/heartbeat.rs
@@ -97,6 +97,10 @@
     /// it.
     #[prost(message, repeated, tag = "34")]
     pub low_buckets: Vec<LowBucket>,
+    /// Requests of one team on one route that the sender suspects together of crashing endpoints, or has
+    /// quarantined.
+    #[prost(message, repeated, tag = "37")]
+    pub suspect_groups: Vec<SuspectGroup>,
 }
 
 /// What is left in the bucket of a team.
@@ -218,6 +222,31 @@
     pub quarantined_ms: Option<u64>,
 }
 
+/// Requests of one team on one route that are suspected together of crashing endpoints.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SuspectGroup {
+    /// The crashes, the last clearing and the quarantine, by the hash of the group.
+    #[prost(message, optional, tag = "1")]
+    pub suspicion: Option<Suspect>,
+    /// Requests that were in progress at the crashes.
+    #[prost(message, repeated, tag = "2")]
+    pub requests: Vec<CrashedRequest>,
+    /// Hashes of the identifiers of requests that have gone well since.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub successes: Vec<u64>,
+}
+
+/// A request that was in progress at the crash of an endpoint.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CrashedRequest {
+    /// Hash of the endpoint's name and start.
+    #[prost(fixed64, tag = "1")]
+    pub engine: u64,
+    /// Hash of the request's content and team.
+    #[prost(fixed64, tag = "2")]
+    pub request: u64,
+}
+
 /// The crash of an endpoint.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Crash {
