Daemon: limit the lines and bodies of engines

Cause: lines of an event stream and JSON bodies were read whole, without a limit; the time limit is looked at after each line.

Measured: endless::result_without_end, both cases, failed before (no error to the caller within the test's time, or all bytes taken) and pass now. Not covered: JSON of the platform's store, which is read whole.

--- a/crates/siskinstiled/src/endpoint.rs
+++ b/crates/siskinstiled/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! Calls to endpoints: a trait with an adapter for model engines and one for plain services.
 
 mod engine;
+mod lines;
 mod plain;
 
 use std::{
--- a/crates/siskinstiled/src/endpoint/engine.rs
+++ b/crates/siskinstiled/src/endpoint/engine.rs
@@ -1,7 +1,7 @@
 //! The adapter for model engines: prefill, import and decode over HTTP.
 
 use std::{
-    io::{self, BufRead as _, BufReader},
+    io,
     time::{Duration, Instant},
 };
 
@@ -11,7 +11,11 @@
     request::{Id, Outcome, Step},
 };
 
-use super::{Endpoint, Job, READ_TIMEOUT, has_ended, may_have_been_sent, without_proxy};
+use super::{
+    Endpoint, Job, READ_TIMEOUT, has_ended,
+    lines::{self, Lines},
+    may_have_been_sent, without_proxy,
+};
 use crate::relay::Payload;
 
 /// Time limit on a prefill or on a transfer of KV-cache memory.
@@ -82,10 +86,10 @@
     let status = response.status().as_u16();
     let content_type = response.headers().get("content-type").and_then(|it| it.to_str().ok());
     if !content_type.is_some_and(|it| it.starts_with(EVENT_STREAM)) {
-        return Ok((status, response.json().unwrap_or(Value::Null)));
+        return Ok((status, lines::read_json(response)));
     }
     let start = Instant::now();
-    for line in BufReader::new(response).lines() {
+    for line in Lines::new(response) {
         if let Some(data) = line?.strip_prefix("data:") {
             let body: Value = serde_json::from_str(data.trim()).unwrap_or(Value::Null);
             let status = body["status"].as_u64().and_then(|it| u16::try_from(it).ok());
@@ -152,7 +156,7 @@
     }
     job.relay.begin_attempt(job.attempt);
     let mut started = false;
-    for line in BufReader::new(response).lines() {
+    for line in Lines::new(response) {
         let line = line?;
         let Some(data) = line.strip_prefix("data:") else { continue };
         let event: Value = serde_json::from_str(data.trim()).unwrap_or(Value::Null);
--- a/crates/siskinstiled/tests/testsuite/fixture.rs
+++ b/crates/siskinstiled/tests/testsuite/fixture.rs
@@ -34,6 +34,8 @@
     pub(crate) plain: plain::Config,
     /// Number of prefill endpoints.
     pub(crate) prefills: usize,
+    /// Address of another prefill endpoint.
+    pub(crate) raw_prefill: Option<SocketAddr>,
     /// Address of the service behind `/raw`; `None` for an address that refuses connections.
     pub(crate) raw: Option<SocketAddr>,
 }
@@ -48,6 +50,7 @@
             decode: engine::Config { role: engine::Role::Decode, ..config },
             plain: plain::Config { name: "p".into(), delay_ms: 0 },
             prefills: 1,
+            raw_prefill: None,
             raw: None,
         }
     }
@@ -85,6 +88,8 @@
             .enumerate()
             .map(|(n, it)| endpoint(&format!("p{n}"), it.address(), "prefill", &self.prefill))
             .collect();
+        let raw_prefill = self.raw_prefill.iter();
+        engines.extend(raw_prefill.map(|it| endpoint("pr", *it, "prefill", &self.prefill)));
         engines.push(endpoint("d", decode.address(), "decode", &self.decode));
         let plain_config = engine::Config::default();
         let plains = [endpoint("s", plain.address(), "plain", &plain_config)];
--- a/crates/siskinstiled/tests/testsuite/main.rs
+++ b/crates/siskinstiled/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod check_settings;
 mod disconnect;
+mod endless;
 mod errors;
 mod fixture;
 mod frontend;
