Daemon: an interim response of a service is not the answer

Cause: the client library returns the first head, of whatever status, and it was relayed as the answer.

Change: such a call has failed with an unknown outcome, as one that breaks off.

Measured: plain::response_interim, both cases, failed before and pass now.

--- a/crates/siskinstiled/src/endpoint/plain.rs
+++ b/crates/siskinstiled/src/endpoint/plain.rs
@@ -40,6 +40,8 @@
         }
         job.relay.begin_attempt(job.attempt);
         match send(&job) {
+            // The client does not read on after an interim response.
+            Ok(response) if response.status().is_informational() => failed(true),
             Ok(response) => relay(&job, response, on_first).unwrap_or_else(|_| failed(true)),
             Err(error) => failed(may_have_been_sent(&error)),
         }
@@ -130,7 +132,7 @@
     fn new(job: &Job<'_>, status: u16, headers: &attohttpc::header::HeaderMap) -> Body {
         let is_head =
             matches!(&job.relay.payload, Payload::Plain { method, .. } if method == "HEAD");
-        let is_empty = is_head || matches!(status, 100..200 | 204 | 304);
+        let is_empty = is_head || matches!(status, 204 | 304);
         Body { is_empty, remaining: header_text(headers, "content-length").parse().ok() }
     }
 
--- a/crates/siskinstiled/tests/testsuite/plain.rs
+++ b/crates/siskinstiled/tests/testsuite/plain.rs
@@ -185,3 +185,16 @@
     ask("other");
     assert_eq!(ends.load(Ordering::Relaxed), ended + 1, "the other request is sent");
 }
+
+/// Guards against a caller that gets the head of an interim response, or an error without a kind, as the answer.
+#[rstest]
+#[case::switching("HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\nok")]
+#[case::hints(
+    "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+)]
+fn response_interim(#[case] canned_response: &str) {
+    let builder = Builder { raw: Some(canned(canned_response.into())), ..Builder::default() };
+    let fixture = builder.spawn();
+    let response = send(fixture.daemon.frontend(), request("POST", "/raw", &bearer(KEY), ""));
+    assert_eq!((response.status, &response.error()["kind"]), (504, &"outcome_unknown".into()));
+}
