Daemon: SIGHUP and a full log file do not end the process

Cause: both signals have the default of ending the process, and the first handlers came after the settings were read.

Change: both are handled, and all handlers come first. The settings are still read only at the start.

Measured: process::process_goes_on, both cases, failed before (the stream is cut) and pass now.

--- a/crates/siskinstiled/src/main.rs
+++ b/crates/siskinstiled/src/main.rs
@@ -32,12 +32,12 @@
 }
 
 fn run(args: &Args) -> anyhow::Result<ExitCode> {
+    let signals = signals()?;
     let settings = Settings::open(&args.config)?;
     if args.check {
         println!("{}: fine", args.config.display());
         return Ok(ExitCode::SUCCESS);
     }
-    let signals = signals()?;
     let daemon = Daemon::spawn(&settings)?;
     let peer = daemon.peer().map_or("off".into(), |it| it.to_string());
     println!("door {} admin {} peer {peer}", daemon.frontend(), daemon.admin());
@@ -60,14 +60,21 @@
     }
 }
 
-/// Returns a channel that receives a message for each SIGTERM or SIGINT.
+/// Returns a channel that receives a message for each SIGTERM or SIGINT. SIGHUP, and a log file as large as files may be, do
+/// not end the process.
 fn signals() -> anyhow::Result<crossbeam::channel::Receiver<()>> {
     use tokio::signal::unix::{SignalKind, signal};
     let (sender, receiver) = crossbeam::channel::unbounded();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let (mut term, mut int) = {
+    let file_size = SignalKind::from_raw(rustix::process::Signal::XFSZ.as_raw());
+    let (mut term, mut int, mut hangup, mut full) = {
         let _guard = runtime.enter();
-        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?)
+        (
+            signal(SignalKind::terminate())?,
+            signal(SignalKind::interrupt())?,
+            signal(SignalKind::hangup())?,
+            signal(file_size)?,
+        )
     };
     thread::spawn(move || {
         runtime.block_on(async {
@@ -75,6 +82,8 @@
                 tokio::select! {
                     _ = term.recv() => {}
                     _ = int.recv() => {}
+                    _ = hangup.recv() => continue,
+                    _ = full.recv() => continue,
                 }
                 if sender.send(()).is_err() {
                     break;
--- a/crates/siskinstiled/tests/testsuite/process.rs
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -76,8 +76,13 @@
     }
 
     fn signal(&self) {
+        self.send_signal("TERM");
+    }
+
+    fn send_signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        let name = format!("-{name}");
+        assert!(Command::new("kill").args([&name, &id]).status().unwrap().success());
     }
 
     /// Waits until the process accepts no caller's connection; returns whether that came within
@@ -306,3 +311,21 @@
     assert_eq!(status.code(), Some(0));
     assert!(log.contains("E600"), "{log}");
 }
+
+/// Guards against an instance that ends at once, with its callers' requests, by a signal that tells other programs to read
+/// their settings again, or that comes when the file of its log is full.
+#[rstest]
+#[case::hangup("HUP")]
+#[case::log_file_full("XFSZ")]
+fn process_goes_on(#[case] signal: &str) {
+    let fakes = slow_decode().fakes();
+    let process = Process::spawn("one", &fakes);
+    let mut open = connect(process.frontend);
+    open.write_all(completion("hello", 4, true).as_bytes()).unwrap();
+    read_until(&open, "data:");
+    process.send_signal(signal);
+    let text = read_all(&open);
+    assert!(text.contains("[DONE]"), "{text}");
+    process.signal();
+    assert_eq!(process.exit().0.code(), Some(0));
+}
