Daemon: a start whose output nobody reads goes on

What callers saw: no service; each start ended with code 101 after it had listened, if its standard output was a pipe that is closed.

Cause: the line with the addresses was printed by a macro that panics on an error.

Change: the error is logged.

Measured: process::process_output_closed failed before (101) and passes now, with all 123 tests of the daemon.

--- a/crates/siskinstiled/src/main.rs
+++ b/crates/siskinstiled/src/main.rs
@@ -1,6 +1,12 @@
 //! Runs one instance of siskinstile.
 
-use std::{path::PathBuf, process::ExitCode, thread, time::Duration};
+use std::{
+    io::{self, Write as _},
+    path::PathBuf,
+    process::ExitCode,
+    thread,
+    time::Duration,
+};
 
 use clap::Parser;
 use siskinstiled::{Daemon, Settings};
@@ -40,7 +46,10 @@
     }
     let daemon = Daemon::spawn(&settings)?;
     let peer = daemon.peer().map_or("off".into(), |it| it.to_string());
-    println!("door {} admin {} peer {peer}", daemon.frontend(), daemon.admin());
+    let addresses = format!("door {} admin {} peer {peer}\n", daemon.frontend(), daemon.admin());
+    if let Err(error) = io::stdout().write_all(addresses.as_bytes()) {
+        log::warn!("the addresses cannot be written: {error}");
+    }
     let mut draining = false;
     loop {
         if daemon.wait(Duration::from_millis(50)) {
--- a/crates/siskinstiled/tests/testsuite/process.rs
+++ b/crates/siskinstiled/tests/testsuite/process.rs
@@ -329,3 +329,23 @@
     process.signal();
     assert_eq!(process.exit().0.code(), Some(0));
 }
+
+/// Guards against an instance that ends at each start, since nobody reads its output.
+#[test]
+fn process_output_closed() {
+    let fakes = Builder::default().fakes();
+    let settings = settings("one", fakes.platform.address(), Builder::default().frontend);
+    let file = std::env::temp_dir().join(format!("closed-{:016x}.toml", rand::random::<u64>()));
+    fs::write(&file, toml::to_string(&settings).unwrap()).unwrap();
+    let before = fakes.platform.counters();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_siskinstiled"));
+    command.arg("--config").arg(&file).stdout(Stdio::piped()).stderr(Stdio::null());
+    let mut child = command.spawn().unwrap();
+    drop(child.stdout.take());
+    wait_until(|| fakes.platform.counters() != before);
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    let status = child.wait().unwrap();
+    fs::remove_file(&file).unwrap();
+    assert_eq!(status.code(), Some(0));
+}
