Store: the first read of the members gets more time as well

Change: the limit for first reads holds for the members too, and grows with each call that got no answer, whichever it was.

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -17,7 +17,7 @@
 /// Time limit for the head of an answer of the store, in addition to the wait that a watch requests, and for each
 /// part of its body: a large one takes long on a slow link.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
-/// Upper limit of the same for reads of what there is no copy of yet, which doubles with each failed one.
+/// Upper limit of the same for reads of what there is no copy of yet, which doubles with each failed call.
 const MAX_FIRST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2_800);
 /// Time without an answer of the store after which it is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -117,8 +117,6 @@
     /// Records that a read of a kind has failed at an instance with the given rank.
     pub fn fail(&mut self, now: Instant, kind: &K, rank: u32) {
         self.lost(now);
-        let longer = self.first_response_timeout * 2;
-        self.first_response_timeout = longer.min(MAX_FIRST_RESPONSE_TIMEOUT);
         if let Some(copy) = self.copies.get_mut(kind) {
             copy.is_checked = false;
             copy.backoff = next_backoff(copy.backoff);
@@ -150,6 +148,8 @@
     /// Records that a call of this instance got no answer or was refused; returns whether an outage begins with
     /// it.
     pub fn lost(&mut self, now: Instant) -> bool {
+        let longer = self.first_response_timeout * 2;
+        self.first_response_timeout = longer.min(MAX_FIRST_RESPONSE_TIMEOUT);
         let begins = self.outage.is_none();
         self.outage.get_or_insert(Outage {
             since: now,
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -71,6 +71,8 @@
     /// Whether data centres may be evacuated; otherwise the list is neither read nor pulled.
     has_evacuations: bool,
     contact: RefCell<Contact<Kind>>,
+    /// Whether the members have been listed.
+    has_members: Cell<bool>,
     /// Number of times that the contact was renewed after an outage.
     renewals: watch::Sender<u64>,
     /// Number of answers of the store that are being read.
@@ -97,6 +99,7 @@
             evacuations: Replica::new(Duration::ZERO),
             has_evacuations,
             contact: RefCell::new(Contact::new(kinds(has_evacuations))),
+            has_members: Cell::default(),
             renewals: watch::Sender::new(0),
             receiving: Cell::default(),
             era: watch::Sender::new(None),
--- a/crates/gatewayd/src/sync/members.rs
+++ b/crates/gatewayd/src/sync/members.rs
@@ -61,6 +61,7 @@
                 renewals.mark_unchanged();
             }
             if let Ok((members, _)) = &result {
+                self.has_members.set(true);
                 // After a restart the entry usually exists already and needs no write.
                 is_registered |= members.iter().any(|it| it.name == name && it.value == value);
                 self.apply_members(members, &name, &addresses);
--- a/crates/gatewayd/src/sync/transport.rs
+++ b/crates/gatewayd/src/sync/transport.rs
@@ -100,16 +100,21 @@
     fn response_limit(&self, call: &Call) -> Duration {
         match call {
             Call::Watch { wait, .. } => *wait + RESPONSE_TIMEOUT,
-            Call::List { kind, .. } if self.lacks_copy(*kind) => {
+            Call::List { kind, .. } if self.has_not_read(*kind) => {
                 self.contact.borrow().first_response_timeout()
             }
             _ => RESPONSE_TIMEOUT,
         }
     }
 
-    /// Returns whether a kind is followed and there is no copy of it yet.
-    fn lacks_copy(&self, kind: Kind) -> bool {
-        self.kinds().any(|it| it == kind) && !self.replica(kind).borrow().mirror.is_listed()
+    /// Returns whether a kind that this instance cannot do without has never been read.
+    fn has_not_read(&self, kind: Kind) -> bool {
+        match kind {
+            Kind::Members => !self.has_members.get(),
+            _ => {
+                self.kinds().any(|it| it == kind) && !self.replica(kind).borrow().mirror.is_listed()
+            }
+        }
     }
 
     /// Returns the era of an answer, and records it if it is a new one. The first era of a store
