Store: a first read goes on if the store was reached before it began

Cause: the first answer after a failed call renews the contact, and reads in flight are given up since they may have been sent into the outage, without regard to which was sent first. At a start with a late store calls fail and are answered in turn.

Change: renewals tell when the answered call began; a first read is given up only if it began before that. Other reads as before.

--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -73,8 +73,8 @@
     contact: RefCell<Contact<Kind>>,
     /// Whether the members have been listed.
     has_members: Cell<bool>,
-    /// Number of times that the contact was renewed after an outage.
-    renewals: watch::Sender<u64>,
+    /// When the call began whose answer last renewed the contact after an outage.
+    renewals: watch::Sender<Instant>,
     /// Number of answers of the store that are being read.
     receiving: Cell<u32>,
     /// Era of the store; `None` before its first answer that states one.
@@ -100,7 +100,7 @@
             has_evacuations,
             contact: RefCell::new(Contact::new(kinds(has_evacuations))),
             has_members: Cell::default(),
-            renewals: watch::Sender::new(0),
+            renewals: watch::Sender::new(Instant::default()),
             receiving: Cell::default(),
             era: watch::Sender::new(None),
             newer_configuration: Cell::default(),
--- a/crates/gatewayd/src/sync/transport.rs
+++ b/crates/gatewayd/src/sync/transport.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, future, time::Duration};
 
 use siskinstile_gateway::{
-    Event,
+    Event, Instant,
     contact::{Answered, RESPONSE_TIMEOUT},
     record::{self, Record},
 };
@@ -31,12 +31,19 @@
     }
 
     /// Calls the store, but gives the call up if an outage ends while no part of its answer has arrived: the
-    /// answer may have been lost.
+    /// answer may have been lost. A first read goes on unless it began before the call that shows the end: the store
+    /// was reached by then.
     pub(super) async fn call_until_renewed(&self, call: &Call) -> Result<Answer, Fault> {
         let mut renewals = self.renewals.subscribe();
+        let began = self.control.now();
+        let is_first = self.is_first_read(call);
         self.call_until(call, async move {
-            // The sender is a field of `self`, so the wait cannot fail.
-            let _ = renewals.changed().await;
+            // The sender is a field of `self`, so the waits cannot fail.
+            while renewals.changed().await.is_ok() {
+                if !is_first || *renewals.borrow() > began {
+                    return;
+                }
+            }
         })
         .await
     }
@@ -47,8 +54,9 @@
         given_up: impl Future<Output = ()>,
     ) -> Result<Answer, Fault> {
         metrics::counter!("siskinstile_store_calls").increment(1);
+        let began = self.control.now();
         let result = self.send(call, given_up).await;
-        self.record_result(&result);
+        self.record_result(began, &result);
         result
     }
 
@@ -100,13 +108,16 @@
     fn response_limit(&self, call: &Call) -> Duration {
         match call {
             Call::Watch { wait, .. } => *wait + RESPONSE_TIMEOUT,
-            Call::List { kind, .. } if self.has_not_read(*kind) => {
-                self.contact.borrow().first_response_timeout()
-            }
+            it if self.is_first_read(it) => self.contact.borrow().first_response_timeout(),
             _ => RESPONSE_TIMEOUT,
         }
     }
 
+    /// Returns whether a call reads what this instance cannot do without and has never read.
+    fn is_first_read(&self, call: &Call) -> bool {
+        matches!(call, Call::List { kind, .. } if self.has_not_read(*kind))
+    }
+
     /// Returns whether a kind that this instance cannot do without has never been read.
     fn has_not_read(&self, kind: Kind) -> bool {
         match kind {
@@ -157,8 +168,8 @@
         *self.era.borrow()
     }
 
-    /// Records the result of a call, and logs the start and the end of an outage.
-    fn record_result(&self, result: &Result<Answer, Fault>) {
+    /// Records the result of a call that began at a time, and logs the start and the end of an outage.
+    fn record_result(&self, began: Instant, result: &Result<Answer, Fault>) {
         let now = self.control.now();
         match result {
             Ok(_) => {
@@ -168,7 +179,7 @@
                     let line = Record::new(record::STORE_REGAINED).with("away_ms", outage_ms);
                     self.control.logger.write(&line);
                     self.endpoints.borrow_mut().mirror.store_recovered(now);
-                    self.renewals.send_modify(|it| *it += 1);
+                    self.renewals.send_replace(began);
                     self.control.post(Event::StoreContact(true));
                 }
             }
