Gateway: calls that were open together count as one silence of their endpoint

Change: a silent call counts as a further one only if the endpoint was not ejected when it ended; until then it renews the ejection without doubling it. Test silent_at_once (no network) failed before.

--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -8,7 +8,7 @@
 
 use crate::{Instant, Name};
 
-/// Ejection time after the first call without a response; it doubles with each further one.
+/// Ejection time after the first call without a response; it doubles with each further one that ends after it.
 const BASE_EJECTION: Duration = Duration::from_millis(400);
 /// Maximum ejection time.
 const MAX_EJECTION: Duration = Duration::from_secs(3);
@@ -111,8 +111,11 @@
             }
             Signal::Unresponsive => {
                 record.sample(now, 1.0);
-                record.ejected_until = now + ejection(record.consecutive_timeouts);
-                record.consecutive_timeouts += 1;
+                // Calls that were open together show the same silence.
+                let is_further = record.ejected_until <= now;
+                record.consecutive_timeouts += u32::from(is_further);
+                let earlier = record.consecutive_timeouts.saturating_sub(1);
+                record.ejected_until = record.ejected_until.max(now + ejection(earlier));
             }
         }
     }
--- a/crates/gateway/tests/testsuite/generation.rs
+++ b/crates/gateway/tests/testsuite/generation.rs
@@ -4,10 +4,11 @@
 
 use rstest::rstest;
 use siskinstile_gateway::{
-    Catalog, Effect, Event, Name,
+    Catalog, Effect, Event, Instant, Name,
     call::{Handle, Outcome, Start, Step},
     catalog::Split,
     effect::Call,
+    health::{Signal, Tracker},
 };
 
 use crate::site::{Site, draft, failed};
@@ -182,6 +183,21 @@
     assert_ne!(first.endpoint.id, second.endpoint.id);
 }
 
+/// Guards against endpoints that are left out for seconds after one short silence, since each of the calls that were
+/// open at once counted as another one; a silence after the ejection counts.
+#[test]
+fn silent_at_once() {
+    let (mut health, endpoint) = (Tracker::default(), Name::from("d1"));
+    let at = |ms| Instant::default() + Duration::from_millis(ms);
+    for ms in [1_000, 1_000, 1_000, 1_100] {
+        health.record(at(ms), &endpoint, Signal::Unresponsive);
+    }
+    assert!(health.is_ejected(at(1_450), &endpoint));
+    assert!(!health.is_ejected(at(1_550), &endpoint));
+    health.record(at(2_000), &endpoint, Signal::Unresponsive);
+    assert!(health.is_ejected(at(2_750), &endpoint));
+}
+
 /// With more requests than slots, those that fit are placed, the next ones wait, and the remainder
 /// is refused at once with a retry-after time.
 #[test]
