Store: a list goes on behind a page of which no entry can be read

What callers saw: with a page of which no entry can be read (half of a surrogate pair in each name), whatever the list holds on later pages got no requests, without an error; if that page is the first, no instance was ready within 20 s.

Cause: the list went on from the last object that had been read, and took a page without one for the last page.

Ruled out: to skip unreadable names by the entry before them. A page need not hold one.

Change: the name from which the list goes on is taken from the page as the store wrote it, and is no longer an object's: the last name of the page that is text, or else a name just behind the last one. Objects that come twice are kept once.

--- a/crates/gatewayd/src/store.rs
+++ b/crates/gatewayd/src/store.rs
@@ -114,10 +114,12 @@
 pub enum Answer {
     /// A page of a list.
     Page {
-        /// The objects.
+        /// The objects that can be read.
         items: Vec<Object>,
         /// Whether further pages follow.
         more: bool,
+        /// Name after which the next page starts; `None` if there is none, or if no object of this page has a name.
+        resume_point: Option<Name>,
         /// Position in the store at which the page was read.
         position: Position,
     },
--- a/crates/gatewayd/src/sync/follow.rs
+++ b/crates/gatewayd/src/sync/follow.rs
@@ -2,8 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
+use indexmap::IndexMap;
 use siskinstile_gateway::{
-    Instant,
+    Instant, Name,
     contact::Read,
     record::{self, Record},
 };
@@ -121,19 +122,19 @@
         kind: Kind,
         stale: bool,
     ) -> Result<(Vec<Object>, Position), Fault> {
-        let mut objects: Vec<Object> = Vec::new();
+        let mut objects: IndexMap<Name, Object> = IndexMap::new();
         let mut first_position = None;
+        let mut after = None;
         loop {
-            let after = objects.last().map(|it| it.name.clone());
             match self.call_until_renewed(&Call::List { kind, after, stale }).await? {
-                Answer::Page { items, more, position } => {
-                    let is_last = !more || items.is_empty();
-                    objects.extend(items);
+                Answer::Page { items, resume_point, position, .. } => {
+                    // A page may begin with objects of the page before, if it ended with names that cannot be sent.
+                    objects.extend(items.into_iter().map(|it| (it.name.clone(), it)));
                     let first_position = *first_position.get_or_insert(position);
-                    match is_last {
+                    match resume_point {
                         _ if first_position.era != position.era => return Err(Fault::Lost),
-                        true => return Ok((objects, first_position)),
-                        false => {}
+                        None => return Ok((objects.into_values().collect(), first_position)),
+                        Some(name) => after = Some(name),
                     }
                 }
                 _ => return Err(Fault::Lost),
