Store: a list whose next page has come before ends with what has been read

What callers saw: if the store answers with a page that it has given before, no instance that starts is ready within 20 s; the list is read without end and grows.

Cause: nothing noticed that a list makes no progress.

Ruled out: to count the list as lost. An instance that starts would never serve, though it knows endpoints. To compare names with those of the page before: the store's order need not be ours. A running instance that has to list anew (its history is gone) uses the shorter list as well, rather than endpoints of which it cannot tell whether they are leaving.

Change: the names from which pages have started are kept; a list that would start a page where one has started, or that has more pages but no name to go on from, ends with the objects that were read and a line 715.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -43,6 +43,8 @@
 pub const ENTRY_UNREADABLE: Code = code(713, Level::Warn, "unreadable entry skipped");
 /// Fields of the settings that cannot be used have their defaults.
 pub const SETTINGS_PARTIAL: Code = code(714, Level::Error, "settings used in part");
+/// The store lists more objects of a kind, but shows no way to them.
+pub const LIST_INCOMPLETE: Code = code(715, Level::Warn, "list of the store incomplete");
 /// A call to the platform's store has failed; further failures are not logged until one succeeds.
 pub const STORE_LOST: Code = code(720, Level::Warn, "platform store lost");
 /// The platform's store answers again.
@@ -168,6 +170,7 @@
     LISTED,
     ENTRY_UNREADABLE,
     SETTINGS_PARTIAL,
+    LIST_INCOMPLETE,
     STORE_LOST,
     STORE_REGAINED,
     PEER_LOST,
--- a/crates/gatewayd/src/sync.rs
+++ b/crates/gatewayd/src/sync.rs
@@ -3,6 +3,7 @@
 
 pub mod archive;
 mod follow;
+mod list;
 mod members;
 mod origins;
 mod quarantine;
--- a/crates/gatewayd/src/sync/follow.rs
+++ b/crates/gatewayd/src/sync/follow.rs
@@ -2,16 +2,15 @@
 
 use std::{rc::Rc, time::Duration};
 
-use indexmap::IndexMap;
 use siskinstile_gateway::{
-    Instant, Name,
+    Instant,
     contact::Read,
     record::{self, Record},
 };
 use tokio::time;
 
-use super::{Follower, POLL_INTERVAL};
-use crate::store::{Answer, Call, Fault, Kind, Object, Position};
+use super::{Follower, POLL_INTERVAL, list::Listing};
+use crate::store::{Answer, Call, Fault, Kind};
 
 /// Longest wait of a watch; limits the time until a dead connection is detected.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
@@ -100,46 +99,23 @@
             self.list_current(kind).await?;
             return Ok(true);
         }
-        let (objects, position) = self.list_all(kind, true).await?;
-        let now = self.control.now();
-        self.update(kind, |mirror| Some(mirror.replace(now, objects, position)));
+        self.copy_list(kind, true).await?;
         Ok(true)
     }
 
     /// Lists a kind as it is now.
     async fn list_current(&self, kind: Kind) -> Result<(), Fault> {
-        let (objects, position) = self.list_all(kind, false).await?;
-        let now = self.control.now();
-        self.update(kind, |mirror| Some(mirror.replace(now, objects, position)));
+        self.copy_list(kind, false).await?;
         self.confirm(kind);
         Ok(())
     }
 
-    /// Lists all objects of a kind, page by page; returns the position of the first page. A list that began before
-    /// an outage is given up when the store answers again.
-    pub(super) async fn list_all(
-        &self,
-        kind: Kind,
-        stale: bool,
-    ) -> Result<(Vec<Object>, Position), Fault> {
-        let mut objects: IndexMap<Name, Object> = IndexMap::new();
-        let mut first_position = None;
-        let mut after = None;
-        loop {
-            match self.call_until_renewed(&Call::List { kind, after, stale }).await? {
-                Answer::Page { items, resume_point, position, .. } => {
-                    // A page may begin with objects of the page before, if it ended with names that cannot be sent.
-                    objects.extend(items.into_iter().map(|it| (it.name.clone(), it)));
-                    let first_position = *first_position.get_or_insert(position);
-                    match resume_point {
-                        _ if first_position.era != position.era => return Err(Fault::Lost),
-                        None => return Ok((objects.into_values().collect(), first_position)),
-                        Some(name) => after = Some(name),
-                    }
-                }
-                _ => return Err(Fault::Lost),
-            }
-        }
+    /// Lists a kind and replaces the copy by the list.
+    async fn copy_list(&self, kind: Kind, stale: bool) -> Result<(), Fault> {
+        let Listing { objects, position, .. } = self.list_all(kind, stale).await?;
+        let now = self.control.now();
+        self.update(kind, |mirror| Some(mirror.replace(now, objects, position)));
+        Ok(())
     }
 
     /// Reads the changes of a kind; returns whether another read can resume from the new position. One that
--- a/crates/gatewayd/src/sync/members.rs
+++ b/crates/gatewayd/src/sync/members.rs
@@ -10,7 +10,7 @@
 };
 use tokio::time;
 
-use super::Follower;
+use super::{Follower, list::Listing};
 use crate::{
     control::Phase,
     peers,
@@ -60,11 +60,11 @@
             if result.is_ok() {
                 renewals.mark_unchanged();
             }
-            if let Ok((members, _)) = &result {
+            if let Ok(Listing { objects, .. }) = &result {
                 self.has_members.set(true);
                 // After a restart the entry usually exists already and needs no write.
-                is_registered |= members.iter().any(|it| it.name == name && it.value == value);
-                self.apply_members(members, &name, &addresses);
+                is_registered |= objects.iter().any(|it| it.name == name && it.value == value);
+                self.apply_members(objects, &name, &addresses);
             }
             is_registered = is_registered || self.register(&name, &value).await;
             let is_complete = is_registered && result.is_ok();
--- a/crates/gatewayd/src/sync/origins.rs
+++ b/crates/gatewayd/src/sync/origins.rs
@@ -14,7 +14,7 @@
 };
 use tokio::{sync::mpsc, task::spawn_local};
 
-use super::{Follower, quarantine::unix_time};
+use super::{Follower, list::Listing, quarantine::unix_time};
 use crate::store::{self, Call, Kind, Object};
 
 /// Bytes of a stream's hash.
@@ -98,10 +98,11 @@
         let listed =
             tokio::try_join!(self.list_all(Kind::Origins, false), self.refresh(Kind::Endpoints));
         match listed {
-            Ok(((objects, _), ())) => {
+            Ok((Listing { objects, is_complete: true, .. }, ())) => {
                 Answer::Listed(objects.iter().filter_map(|it| self.read_journal(it)).collect())
             }
-            Err(_) => Answer::NotListed,
+            // What is missing may tell the version that is looked for.
+            Ok(_) | Err(_) => Answer::NotListed,
         }
     }
 
--- a/crates/gatewayd/src/sync/quarantine.rs
+++ b/crates/gatewayd/src/sync/quarantine.rs
@@ -76,7 +76,7 @@
     async fn take_over_quarantine(&self) {
         let entries = loop {
             match self.list_all(Kind::Quarantine, true).await {
-                Ok((entries, _)) => break entries,
+                Ok(listing) => break listing.objects,
                 Err(_) => self.back_off().await,
             }
         };
