Gateway: an entry at whose address another endpoint answers is ejected

Cause: the endpoint refuses what is meant for another one (421), and refusals of plain runs are not held against an endpoint. Without any work the entry seemed to have the least, and was chosen first; the load that the endpoint stated counted for the entry, too.

Ruled out: to treat the entry as leaving, as one that says so: that lasts while it is listed and is told to peers, which a single mistaken refusal must not cause. To send the request once more without counting the refusal: `attempts` limits to how many endpoints a request is sent.

Change: a refusal as misdirected by an endpoint that gives itself another name, or that has no stage and gives none, ejects the entry for 30 s, or until its address or its start changes; line 782. An ejected endpoint is still used if its service has no other. An engine that gives no name may have refused the stage, and is treated as before.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -191,6 +191,8 @@
     pub load: Option<ReportedLoad>,
     /// Whether it is leaving and must get no new requests.
     pub leaving: bool,
+    /// Whether it refused the call, as it is another endpoint than the one that is listed at its address.
+    pub is_other: bool,
     /// Time for which it must not be called after a refusal.
     pub backoff: Option<Duration>,
     /// Limit on the requests from all instances together.
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -14,6 +14,8 @@
 const MAX_EJECTION: Duration = Duration::from_secs(3);
 /// Broken answers, one after the other, from which on an endpoint is ejected for all but single trials.
 const MIN_BROKEN_ANSWERS: u32 = 5;
+/// Ejection time of an entry at whose address another endpoint has answered, unless the entry changes.
+const MISDIRECTED_EJECTION: Duration = Duration::from_secs(30);
 /// Half-life of the failure rate.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weight of a new call in the failure rate.
@@ -40,6 +42,8 @@
     Full,
     /// The endpoint refused this kind of call for now.
     Declined,
+    /// Another endpoint has answered at the address.
+    Misdirected,
 }
 
 /// The health record of one endpoint.
@@ -48,6 +52,8 @@
     consecutive_timeouts: u32,
     consecutive_broken: u32,
     ejected_until: Instant,
+    /// Whether another endpoint has answered at the address last.
+    is_misdirected: bool,
     consecutive_refusals: u32,
     full_until: Instant,
     /// Until when the endpoint has asked for no calls.
@@ -89,6 +95,7 @@
                 record.consecutive_timeouts = 0;
                 record.consecutive_refusals = 0;
                 record.consecutive_broken = 0;
+                record.is_misdirected = false;
                 record.sample(now, 0.0);
             }
             Signal::Error => record.sample(now, 1.0),
@@ -103,6 +110,10 @@
             Signal::Declined => {
                 record.ejected_until = record.ejected_until.max(now + DECLINED_EJECTION);
             }
+            Signal::Misdirected => {
+                record.is_misdirected = true;
+                record.ejected_until = record.ejected_until.max(now + MISDIRECTED_EJECTION);
+            }
             Signal::Full => {
                 let pause =
                     BASE_FULL_PAUSE * 2_u32.saturating_pow(record.consecutive_refusals.min(8));
@@ -120,6 +131,19 @@
         }
     }
 
+    /// Returns whether another endpoint has answered at the address of an endpoint last.
+    pub fn is_misdirected(&self, endpoint: &str) -> bool {
+        self.records.get(endpoint).is_some_and(|it| it.is_misdirected)
+    }
+
+    /// Ends the ejection of an endpoint at whose listed address another one has answered, as its entry has changed.
+    pub fn readmit(&mut self, endpoint: &str) {
+        if let Some(record) = self.records.get_mut(endpoint).filter(|it| it.is_misdirected) {
+            record.is_misdirected = false;
+            record.ejected_until = Instant::default();
+        }
+    }
+
     /// Returns whether an endpoint is ejected and must not get requests.
     pub fn is_ejected(&self, now: Instant, endpoint: &str) -> bool {
         self.records.get(endpoint).is_some_and(|it| it.ejected_until > now)
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -131,6 +131,8 @@
 /// A quarantined group is free again, since enough of its requests went well.
 pub const GROUP_FREED: Code = code(781, Level::Info, "group of requests free again");
 
+/// Another endpoint has answered at the listed address of an endpoint.
+pub const MISDIRECTED: Code = code(782, Level::Warn, "another endpoint at the address");
 /// The origins of a service's streams are journaled in the store, or no longer.
 pub const JOURNALING: Code = code(751, Level::Info, "journal of origins");
 /// The store was asked where a stream began.
@@ -222,6 +224,7 @@
     ANSWERS_BROKEN,
     GROUP_QUARANTINED,
     GROUP_FREED,
+    MISDIRECTED,
 ];
 
 /// A log line: the event, its request and the inputs of the decision.
--- a/crates/gateway/src/state/listing.rs
+++ b/crates/gateway/src/state/listing.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     Catalog, Directory, Instant,
+    directory::Endpoint,
     record::{self, Record},
     residency,
 };
@@ -55,6 +56,7 @@
         let line = Record::new(record::LISTED).with("endpoints", directory.len());
         self.log(line.with("ready", ready));
         self.fleet.health.retain(now, |id| directory.get(id).is_some());
+        self.readmit_changed(&directory);
         self.fleet.reported_loads.retain(|id, _| directory.get(id).is_some());
         self.announce();
         self.planner.record_endpoint_list(now, &directory);
@@ -66,6 +68,19 @@
         self.confirm_crashes(now);
     }
 
+    /// Ends the ejections of endpoints at whose listed addresses other ones have answered, if these are listed elsewhere now
+    /// or have started again.
+    fn readmit_changed(&mut self, directory: &Directory) {
+        for endpoint in directory.iter() {
+            let has_changed = |it: &Arc<Endpoint>| {
+                it.address != endpoint.address || it.started_at_ms != endpoint.started_at_ms
+            };
+            if self.listed.get(&endpoint.id).is_some_and(has_changed) {
+                self.fleet.health.readmit(&endpoint.id);
+            }
+        }
+    }
+
     /// Derives the endpoints in use from those listed, those known to leave and the evacuations.
     pub(super) fn update_directory(&mut self) {
         self.directory = self.evacuations.apply(self.fleet.departures.apply(&self.listed));
--- a/crates/gateway/src/state/reports.rs
+++ b/crates/gateway/src/state/reports.rs
@@ -66,6 +66,9 @@
 
     /// Records what an endpoint stated about itself.
     fn handle_notice(&mut self, now: Instant, endpoint: &Arc<Endpoint>, notice: Notice) {
+        if notice.is_other {
+            return self.record_misdirected(now, endpoint);
+        }
         if let Some(load) = notice.load {
             self.fleet.reported_loads.insert(endpoint.id.clone(), (now, load));
             self.record_pace(now, endpoint, load);
@@ -81,6 +84,18 @@
         }
     }
 
+    /// Records that another endpoint has answered at the listed address of an endpoint, whose entry is an old one or another
+    /// writer's.
+    fn record_misdirected(&mut self, now: Instant, endpoint: &Endpoint) {
+        if !self.fleet.health.is_misdirected(&endpoint.id) {
+            let line = Record::new(record::MISDIRECTED)
+                .with("endpoint", &*endpoint.id)
+                .with("address", endpoint.address.to_string());
+            self.log(line);
+        }
+        self.fleet.health.record(now, &endpoint.id, Signal::Misdirected);
+    }
+
     /// Stops all calls to an endpoint for the time that it asked for, up to a limit.
     fn back_off(&mut self, now: Instant, endpoint: &Name, asked: Duration) {
         if self.fleet.health.backoff(now, endpoint).is_none() {
--- a/crates/gateway/tests/testsuite/extremes.rs
+++ b/crates/gateway/tests/testsuite/extremes.rs
@@ -49,6 +49,7 @@
         backoff: random.random_bool(0.3).then(|| duration(random)),
         cold_remaining: random.random_bool(0.3).then(|| duration(random)),
         leaving: false,
+        is_other: false,
     }
 }
 
--- a/crates/gateway/tests/testsuite/notice.rs
+++ b/crates/gateway/tests/testsuite/notice.rs
@@ -15,6 +15,7 @@
 const LEAVING: Notice = Notice {
     load: None,
     leaving: true,
+    is_other: false,
     backoff: None,
     limit: StatedLimit::Unknown,
     cold_remaining: None,
@@ -273,3 +274,32 @@
     assert_eq!(status, 503);
     assert!(retry_after.is_some_and(|it| it >= Duration::from_secs(4)), "{retry_after:?}");
 }
+
+/// Guards against requests that are refused for as long as an old entry, or another writer's, stands at the address of
+/// another endpoint: it gets a request each half minute, or once it has changed.
+#[test]
+fn other_at_address() {
+    const REFUSED: Outcome = Outcome::Refused { status: 421 };
+    let mut site = Site::configured();
+    let notice = Notice { is_other: true, ..Notice::default() };
+    assert_eq!(lookup(&mut site, REFUSED, notice).as_deref(), Some("r1"));
+    site.advance(29_000);
+    assert!(!is_used(&mut site));
+    list(&mut site, with_entry(Readiness::Ready, 1, 9));
+    assert!(!is_used(&mut site), "the entry tells the same address and start");
+    site.advance(2_000);
+    assert_eq!(lookup(&mut site, REFUSED, notice).as_deref(), Some("r1"));
+    assert!(!is_used(&mut site));
+    list(&mut site, with_entry(Readiness::Ready, 2, 1));
+    assert!(is_used(&mut site), "it has started again");
+}
+
+/// Such an entry is used nevertheless if the service has no other endpoint.
+#[test]
+fn other_at_address_only() {
+    let mut site = Site::configured();
+    list(&mut site, endpoints().into_iter().filter(|it| &*it.id != "r2").collect());
+    let notice = Notice { is_other: true, ..Notice::default() };
+    lookup(&mut site, Outcome::Refused { status: 421 }, notice);
+    assert!(is_used(&mut site));
+}
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -11,12 +11,13 @@
 
 use http_body_util::BodyExt as _;
 use hyper::{
+    StatusCode,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::response,
 };
 use siskinstile_gateway::{
     Event, Name, call,
-    call::{Outcome, Report, Start, Step},
+    call::{Notice, Outcome, Report, Start, Step},
     effect::Call,
     record::{self, Record},
     request,
@@ -47,6 +48,9 @@
 /// Time limit for the body of a refusal, which is only read so that the connection can be reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Outcome of a call that the endpoint has refused as misdirected.
+const MISDIRECTED: Outcome = Outcome::Refused { status: StatusCode::MISDIRECTED_REQUEST.as_u16() };
+
 /// Time within which a proxy breaks off a call to an endpoint that had ended before. What breaks off
 /// sooner shows nothing of the request.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
@@ -353,7 +357,18 @@
 }
 
 fn report(control: &Rc<Control>, call: &Call, response: &ResponseHead, outcome: Outcome) {
-    control.post(Event::Report(Report { call: call.id, outcome, notice: response.notice }));
+    let is_other = outcome == MISDIRECTED && is_other(call, response);
+    let notice = Notice { is_other, ..response.notice };
+    control.post(Event::Report(Report { call: call.id, outcome, notice }));
+}
+
+/// Returns whether a call was refused as misdirected by another endpoint than the one that it was meant for. Engines
+/// refuse calls for another stage with the same status.
+fn is_other(call: &Call, response: &ResponseHead) -> bool {
+    match &response.endpoint {
+        Some(name) => *name != call.endpoint.id,
+        None => call.endpoint.stage.is_none(),
+    }
 }
 
 /// Reports a failed call, and whether its endpoint has ended, or may have, if it broke off work on a
--- a/crates/gatewayd/src/protocol.rs
+++ b/crates/gatewayd/src/protocol.rs
@@ -42,6 +42,8 @@
 pub struct ResponseHead {
     /// Identifier of the request that the response belongs to.
     pub request_id: Option<Name>,
+    /// Name that the endpoint gives itself.
+    pub endpoint: Option<Name>,
     /// Whether the response carries the endpoint's signature.
     pub signed: bool,
     /// Whether the endpoint states that it has not run the request.
