Logger: long texts in lines are cut

What callers saw: nothing that was reported. An entry that cannot be read is logged with its name, which may be a megabyte long, and so are states and addresses in entries; twenty such lines at once, and up to 2,048 in the queue if the output is slow, beside a limit of 110 MB.

Cause: the number of lines was bounded, their length was not.

Change: a text of more than 4 KB in a field is cut, and ends with an ellipsis.

Measured: logger::write_long failed before and passes now. The memory of a process beside such entries was not measured.

--- a/crates/gatewayd/src/logger.rs
+++ b/crates/gatewayd/src/logger.rs
@@ -19,6 +19,11 @@
 /// Maximum number of lines that wait to be written; further lines are dropped and counted.
 const QUEUE_CAPACITY: usize = 2_048;
 
+/// Longest text in a line, in bytes; names and values that others have written may be much longer.
+const MAX_TEXT_BYTES: usize = 4 << 10;
+/// What a text ends with that has been cut.
+const CUT: char = '\u{2026}';
+
 /// Name in lines that are written before the name of the instance is known.
 const UNKNOWN_INSTANCE: &str = "unknown";
 
@@ -173,7 +178,7 @@
             line.insert("request".to_owned(), json!(&**request));
         }
         let fields = record.fields.iter().filter(|(_, value)| !value.is_null());
-        line.extend(fields.map(|(name, value)| ((*name).to_owned(), value.clone())));
+        line.extend(fields.map(|(name, value)| ((*name).to_owned(), bounded(value))));
         if dropped > 0 {
             line.insert("left_out".to_owned(), json!(dropped));
         }
@@ -199,6 +204,18 @@
     }
 }
 
+/// Returns a value, cut if it is a text that is too long.
+fn bounded(value: &Value) -> Value {
+    match value {
+        Value::String(text) if text.len() > MAX_TEXT_BYTES => {
+            let ends = text.char_indices().map(|(at, _)| at).take_while(|it| *it <= MAX_TEXT_BYTES);
+            let kept = &text[..ends.last().unwrap_or_default()];
+            json!(format!("{kept}{CUT}"))
+        }
+        _ => value.clone(),
+    }
+}
+
 fn write_out(message: Message) {
     let mut out = std::io::stdout();
     // There is no other output to report a failed write to.
--- a/crates/gatewayd/tests/testsuite/logger.rs
+++ b/crates/gatewayd/tests/testsuite/logger.rs
@@ -37,6 +37,26 @@
     assert!(last.contains("\"left_out\":"), "{last}");
 }
 
+/// Guards against lines as long as what another writer has left in the store, which wait in the queue: a text is cut, and
+/// the line stays JSON.
+#[test]
+fn write_long() {
+    const MAX_LINE_BYTES: usize = 16 << 10;
+    let (sender, lines) = channel::unbounded();
+    let logger = Logger::new(sender, "one");
+    for text in ["a".repeat(1 << 20), "\u{e4}".repeat(1 << 20), "short".to_owned()] {
+        logger.write(&Record::new(record::ENTRY_UNREADABLE).with("entry", text));
+    }
+    let lines = lines.try_iter().map(|it| match it {
+        Message::Line(line) => line,
+        Message::Flush(_) => panic!("no line"),
+    });
+    let lines: Vec<String> = lines.collect();
+    assert!(lines.iter().all(|it| it.len() <= MAX_LINE_BYTES && it.ends_with("}\n")));
+    assert!(lines[0].contains("aaa\u{2026}\""), "{}", lines[0]);
+    assert!(lines[2].contains("\"short\""), "{}", lines[2]);
+}
+
 /// Guards against a process that ends before its last lines are written: a flush waits until all lines before it are.
 #[test]
 fn flush_waits() {
