Streams: a run does not go on behind an event whose identifier cannot be sent

What callers saw: nothing that was reported. On a resumable route, a stream that broke off behind an event whose identifier has a control character began anew at the next engine: events came twice (ORDER).

Cause: the identifier was left out of the headers of the next run, which starts at the first event then.

Ruled out: to break off each stream with such an identifier; most end without a break. To go on from an earlier event: what came after it would come twice.

Change: such an identifier is none to go on from, so that the caller gets an incomplete stream. A run that goes on breaks off before such an event, as the one before it is still the last that the caller has. With it, a run that breaks off goes on from the last event that was written to the caller, not from the last one that was read, which an event that is too large may have come with.

--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -273,8 +273,10 @@
     else {
         return;
     };
+    let mut goes_on = false;
     if let Step::Run { start: Start::After(last_id), .. } = &call.step {
         output.last_event.get_or_insert_with(|| last_id.clone());
+        goes_on = true;
     }
     let mut splitter = Splitter::after(output.last_event.clone());
     let framed = is_framed(&reply.head);
@@ -291,11 +293,13 @@
             None => break None,
         };
         let events = splitter.push(&chunk);
-        output.last_event = splitter.last_id().cloned();
+        let resume_id = splitter.resume_id();
         match events.is_empty() {
             _ if splitter.is_oversized() => break Some("event too large"),
+            // If it broke off behind such an event, nobody could tell what the caller has.
+            _ if goes_on && resume_id.is_none() => break Some("event with an odd identifier"),
             true => continue,
-            false => {}
+            false => output.last_event = resume_id.cloned(),
         }
         match output.write(events).await {
             Ok(()) => {}
@@ -313,8 +317,8 @@
     };
     match broken {
         Some(cause) => {
+            let last_event = output.last_event.clone();
             drop(output);
-            let last_event = splitter.last_id().cloned();
             report_failed(control, call, None, Failed::broken(cause), last_event).await;
         }
         None => {
--- a/crates/gatewayd/src/stream.rs
+++ b/crates/gatewayd/src/stream.rs
@@ -1,6 +1,7 @@
 //! Splitting of a server-sent event stream into complete events.
 
 use bytes::{Bytes, BytesMut};
+use hyper::header::HeaderValue;
 use siskinstile_gateway::Name;
 
 /// Ends of an event: an empty line after a line, which ends with LF or CRLF as well.
@@ -81,6 +82,13 @@
         self.last_id.as_ref()
     }
 
+    /// Returns the identifier of the last complete event, after which another endpoint can go on; `None` also if it cannot
+    /// be sent in a header.
+    pub fn resume_id(&self) -> Option<&Name> {
+        let is_sent = |it: &&Name| HeaderValue::from_bytes(it.as_bytes()).is_ok();
+        self.last_id.as_ref().filter(is_sent)
+    }
+
     /// Records an event's identifier and returns whether the event follows the last one.
     ///
     /// Events without an identifier, or with one that is not a number, always follow.
