Gateway: an entry at the address of an instance is ejected, and its refusals are not relayed

What callers saw: while another writer's entry named the address at which an instance takes callers, 5 to 9 of 40 requests were answered 401, and so for as long as it stood (DENIED).

Cause: endpoints do not get the key of a request, so that the instance refused it; nothing told its refusal from an endpoint's answer.

Ruled out: to take any failure without a signature for none of an endpoint's; endpoints' failures need not have one. To mark requests that are passed on; endpoints would get the mark. To leave out entries with addresses of instances; an instance does not know the others' for callers.

Change: an instance's refusal of a request that has not run says so in a header, with the kind of the error. A call that is answered with it was refused, and the entry is ejected as one at another endpoint's address is.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -191,7 +191,7 @@
     pub load: Option<ReportedLoad>,
     /// Whether it is leaving and must get no new requests.
     pub leaving: bool,
-    /// Whether it refused the call, as it is another endpoint than the one that is listed at its address.
+    /// Whether the call was refused by another endpoint than the one that is listed at the address, or by an instance.
     pub is_other: bool,
     /// Time for which it must not be called after a refusal.
     pub backoff: Option<Duration>,
--- a/crates/gatewayd/src/calls.rs
+++ b/crates/gatewayd/src/calls.rs
@@ -361,7 +361,11 @@
 }
 
 fn report(control: &Rc<Control>, call: &Call, response: &ResponseHead, outcome: Outcome) {
-    let is_other = outcome == MISDIRECTED && is_other(call, response);
+    let is_other = match outcome {
+        Outcome::Refused { .. } if response.by_instance => true,
+        MISDIRECTED => is_other(call, response),
+        _ => false,
+    };
     let notice = Notice { is_other, ..response.notice };
     control.post(Event::Report(Report { call: call.id, outcome, notice }));
 }
--- a/crates/gatewayd/src/protocol.rs
+++ b/crates/gatewayd/src/protocol.rs
@@ -48,6 +48,8 @@
     pub signed: bool,
     /// Whether the endpoint states that it has not run the request.
     pub not_run: bool,
+    /// Whether an instance of the gateway states that, at an address that is listed as an endpoint's.
+    pub by_instance: bool,
     /// Whether the body has a content encoding, so that it is not as the endpoint sent it.
     pub encoded: bool,
     /// Whether the body is a stream of server-sent events.
