--- a/crates/gatewayd/src/sync/list.rs
+++ b/crates/gatewayd/src/sync/list.rs
@@ -60,7 +60,7 @@
         let line = Record::new(record::LIST_INCOMPLETE)
             .with("kind", kind.as_str())
             .with("objects", pages.objects.len());
-        self.control.logger.write(&line);
+        self.log_counted(&line);
     }
 }
 
--- a/crates/gatewayd/src/sync/update.rs
+++ b/crates/gatewayd/src/sync/update.rs
@@ -90,7 +90,8 @@
         metrics::gauge!("siskinstile_evacuated_datacentres").set(evacuated as f64);
     }
 
-    fn log_counted(&self, line: &Record) {
+    /// Logs a line and counts it by its event.
+    pub(super) fn log_counted(&self, line: &Record) {
         status::count_line(line);
         self.control.logger.write(line);
     }
