Gateway: an inner error does not say that the request has not run

What callers saw: nothing; found by reading the change once more. A request that ends without a response, as after a panic in its task, was answered 500 as one that has not run.

Cause: the frontend takes all its errors for refusals of requests that were not read whole; this one comes after the request was passed on.

Change: it is unknown whether such a request has run, and the header is left out. Of the other errors, `State::fail`, the only one that ends admitted requests, states that none has run only if no byte of a run may have been sent.

--- a/crates/gatewayd/src/frontend.rs
+++ b/crates/gatewayd/src/frontend.rs
@@ -20,7 +20,7 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioTimer;
-use siskinstile_core::error::{Failure, Kind};
+use siskinstile_core::error::{Failure, Kind, Ran};
 use siskinstile_gateway::{
     Catalog, Event,
     catalog::Limits,
@@ -252,6 +252,8 @@
 fn refusal(control: &Control, request_id: &str, kind: Kind) -> Response<Body> {
     let failure = match kind {
         Kind::QueueFull => Failure::not_run(kind).with_retry_after(MEMORY_RETRY),
+        // Nobody can tell how far the request had come.
+        Kind::Internal => Failure::not_run(kind).with_ran(Ran::Unknown),
         _ => Failure::not_run(kind),
     };
     let mut response = control.protocol.error_response(request_id, &failure);
